--- /dev/null
+++ b/crates/core/src/answer.rs
@@ -0,0 +1,78 @@
+//! Checks that the frames of an answer belong together and are whole.
+
+use crate::ids::AttemptNumber;
+use crate::ids::RequestId;
+
+/// What to do with a frame.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FrameVerdict {
+    /// Next frame of the answer.
+    Deliver,
+    /// Frame of another request, of another attempt, or one seen before.
+    Drop,
+    /// Frames before this one are missing; the attempt has failed.
+    Gap,
+}
+
+/// Follows one answer over all attempts of its request.
+#[derive(Debug, Clone)]
+pub struct AnswerCheck {
+    request: RequestId,
+    attempt: AttemptNumber,
+    next: u64,
+    delivered: u64,
+}
+
+impl AnswerCheck {
+    /// Starts before the first attempt.
+    pub fn new(request: RequestId) -> AnswerCheck {
+        AnswerCheck {
+            request,
+            attempt: 0,
+            next: 0,
+            delivered: 0,
+        }
+    }
+
+    /// Starts an attempt; frames of earlier ones are dropped from now on.
+    pub fn begin(&mut self, attempt: AttemptNumber) {
+        assert!(
+            attempt > self.attempt,
+            "attempts of a request must count up"
+        );
+        self.attempt = attempt;
+        self.next = 0;
+    }
+
+    /// Judges a frame by its request, attempt and place within the attempt.
+    pub fn judge(
+        &mut self,
+        request: RequestId,
+        attempt: AttemptNumber,
+        sequence: u64,
+    ) -> FrameVerdict {
+        if request != self.request || attempt != self.attempt || sequence < self.next {
+            return FrameVerdict::Drop;
+        }
+        if sequence > self.next {
+            return FrameVerdict::Gap;
+        }
+        self.next += 1;
+        FrameVerdict::Deliver
+    }
+
+    /// Notes that an event of the stream went to the caller.
+    pub fn note_delivered(&mut self) {
+        self.delivered += 1;
+    }
+
+    /// Events of the stream that the caller has, over all attempts.
+    pub fn delivered(&self) -> u64 {
+        self.delivered
+    }
+
+    /// Current attempt.
+    pub fn attempt(&self) -> AttemptNumber {
+        self.attempt
+    }
+}
--- /dev/null
+++ b/crates/core/src/entry.rs
@@ -0,0 +1,767 @@
+//! Decisions of an entry: from a request's arrival to its last attempt.
+//!
+//! [`EntryCore::step`] takes an event and the time and returns actions. The
+//! daemon carries them out and reports back with further events.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::budget::RetryBudget;
+use crate::choose::ChoiceQuery;
+use crate::choose::LoadReport;
+use crate::choose::RouteTable;
+use crate::choose::ServerChoice;
+use crate::config::ConfigObject;
+use crate::config::ConfigTable;
+use crate::gossip::GossipCore;
+use crate::gossip::GossipMessage;
+use crate::gossip::GossipSend;
+use crate::ids::AttemptNumber;
+use crate::ids::ChoiceRng;
+use crate::ids::ClassName;
+use crate::ids::FastMap;
+use crate::ids::OrganisationName;
+use crate::ids::RequestId;
+use crate::ids::ServerId;
+use crate::ids::ServiceName;
+use crate::member::MemberRecord;
+use crate::member::MemberState;
+use crate::member::MemberTable;
+use crate::queue::FairQueue;
+use crate::queue::WaitingRequest;
+use crate::refusal::Refusal;
+use crate::refusal::RefusalKind;
+
+/// Most attempts of one request.
+const MAX_ATTEMPTS: AttemptNumber = 12;
+/// Share of the first-token target that a request may spend in the queue.
+const QUEUE_SHARE: f64 = 0.6;
+/// Retry-After when nothing better is known.
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Silence after which an announcing agent or entry counts as gone.
+const MEMBER_SILENCE: Duration = Duration::from_secs(4);
+/// Span over which the rate of placements is measured.
+const RATE_WINDOW: Duration = Duration::from_secs(1);
+/// Load figures probed for each arrival at the most.
+const PROBES_PER_ARRIVAL: usize = 1;
+
+/// Fixed facts of an entry.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct EntryFacts {
+    /// This entry as a member.
+    pub member: MemberRecord,
+    /// Requests that may wait for one service.
+    pub queue_capacity: usize,
+    /// Seed of random choices.
+    pub seed: u64,
+}
+
+/// A request as the caller stated it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Arrival {
+    /// Identity given by the entry.
+    pub request: RequestId,
+    /// Class of work.
+    pub class: ClassName,
+    /// Organisation of the caller.
+    pub organisation: OrganisationName,
+    /// Hash of the organisation and the start of the body.
+    pub prefix: u64,
+    /// Time left until the caller's deadline.
+    pub time_left: Option<Duration>,
+}
+
+/// What happened at an entry.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum EntryEvent {
+    /// A caller's request came in whole.
+    Arrived(Arrival),
+    /// An agent refused an attempt, or could not be reached with it.
+    TurnedAway(RequestId),
+    /// An attempt's answer is complete.
+    Completed(RequestId),
+    /// An attempt failed after the request may have reached the backend server.
+    Broke {
+        /// Request of the attempt.
+        request: RequestId,
+        /// Whether the attempt can be resumed without a gap in the answer.
+        resumable: bool,
+    },
+    /// The caller went away.
+    Abandoned(RequestId),
+    /// A load figure came in.
+    Load {
+        /// Server that the figure is about.
+        server: ServerId,
+        /// The figure.
+        report: LoadReport,
+    },
+    /// A member announced itself.
+    Announced(MemberRecord),
+    /// Half a round of gossip came in; a first half is answered.
+    Gossiped(GossipMessage),
+    /// It is time to start a round of gossip.
+    GossipDue,
+    /// Objects came from the platform or a peer.
+    Configured(Vec<ConfigObject>),
+    /// Members came from the platform's list.
+    Listed(Vec<MemberRecord>),
+    /// Time passed.
+    Ticked,
+    /// This entry begins to leave.
+    Draining,
+}
+
+/// What the daemon has to do.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum EntryAction {
+    /// Send an attempt to a backend server's agent.
+    Send {
+        /// Request to send.
+        request: RequestId,
+        /// Number of the attempt.
+        attempt: AttemptNumber,
+        /// Server chosen.
+        server: ServerId,
+        /// Address of its agent.
+        address: String,
+    },
+    /// Give the caller its final refusal.
+    Refuse {
+        /// Request refused.
+        request: RequestId,
+        /// Reason.
+        refusal: Refusal,
+    },
+    /// Ask an agent for its load.
+    Probe {
+        /// Server to ask about.
+        server: ServerId,
+        /// Address of its agent.
+        address: String,
+    },
+    /// Start a round of gossip, or answer the one that came in.
+    Gossip(GossipSend),
+    /// Configuration newer than what was known is in force.
+    InForce(Vec<ConfigObject>),
+    /// Objects or members were refused; the texts name the remedy.
+    Reject(Vec<String>),
+    /// A member's record changed.
+    MemberChanged(MemberRecord),
+}
+
+#[derive(Debug, Clone)]
+struct RequestState {
+    arrival: Arrival,
+    service: ServiceName,
+    priority: u8,
+    repeatable: bool,
+    give_up: Duration,
+    deadline: Option<Duration>,
+    attempt: AttemptNumber,
+    server: Option<ServerId>,
+    excluded: Vec<ServerId>,
+    may_have_run: bool,
+}
+
+/// State of an entry's decisions.
+#[derive(Debug, Clone)]
+pub struct EntryCore {
+    facts: EntryFacts,
+    config: ConfigTable,
+    members: MemberTable,
+    routes: RouteTable,
+    gossip: GossipCore,
+    queues: FastMap<ServiceName, FairQueue>,
+    rates: FastMap<ServiceName, PlacementRate>,
+    budget: RetryBudget,
+    requests: FastMap<RequestId, RequestState>,
+    rng: ChoiceRng,
+    draining: bool,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct PlacementRate {
+    window_start: Duration,
+    count: u32,
+    per_second: f64,
+}
+
+impl EntryCore {
+    /// Starts without configuration and members.
+    pub fn new(facts: EntryFacts) -> EntryCore {
+        let mut members = MemberTable::default();
+        members.merge(Duration::ZERO, facts.member.clone());
+        EntryCore {
+            rng: ChoiceRng::new(facts.seed),
+            gossip: GossipCore::new(facts.member.clone()),
+            facts,
+            config: ConfigTable::default(),
+            members,
+            routes: RouteTable::default(),
+            queues: FastMap::default(),
+            rates: FastMap::default(),
+            budget: RetryBudget::default(),
+            requests: FastMap::default(),
+            draining: false,
+        }
+    }
+
+    /// Takes an event in and returns what has to be done.
+    pub fn step(&mut self, now: Duration, event: EntryEvent) -> Vec<EntryAction> {
+        let mut actions = Vec::new();
+        match event {
+            EntryEvent::Arrived(arrival) => self.arrive(now, arrival, &mut actions),
+            EntryEvent::TurnedAway(request) => self.turn_away(now, request, &mut actions),
+            EntryEvent::Completed(request) => self.complete(now, request, &mut actions),
+            EntryEvent::Broke { request, resumable } => {
+                self.break_off(now, request, resumable, &mut actions);
+            }
+            EntryEvent::Abandoned(request) => self.abandon(now, request, &mut actions),
+            EntryEvent::Load { server, report } => {
+                self.take_load(now, &server, report, &mut actions);
+            }
+            EntryEvent::Announced(record) => self.hear(now, record, &mut actions),
+            EntryEvent::Gossiped(message) => self.take_gossip(now, message, &mut actions),
+            EntryEvent::GossipDue => {
+                let round = self
+                    .gossip
+                    .begin(&self.members, &self.config, &mut self.rng);
+                actions.extend(round.map(EntryAction::Gossip));
+            }
+            EntryEvent::Configured(objects) => self.configure(objects, &mut actions),
+            EntryEvent::Listed(records) => self.merge_members(now, records, &mut actions),
+            EntryEvent::Ticked => self.tick(now, &mut actions),
+            EntryEvent::Draining => self.drain(now, &mut actions),
+        }
+        self.check_actions(&actions);
+        actions
+    }
+
+    /// This entry as a member.
+    pub fn own_member(&self) -> &MemberRecord {
+        &self.facts.member
+    }
+
+    /// Configuration in force at this entry.
+    pub fn config(&self) -> &ConfigTable {
+        &self.config
+    }
+
+    /// Members known to this entry.
+    pub fn members(&self) -> &MemberTable {
+        &self.members
+    }
+
+    /// Backend servers and their load.
+    pub fn routes(&self) -> &RouteTable {
+        &self.routes
+    }
+
+    /// Number of requests that have not ended.
+    pub fn open_requests(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Number of requests that wait for a backend server.
+    pub fn queued_requests(&self) -> usize {
+        self.queues.values().map(FairQueue::len).sum()
+    }
+
+    /// Whether this entry can serve callers.
+    pub fn ready(&self) -> bool {
+        !self.draining && !self.config.is_empty()
+    }
+
+    fn arrive(&mut self, now: Duration, arrival: Arrival, actions: &mut Vec<EntryAction>) {
+        let request = arrival.request;
+        if self.config.is_empty() {
+            let refusal = Refusal::not_run(RefusalKind::NotReady, Some(DEFAULT_RETRY_AFTER));
+            actions.push(EntryAction::Refuse { request, refusal });
+            return;
+        }
+        let Some(target) = self.config.class(&arrival.class) else {
+            let refusal = Refusal::not_run(RefusalKind::UnknownClass, None);
+            actions.push(EntryAction::Refuse { request, refusal });
+            return;
+        };
+        let deadline = arrival.time_left.map(|left| now + left);
+        let queue_until = now + target.first_token().mul_f64(QUEUE_SHARE);
+        let state = RequestState {
+            service: target.service.clone(),
+            priority: target.priority,
+            repeatable: target.repeatable,
+            give_up: deadline.map_or(queue_until, |deadline| deadline.min(queue_until)),
+            deadline,
+            attempt: 0,
+            server: None,
+            excluded: Vec::new(),
+            may_have_run: false,
+            arrival,
+        };
+        self.probe_stale(now, &state.service, actions);
+        self.requests.insert(request, state);
+        self.place(now, request, actions);
+    }
+
+    fn probe_stale(&mut self, now: Duration, service: &str, actions: &mut Vec<EntryAction>) {
+        for server in self
+            .routes
+            .stale(now, service, PROBES_PER_ARRIVAL, &mut self.rng)
+        {
+            if let Some(address) = self.routes.address(&server) {
+                let address = address.to_string();
+                actions.push(EntryAction::Probe { server, address });
+            }
+        }
+    }
+
+    /// Sends a request that is not queued, or queues it, or refuses it.
+    fn place(&mut self, now: Duration, request: RequestId, actions: &mut Vec<EntryAction>) {
+        let Some(state) = self.requests.get(&request) else {
+            return;
+        };
+        if state.deadline.is_some_and(|deadline| deadline <= now) {
+            self.refuse(
+                request,
+                not_run_or_cut(state, RefusalKind::DeadlinePassed, None),
+                actions,
+            );
+            return;
+        }
+        let earlier_waiting = state.attempt == 0
+            && self
+                .queues
+                .get(&state.service)
+                .is_some_and(|q| !q.is_empty());
+        if earlier_waiting {
+            self.enqueue(now, request, actions);
+            return;
+        }
+        match self.choose(now, request) {
+            ServerChoice::Chosen(server) => self.send(now, request, server, actions),
+            ServerChoice::Full => self.enqueue(now, request, actions),
+            ServerChoice::None => {
+                let retry = Some(DEFAULT_RETRY_AFTER);
+                let refusal =
+                    not_run_or_cut(&self.requests[&request], RefusalKind::NoServer, retry);
+                self.refuse(request, refusal, actions);
+            }
+        }
+    }
+
+    fn choose(&mut self, now: Duration, request: RequestId) -> ServerChoice {
+        let Some(state) = self.requests.get(&request) else {
+            return ServerChoice::None;
+        };
+        let query = ChoiceQuery {
+            service: &state.service,
+            zone: &self.facts.member.zone,
+            prefix: state.arrival.prefix,
+            excluded: &state.excluded,
+        };
+        self.routes.choose(now, &query, &mut self.rng)
+    }
+
+    fn send(
+        &mut self,
+        now: Duration,
+        request: RequestId,
+        server: ServerId,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let Some(address) = self.routes.address(&server).map(str::to_string) else {
+            return;
+        };
+        let Some(state) = self.requests.get_mut(&request) else {
+            return;
+        };
+        assert!(
+            state.server.is_none(),
+            "request {request} has two attempts at once"
+        );
+        state.attempt += 1;
+        state.server = Some(server.clone());
+        let attempt = state.attempt;
+        self.rates
+            .entry(state.service.clone())
+            .or_default()
+            .count_one(now);
+        self.routes.note_sent(&server);
+        actions.push(EntryAction::Send {
+            request,
+            attempt,
+            server,
+            address,
+        });
+    }
+
+    fn enqueue(&mut self, now: Duration, request: RequestId, actions: &mut Vec<EntryAction>) {
+        let state = &self.requests[&request];
+        let capacity = self.facts.queue_capacity;
+        let queue = self
+            .queues
+            .entry(state.service.clone())
+            .or_insert_with(|| FairQueue::new(capacity));
+        let ahead = queue.ahead_of(state.priority, &state.arrival.organisation);
+        let rate = self
+            .rates
+            .get(&state.service)
+            .map_or(0.0, |rate| rate.per_second);
+        let wait = expected_wait(ahead, rate);
+        let hopeless = wait.is_some_and(|wait| now + wait > state.give_up);
+        let waiting = WaitingRequest {
+            request,
+            give_up: state.give_up,
+        };
+        if hopeless
+            || state.give_up <= now
+            || !queue.push(state.priority, &state.arrival.organisation, waiting)
+        {
+            let retry = Some(wait.unwrap_or(DEFAULT_RETRY_AFTER).max(DEFAULT_RETRY_AFTER));
+            self.refuse(
+                request,
+                not_run_or_cut(state, RefusalKind::Overloaded, retry),
+                actions,
+            );
+        }
+    }
+
+    /// Places waiting requests of a service while there is room.
+    fn pump(&mut self, now: Duration, service: &str, actions: &mut Vec<EntryAction>) {
+        while let Some((request, give_up)) = self.queues.get_mut(service).and_then(FairQueue::pop) {
+            match self.choose(now, request) {
+                ServerChoice::Chosen(server) => self.send(now, request, server, actions),
+                ServerChoice::Full => {
+                    let state = &self.requests[&request];
+                    let waiting = WaitingRequest { request, give_up };
+                    let organisation = &state.arrival.organisation;
+                    if let Some(queue) = self.queues.get_mut(service) {
+                        queue.push_back_first(state.priority, organisation, waiting);
+                    }
+                    return;
+                }
+                ServerChoice::None => {
+                    let state = &self.requests[&request];
+                    let retry = Some(DEFAULT_RETRY_AFTER);
+                    let refusal = not_run_or_cut(state, RefusalKind::NoServer, retry);
+                    self.refuse(request, refusal, actions);
+                }
+            }
+        }
+    }
+
+    fn turn_away(&mut self, now: Duration, request: RequestId, actions: &mut Vec<EntryAction>) {
+        let Some(server) = self.end_attempt(request) else {
+            return;
+        };
+        self.routes.avoid(now, &server);
+        let Some(state) = self.requests.get_mut(&request) else {
+            return;
+        };
+        state.excluded.push(server);
+        if state.attempt >= MAX_ATTEMPTS {
+            let retry = Some(DEFAULT_RETRY_AFTER);
+            let refusal = not_run_or_cut(state, RefusalKind::Overloaded, retry);
+            self.refuse(request, refusal, actions);
+        } else if self.budget.withdraw() {
+            self.place(now, request, actions);
+        } else {
+            self.enqueue(now, request, actions);
+        }
+    }
+
+    fn complete(&mut self, now: Duration, request: RequestId, actions: &mut Vec<EntryAction>) {
+        let Some(_server) = self.end_attempt(request) else {
+            return;
+        };
+        self.budget.deposit();
+        if let Some(state) = self.requests.remove(&request) {
+            self.pump(now, &state.service, actions);
+        }
+    }
+
+    fn break_off(
+        &mut self,
+        now: Duration,
+        request: RequestId,
+        resumable: bool,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let Some(server) = self.end_attempt(request) else {
+            return;
+        };
+        self.routes.avoid(now, &server);
+        let Some(state) = self.requests.get_mut(&request) else {
+            return;
+        };
+        state.may_have_run = true;
+        state.excluded.push(server);
+        let again = state.repeatable && resumable && state.attempt < MAX_ATTEMPTS;
+        if again && self.budget.withdraw() {
+            let patience = now
+                + self
+                    .config
+                    .class(&state.arrival.class)
+                    .map_or(DEFAULT_RETRY_AFTER, |target| target.first_token());
+            state.give_up = state
+                .deadline
+                .map_or(patience, |deadline| deadline.min(patience));
+            self.place(now, request, actions);
+            return;
+        }
+        let kind = if state.repeatable {
+            RefusalKind::AnswerCut
+        } else {
+            RefusalKind::OutcomeUnknown
+        };
+        self.refuse(request, Refusal::unknown(kind), actions);
+    }
+
+    fn abandon(&mut self, now: Duration, request: RequestId, actions: &mut Vec<EntryAction>) {
+        self.end_attempt(request);
+        let Some(state) = self.requests.remove(&request) else {
+            return;
+        };
+        if let Some(queue) = self.queues.get_mut(&state.service) {
+            queue.remove(request);
+        }
+        self.pump(now, &state.service, actions);
+    }
+
+    fn end_attempt(&mut self, request: RequestId) -> Option<ServerId> {
+        let server = self.requests.get_mut(&request)?.server.take()?;
+        self.routes.note_ended(&server);
+        Some(server)
+    }
+
+    fn refuse(&mut self, request: RequestId, refusal: Refusal, actions: &mut Vec<EntryAction>) {
+        self.requests.remove(&request);
+        actions.push(EntryAction::Refuse { request, refusal });
+    }
+
+    fn take_load(
+        &mut self,
+        now: Duration,
+        server: &str,
+        report: LoadReport,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        self.routes.note_load(now, server, report);
+        let service = self.routes.service(server).map(str::to_string);
+        if let Some(service) = service {
+            self.pump(now, &service, actions);
+        }
+    }
+
+    fn hear(&mut self, now: Duration, record: MemberRecord, actions: &mut Vec<EntryAction>) {
+        let id = record.id.clone();
+        self.merge_members(now, vec![record], actions);
+        self.members.touch(now, &id);
+    }
+
+    fn take_gossip(
+        &mut self,
+        now: Duration,
+        message: GossipMessage,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let reply_wanted = !message.reply;
+        let answer =
+            reply_wanted.then(|| self.gossip.answer(&message, &self.members, &self.config));
+        let sender = message.sender.clone();
+        self.merge_members(now, message.members, actions);
+        self.hear(now, sender, actions);
+        self.configure(message.objects, actions);
+        actions.extend(answer.map(EntryAction::Gossip));
+    }
+
+    fn merge_members(
+        &mut self,
+        now: Duration,
+        records: Vec<MemberRecord>,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        for record in records {
+            if record.id == self.facts.member.id {
+                self.refute(now, &record);
+                continue;
+            }
+            if self.members.merge(now, record.clone()) {
+                self.route_member(&record);
+                self.gossip.spread_member(&record.id);
+                actions.push(EntryAction::MemberChanged(record));
+            }
+        }
+    }
+
+    /// Raises this entry's own sequence above news that it does not share.
+    fn refute(&mut self, now: Duration, record: &MemberRecord) {
+        let own = &mut self.facts.member;
+        let wrong = record.incarnation == own.incarnation
+            && record.state > own.state
+            && record.sequence >= own.sequence;
+        if wrong {
+            own.sequence = record.sequence + 1;
+            self.members.merge(now, own.clone());
+            self.gossip.set_sender(own.clone());
+        }
+    }
+
+    fn route_member(&mut self, record: &MemberRecord) {
+        let Some(service) = &record.service else {
+            return;
+        };
+        if record.state == MemberState::Gone {
+            self.routes.remove(&record.id);
+            return;
+        }
+        let in_force = record.state == MemberState::Live
+            && self.config.zone_in(&record.zone)
+            && self.config.server_in(&record.id);
+        self.routes
+            .upsert(&record.id, &record.address, &record.zone, service, in_force);
+    }
+
+    fn configure(&mut self, objects: Vec<ConfigObject>, actions: &mut Vec<EntryAction>) {
+        let mut taken = Vec::new();
+        let mut faults = Vec::new();
+        for object in objects {
+            match self.config.merge(object.clone()) {
+                Ok(true) => taken.push(object),
+                Ok(false) => {}
+                Err(error) => faults.push(error.to_string()),
+            }
+        }
+        if !faults.is_empty() {
+            actions.push(EntryAction::Reject(faults));
+        }
+        if taken.is_empty() {
+            return;
+        }
+        for object in &taken {
+            self.gossip.spread_object(&object.key);
+        }
+        let config = &self.config;
+        let members = &self.members;
+        self.routes.refresh(|id, zone| {
+            let live = members
+                .get(id)
+                .is_some_and(|known| known.record.state == MemberState::Live);
+            live && config.zone_in(zone) && config.server_in(id)
+        });
+        actions.push(EntryAction::InForce(taken));
+    }
+
+    fn tick(&mut self, now: Duration, actions: &mut Vec<EntryAction>) {
+        let expired: Vec<RequestId> = self
+            .queues
+            .values_mut()
+            .flat_map(|queue| queue.take_expired(now))
+            .collect();
+        for request in expired {
+            let retry = Some(DEFAULT_RETRY_AFTER);
+            let refusal = not_run_or_cut(&self.requests[&request], RefusalKind::Overloaded, retry);
+            self.refuse(request, refusal, actions);
+        }
+        for rate in self.rates.values_mut() {
+            rate.roll(now);
+        }
+        for id in self.members.silent(now, MEMBER_SILENCE) {
+            if id == self.facts.member.id {
+                continue;
+            }
+            if let Some(record) = self.members.mark_gone(now, &id) {
+                self.route_member(&record);
+                self.gossip.spread_member(&id);
+                actions.push(EntryAction::MemberChanged(record));
+            }
+        }
+        self.members.forget_gone(now);
+        let services: Vec<ServiceName> = self
+            .queues
+            .iter()
+            .filter(|(_, queue)| !queue.is_empty())
+            .map(|(service, _)| service.clone())
+            .collect();
+        for service in services {
+            self.pump(now, &service, actions);
+        }
+    }
+
+    fn drain(&mut self, now: Duration, actions: &mut Vec<EntryAction>) {
+        self.draining = true;
+        let own = &mut self.facts.member;
+        own.state = MemberState::Leaving;
+        own.sequence += 1;
+        self.members.merge(now, own.clone());
+        self.gossip.set_sender(own.clone());
+        actions.push(EntryAction::MemberChanged(own.clone()));
+    }
+
+    /// Invariants that hold after every step.
+    fn check_actions(&self, actions: &[EntryAction]) {
+        for action in actions {
+            match action {
+                EntryAction::Send {
+                    server, request, ..
+                } => {
+                    assert!(
+                        self.routes.may_send(server),
+                        "sent {request} to {server} out of force"
+                    );
+                }
+                EntryAction::Refuse { request, refusal } => {
+                    assert!(
+                        !self.requests.contains_key(request),
+                        "refused {request} goes on"
+                    );
+                    let _ = refusal;
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+/// A request of which an attempt broke off can no longer be called not run.
+fn not_run_or_cut(state: &RequestState, kind: RefusalKind, retry: Option<Duration>) -> Refusal {
+    if state.may_have_run {
+        let kind = if state.repeatable {
+            RefusalKind::AnswerCut
+        } else {
+            RefusalKind::OutcomeUnknown
+        };
+        return Refusal::unknown(kind);
+    }
+    Refusal::not_run(kind, retry)
+}
+
+/// Time until a request with `ahead` others before it is placed, if it can be told.
+fn expected_wait(ahead: usize, per_second: f64) -> Option<Duration> {
+    if per_second <= 0.0 {
+        return None;
+    }
+    Some(Duration::from_secs_f64(ahead as f64 / per_second))
+}
+
+impl PlacementRate {
+    fn count_one(&mut self, now: Duration) {
+        self.roll(now);
+        self.count += 1;
+    }
+
+    fn roll(&mut self, now: Duration) {
+        let passed = now.saturating_sub(self.window_start);
+        if passed < RATE_WINDOW {
+            return;
+        }
+        self.per_second = f64::from(self.count) / passed.as_secs_f64();
+        self.count = 0;
+        self.window_start = now;
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,48 @@
+//! Decisions of a load balancer for expert-parallel model groups.
+//!
+//! Every module here is pure: an event and the current time go in, actions come
+//! out. There is no socket, thread or clock inside, so the same code runs under
+//! the daemons, the randomised runs and `cuminpick replay`.
+//!
+//! A tour, in the order in which a request meets the modules:
+//!
+//! - [`config`] holds what operators state: class targets and take-outs.
+//! - [`member`] knows the backend servers and entries, [`gossip`] spreads changes.
+//! - [`entry`] decides for an entry: it queues a request ([`queue`]), picks a
+//!   backend server ([`choose`]) and retries within a budget ([`budget`]).
+//! - [`agent`] decides beside a backend server, with the limit from [`limit`].
+//! - [`answer`] checks that the frames of an answer belong together.
+//! - [`refusal`] names every way in which a request is turned down.
+//! - [`journal`] merges the events of all processes into causal order.
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use cuminpick::limit::AdmissionLimit;
+//! use cuminpick::limit::LimitSettings;
+//!
+//! let mut limit = AdmissionLimit::new(LimitSettings::default());
+//! let now = Duration::ZERO;
+//! assert!(limit.try_admit(now));
+//! limit.finish(now, true);
+//! assert_eq!(limit.in_flight(), 0);
+//! ```
+
+pub mod agent;
+pub mod answer;
+pub mod budget;
+pub mod choose;
+pub mod clock;
+pub mod config;
+pub mod entry;
+pub mod gossip;
+pub mod homes;
+pub mod ids;
+pub mod journal;
+pub mod limit;
+pub mod member;
+pub mod queue;
+pub mod refusal;
+pub mod replay;
+pub mod settings;
+pub mod watcher;
--- /dev/null
+++ b/crates/core/src/limit.rs
@@ -0,0 +1,214 @@
+//! Admission limit of one backend server, learned from its own behaviour.
+//!
+//! The limit starts at a cold floor. It rises while the server keeps its pace
+//! at the limit, falls when the pace drops, and returns to the floor at once
+//! when the server restarts or its pace collapses. Pace is the time between
+//! tokens or, for plain services, the time of an answer; it is compared with
+//! the best pace since the last start, so nobody has to tell what is normal.
+
+use std::time::Duration;
+
+/// Span over which pace is averaged.
+const PACE_WINDOW: Duration = Duration::from_millis(250);
+/// Time between two rises of the limit.
+const RISE_INTERVAL: Duration = Duration::from_millis(500);
+/// Rise at a time, as a share of the limit; at least one.
+const RISE_SHARE: f64 = 0.1;
+/// Pace, relative to the best, below which the limit may rise.
+const RISE_BELOW: f64 = 1.35;
+/// Pace, relative to the best, above which the limit falls.
+const FALL_ABOVE: f64 = 1.7;
+/// Factor of one fall.
+const FALL_FACTOR: f64 = 0.85;
+/// A pace this many times the recent one, seen twice in a row, is a collapse.
+const COLLAPSE_RATIO: f64 = 3.0;
+/// Observations in a row that make a collapse.
+const COLLAPSE_COUNT: u32 = 2;
+/// Pace below which a ratio says nothing but noise.
+const PACE_NOISE: Duration = Duration::from_millis(4);
+/// Share of the limit that must be in use for a rise to be earned.
+const USED_SHARE: f64 = 0.75;
+/// Silence of a server with work in flight after which it counts as stalled.
+const STALL_AFTER: Duration = Duration::from_secs(2);
+
+/// Bounds of an [`AdmissionLimit`].
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LimitSettings {
+    /// Concurrency admitted to a server of which nothing is known.
+    pub floor: u32,
+    /// Highest concurrency ever admitted.
+    pub ceiling: u32,
+    /// Pace above which the limit falls whatever the best pace was.
+    pub pace_target: Duration,
+}
+
+impl Default for LimitSettings {
+    fn default() -> LimitSettings {
+        LimitSettings {
+            floor: 2,
+            ceiling: 256,
+            pace_target: Duration::from_millis(50),
+        }
+    }
+}
+
+/// Counts what a backend server holds and decides what more it gets.
+#[derive(Debug, Clone)]
+pub struct AdmissionLimit {
+    settings: LimitSettings,
+    limit: f64,
+    in_flight: u32,
+    peak: u32,
+    best: Option<Duration>,
+    recent: Option<Duration>,
+    window_start: Duration,
+    window_sum: Duration,
+    window_count: u32,
+    last_rise: Duration,
+    last_sign: Duration,
+    slow_streak: u32,
+}
+
+impl AdmissionLimit {
+    /// Starts at the floor.
+    pub fn new(settings: LimitSettings) -> AdmissionLimit {
+        AdmissionLimit {
+            settings,
+            limit: f64::from(settings.floor),
+            in_flight: 0,
+            peak: 0,
+            best: None,
+            recent: None,
+            window_start: Duration::ZERO,
+            window_sum: Duration::ZERO,
+            window_count: 0,
+            last_rise: Duration::ZERO,
+            last_sign: Duration::ZERO,
+            slow_streak: 0,
+        }
+    }
+
+    /// Admits one request if the limit allows it.
+    pub fn try_admit(&mut self, now: Duration) -> bool {
+        if self.in_flight >= self.limit() || self.stalled(now) {
+            return false;
+        }
+        if self.in_flight == 0 {
+            self.last_sign = now;
+        }
+        self.in_flight += 1;
+        self.peak = self.peak.max(self.in_flight);
+        assert!(
+            self.in_flight <= self.settings.ceiling,
+            "admitted above the ceiling"
+        );
+        true
+    }
+
+    /// Notes the end of an admitted request.
+    pub fn finish(&mut self, now: Duration, succeeded: bool) {
+        assert!(
+            self.in_flight > 0,
+            "finished more requests than were admitted"
+        );
+        self.in_flight -= 1;
+        if succeeded {
+            self.last_sign = now;
+        } else {
+            self.fall();
+        }
+    }
+
+    /// Notes the time between two tokens, or the time of a plain answer.
+    pub fn observe(&mut self, now: Duration, pace: Duration) {
+        self.last_sign = now;
+        if self.collapsed(pace) {
+            self.reset(now);
+            return;
+        }
+        self.window_sum += pace;
+        self.window_count += 1;
+        if now >= self.window_start + PACE_WINDOW {
+            self.close_window(now);
+        }
+    }
+
+    /// Returns to the floor: the server restarted or turned cold.
+    pub fn reset(&mut self, now: Duration) {
+        self.limit = f64::from(self.settings.floor);
+        self.best = None;
+        self.recent = None;
+        self.slow_streak = 0;
+        self.last_rise = now;
+        self.open_window(now);
+    }
+
+    /// Changes the pace that must be kept.
+    pub fn set_pace_target(&mut self, target: Duration) {
+        self.settings.pace_target = target;
+    }
+
+    /// Returns the concurrency that is admitted now.
+    pub fn limit(&self) -> u32 {
+        self.limit as u32
+    }
+
+    /// Returns the number of admitted requests that have not ended.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// Whether work is in flight and nothing has been heard of it for long.
+    pub fn stalled(&self, now: Duration) -> bool {
+        self.in_flight > 0 && self.last_sign + STALL_AFTER < now
+    }
+
+    fn collapsed(&mut self, pace: Duration) -> bool {
+        let Some(recent) = self.recent else {
+            return false;
+        };
+        let slow = pace > PACE_NOISE && pace > recent.max(PACE_NOISE).mul_f64(COLLAPSE_RATIO);
+        self.slow_streak = if slow { self.slow_streak + 1 } else { 0 };
+        self.slow_streak >= COLLAPSE_COUNT
+    }
+
+    fn close_window(&mut self, now: Duration) {
+        let mean = self.window_sum / self.window_count;
+        let best = self
+            .best
+            .map_or(mean, |best| best.min(mean))
+            .max(PACE_NOISE);
+        self.best = Some(best);
+        self.recent = Some(mean);
+        let ratio = mean.as_secs_f64() / best.as_secs_f64();
+        let late = mean > self.settings.pace_target;
+        if ratio > FALL_ABOVE || late {
+            self.fall();
+        } else if ratio < RISE_BELOW {
+            self.rise(now);
+        }
+        self.open_window(now);
+    }
+
+    fn rise(&mut self, now: Duration) {
+        let used = f64::from(self.peak) >= self.limit.floor() * USED_SHARE;
+        if !used || now < self.last_rise + RISE_INTERVAL {
+            return;
+        }
+        let step = (self.limit * RISE_SHARE).max(1.0);
+        self.limit = (self.limit + step).min(f64::from(self.settings.ceiling));
+        self.last_rise = now;
+        self.peak = self.in_flight;
+    }
+
+    fn fall(&mut self) {
+        self.limit = (self.limit * FALL_FACTOR).max(f64::from(self.settings.floor));
+        self.peak = self.in_flight;
+    }
+
+    fn open_window(&mut self, now: Duration) {
+        self.window_start = now;
+        self.window_sum = Duration::ZERO;
+        self.window_count = 0;
+    }
+}
--- /dev/null
+++ b/crates/core/src/refusal.rs
@@ -0,0 +1,137 @@
+//! Every way in which a request is turned down, with its remedy.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Tells whether a request that was turned down may have run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum RanState {
+    /// No byte of the request reached a backend server.
+    No,
+    /// The request may have run, in part or whole.
+    Unknown,
+}
+
+/// Reason of a refusal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RefusalKind {
+    /// The HTTP request cannot be understood.
+    Malformed,
+    /// The body is larger than the settings allow.
+    TooLarge,
+    /// The caller sent its request too slowly.
+    TooSlow,
+    /// Too many connections or requests are open at this entry.
+    TooManyOpen,
+    /// No such class of work is configured.
+    UnknownClass,
+    /// This entry has no configuration yet.
+    NotReady,
+    /// This entry is leaving.
+    Leaving,
+    /// No backend server that is in force offers the class's service.
+    NoServer,
+    /// The class's target cannot be met at the current load.
+    Overloaded,
+    /// The caller's deadline passed before a backend server took the request.
+    DeadlinePassed,
+    /// The backend server failed after the request may have reached it.
+    OutcomeUnknown,
+    /// The answer was cut and could not be resumed.
+    AnswerCut,
+}
+
+/// A refusal as told to the caller.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refusal {
+    /// Reason.
+    pub kind: RefusalKind,
+    /// Whether the request may have run.
+    pub ran: RanState,
+    /// When it is worth asking again; `None` when it is not.
+    pub retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    /// Refusal of a request that did not run.
+    pub fn not_run(kind: RefusalKind, retry_after: Option<Duration>) -> Refusal {
+        Refusal {
+            kind,
+            ran: RanState::No,
+            retry_after,
+        }
+    }
+
+    /// Refusal of a request that may have run.
+    pub fn unknown(kind: RefusalKind) -> Refusal {
+        Refusal {
+            kind,
+            ran: RanState::Unknown,
+            retry_after: None,
+        }
+    }
+}
+
+impl RefusalKind {
+    /// Name used in answers, metrics and logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            RefusalKind::Malformed => "malformed",
+            RefusalKind::TooLarge => "too-large",
+            RefusalKind::TooSlow => "too-slow",
+            RefusalKind::TooManyOpen => "too-many-open",
+            RefusalKind::UnknownClass => "unknown-class",
+            RefusalKind::NotReady => "not-ready",
+            RefusalKind::Leaving => "leaving",
+            RefusalKind::NoServer => "no-server",
+            RefusalKind::Overloaded => "overloaded",
+            RefusalKind::DeadlinePassed => "deadline-passed",
+            RefusalKind::OutcomeUnknown => "outcome-unknown",
+            RefusalKind::AnswerCut => "answer-cut",
+        }
+    }
+
+    /// HTTP status of the refusal.
+    pub fn status(self) -> u16 {
+        match self {
+            RefusalKind::Malformed | RefusalKind::UnknownClass => 400,
+            RefusalKind::TooSlow => 408,
+            RefusalKind::TooLarge => 413,
+            RefusalKind::OutcomeUnknown | RefusalKind::AnswerCut => 502,
+            RefusalKind::DeadlinePassed => 504,
+            RefusalKind::TooManyOpen
+            | RefusalKind::NotReady
+            | RefusalKind::Leaving
+            | RefusalKind::NoServer
+            | RefusalKind::Overloaded => 503,
+        }
+    }
+
+    /// What the caller can do about it.
+    pub fn remedy(self) -> &'static str {
+        match self {
+            RefusalKind::Malformed => {
+                "send a complete HTTP/1.1 POST to /v1/ with Cuminpick-Class and Cuminpick-Organisation"
+            }
+            RefusalKind::TooLarge => "send a smaller body",
+            RefusalKind::TooSlow => "send the request without pauses",
+            RefusalKind::TooManyOpen => "close idle connections and retry after the stated time",
+            RefusalKind::UnknownClass => {
+                "name a configured class in Cuminpick-Class; operators list them with `cuminpick target list`"
+            }
+            RefusalKind::NotReady => "retry after the stated time, or at another entry",
+            RefusalKind::Leaving => "retry at another entry",
+            RefusalKind::NoServer => "retry after the stated time",
+            RefusalKind::Overloaded => "retry after the stated time",
+            RefusalKind::DeadlinePassed => "allow more time in Cuminpick-Deadline-Ms",
+            RefusalKind::OutcomeUnknown => {
+                "read the service's state before sending the request again"
+            }
+            RefusalKind::AnswerCut => "send the request again",
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/watcher.rs
@@ -0,0 +1,17 @@
+//! Which entries read the platform: a few in each availability zone.
+
+use crate::member::MemberTable;
+use crate::member::rendezvous;
+
+/// Entries in a zone that watch the platform.
+pub const WATCHERS_PER_ZONE: usize = 2;
+
+/// Whether the entry `id` in `zone` watches the platform for the others.
+pub fn is_watcher(members: &MemberTable, id: &str, zone: &str) -> bool {
+    let zone_entries = members
+        .live_entries()
+        .filter(|record| record.zone == zone)
+        .map(|record| record.id.as_str());
+    let watchers = rendezvous(zone.as_bytes(), zone_entries, WATCHERS_PER_ZONE);
+    watchers.is_empty() || watchers.contains(&id)
+}
--- /dev/null
+++ b/crates/entry/src/daemon.rs
@@ -0,0 +1,196 @@
+//! Wires the threads of an entry together and runs it until it is told to leave.
+
+use std::fs::File;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::thread;
+use std::time::Duration;
+use std::time::UNIX_EPOCH;
+
+use cuminpick::clock::Clock;
+use cuminpick::clock::SystemClock;
+use cuminpick::entry::EntryEvent;
+use cuminpick::entry::EntryFacts;
+use cuminpick::ids::hash_parts;
+use cuminpick::member::MemberRecord;
+use cuminpick::member::MemberState;
+use cuminpick::settings::EntrySettings;
+use cuminpick_callers::CallerServer;
+use cuminpick_callers::ServerLimits;
+use cuminpick_operators::admin::AdminSource;
+use cuminpick_operators::admin::serve_admin;
+use cuminpick_operators::journal::Journal;
+use cuminpick_operators::metrics::Metrics;
+use cuminpick_operators::signals::wait_for_stop;
+use cuminpick_peers::pool::ChannelPool;
+use cuminpick_platform::HttpStore;
+use eyre::WrapErr;
+use serde_json::Value;
+use slog::o;
+use tokio::runtime::Builder;
+use tokio::sync::Notify;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+
+use crate::control::ControlContext;
+use crate::control::run_control;
+use crate::decide::DecideOutlets;
+use crate::decide::Decider;
+use crate::serve::TrafficContext;
+use crate::serve::TrafficHandler;
+use crate::watch::PlatformWatch;
+
+/// Probes that wait to be made.
+const PROBE_RING: usize = 256;
+
+/// Runs an entry until SIGTERM or SIGINT, then lets it finish what it has.
+pub fn run_entry(settings: &EntrySettings) -> eyre::Result<()> {
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock::start());
+    let (journal, guard) = Journal::start(&settings.id, Arc::clone(&clock));
+    let metrics = Arc::new(Metrics::new(&settings.id)?);
+    let facts = entry_facts(settings, clock.as_ref());
+    let news = Arc::new(Notify::new());
+    let (probes, probe_inbox) = mpsc::channel(PROBE_RING);
+    let (in_force, in_force_seen) = watch::channel(0);
+    let outlets = DecideOutlets {
+        journal: journal.clone(),
+        metrics: Arc::clone(&metrics),
+        probes,
+        news: Arc::clone(&news),
+        in_force,
+        trace: open_trace(settings)?,
+    };
+    let decider = Decider::start(facts.clone(), Arc::clone(&clock), outlets)?;
+    let pool = Arc::new(ChannelPool::new(settings.max_agent_connections));
+    let control = ControlContext {
+        decider: decider.clone(),
+        journal: journal.clone(),
+        metrics: Arc::clone(&metrics),
+        pool: Arc::new(ChannelPool::new(settings.max_agent_connections)),
+        news,
+        in_force: in_force_seen,
+    };
+    start_control(settings, control, probe_inbox)?;
+    let store = Arc::new(HttpStore::new(&settings.platform));
+    PlatformWatch::start(store, decider.clone(), journal.clone())?;
+    let status = Arc::new(EntryStatus {
+        decider: decider.clone(),
+    });
+    serve_admin(settings.admin, Arc::clone(&metrics), status)?;
+    let context = TrafficContext {
+        entry: settings.id.clone(),
+        id_seed: hash_parts(&[
+            settings.id.as_bytes(),
+            &facts.member.incarnation.to_le_bytes(),
+        ]),
+        id_count: AtomicU64::new(0),
+        decider: decider.clone(),
+        pool,
+        journal: journal.clone(),
+        metrics,
+        clock,
+    };
+    let (close, closing) = watch::channel(false);
+    let traffic = start_traffic(settings, context, closing)?;
+    journal.note("started", None, o!("zone" => settings.zone.clone()));
+
+    wait_for_stop()?;
+    journal.note("leaving", None, o!());
+    decider.event(EntryEvent::Draining);
+    thread::sleep(Duration::from_millis(settings.drain_linger_ms));
+    let _ = close.send(true);
+    let served = traffic.join();
+    journal.note("stopped", None, o!("clean" => served.is_ok()));
+    drop(guard);
+    Ok(())
+}
+
+fn entry_facts(settings: &EntrySettings, clock: &dyn Clock) -> EntryFacts {
+    let started = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let incarnation = started.as_millis() as u64;
+    EntryFacts {
+        member: MemberRecord {
+            id: settings.id.clone(),
+            address: settings.peers.to_string(),
+            zone: settings.zone.clone(),
+            service: None,
+            incarnation,
+            sequence: 1,
+            state: MemberState::Live,
+        },
+        queue_capacity: settings.queue_capacity,
+        seed: hash_parts(&[settings.id.as_bytes(), &incarnation.to_le_bytes()]),
+    }
+}
+
+fn open_trace(settings: &EntrySettings) -> eyre::Result<Option<File>> {
+    let Some(path) = &settings.trace else {
+        return Ok(None);
+    };
+    let file = File::create(path)
+        .wrap_err_with(|| format!("cannot write trace '{path}'; change `trace` in the settings"))?;
+    Ok(Some(file))
+}
+
+fn start_control(
+    settings: &EntrySettings,
+    context: ControlContext,
+    probes: mpsc::Receiver<(String, String)>,
+) -> eyre::Result<()> {
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    let address = settings.peers;
+    let journal = context.journal.clone();
+    thread::Builder::new()
+        .name("control".to_string())
+        .spawn(move || {
+            if let Err(error) = runtime.block_on(run_control(context, address, probes)) {
+                let remedy = "change `peers` in the settings";
+                journal.warn(
+                    "control-failed",
+                    o!("error" => format!("{error:?}"), "remedy" => remedy),
+                );
+            }
+        })?;
+    Ok(())
+}
+
+fn start_traffic(
+    settings: &EntrySettings,
+    context: TrafficContext,
+    closing: watch::Receiver<bool>,
+) -> eyre::Result<thread::JoinHandle<()>> {
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    let limits = ServerLimits {
+        max_connections: settings.max_connections,
+        max_body: settings.max_body_bytes,
+        read_timeout: Duration::from_millis(settings.request_read_ms),
+    };
+    let handler = Arc::new(TrafficHandler::new(context));
+    let server = {
+        let _entered = runtime.enter();
+        CallerServer::bind(settings.callers, limits, handler).wrap_err_with(|| {
+            format!(
+                "cannot listen on {}; change `callers` in the settings",
+                settings.callers
+            )
+        })?
+    };
+    let thread = thread::Builder::new()
+        .name("traffic".to_string())
+        .spawn(move || runtime.block_on(server.serve(closing)))?;
+    Ok(thread)
+}
+
+struct EntryStatus {
+    decider: Decider,
+}
+
+impl AdminSource for EntryStatus {
+    fn ready(&self) -> bool {
+        self.status()["ready"] == Value::Bool(true)
+    }
+
+    fn status(&self) -> Value {
+        self.decider.status()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/decide.rs
@@ -0,0 +1,437 @@
+//! Thread that owns the entry's decisions.
+
+use std::fs::File;
+use std::io::BufWriter;
+use std::io::Write;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use crossbeam_channel::Receiver;
+use crossbeam_channel::RecvTimeoutError;
+use crossbeam_channel::Sender;
+use crossbeam_channel::TrySendError;
+use crossbeam_channel::bounded;
+use cuminpick::choose::LoadReport;
+use cuminpick::clock::Clock;
+use cuminpick::config::ConfigObject;
+use cuminpick::entry::Arrival;
+use cuminpick::entry::EntryAction;
+use cuminpick::entry::EntryCore;
+use cuminpick::entry::EntryEvent;
+use cuminpick::entry::EntryFacts;
+use cuminpick::gossip::GossipMessage;
+use cuminpick::gossip::GossipSend;
+use cuminpick::ids::AttemptNumber;
+use cuminpick::ids::FastMap;
+use cuminpick::ids::ObjectVersion;
+use cuminpick::ids::RequestId;
+use cuminpick::ids::ServerId;
+use cuminpick::member::MemberRecord;
+use cuminpick::member::MemberState;
+use cuminpick::member::rendezvous;
+use cuminpick::refusal::Refusal;
+use cuminpick::replay::TraceLine;
+use cuminpick::watcher::is_watcher;
+use cuminpick_operators::journal::Journal;
+use cuminpick_operators::metrics::Metrics;
+use serde_json::Value;
+use serde_json::json;
+use slog::o;
+use tokio::sync::Notify;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+
+/// Messages that wait for decisions.
+const DECIDE_RING: usize = 65_536;
+/// Time between two ticks.
+const TICK: Duration = Duration::from_millis(20);
+/// Entries that an agent is told of.
+const ENTRIES_TOLD: usize = 8;
+
+/// What a request's task has to do next.
+#[derive(Debug)]
+pub enum Verdict {
+    /// Send an attempt.
+    Send {
+        /// Number of the attempt.
+        attempt: AttemptNumber,
+        /// Server chosen.
+        server: ServerId,
+        /// Address of its agent.
+        address: String,
+    },
+    /// Give the caller its final refusal.
+    Refuse(Refusal),
+}
+
+/// An announcement for the decisions.
+pub struct AnnounceCall {
+    /// The agent's record.
+    pub record: MemberRecord,
+    /// Its load.
+    pub report: LoadReport,
+    /// Highest configuration version that it holds.
+    pub config_version: ObjectVersion,
+    /// Hash of its configuration.
+    pub config_hash: u64,
+    /// Whether it wants to hear of entries.
+    pub wants_entries: bool,
+}
+
+/// Answer to an announcement.
+#[derive(Debug, Default)]
+pub struct AnnounceAnswer {
+    /// Configuration that the agent lacks.
+    pub objects: Vec<ConfigObject>,
+    /// Entries near to the agent by rendezvous hash.
+    pub entries: Vec<MemberRecord>,
+    /// Sequence under which the agent is held as gone; 0 for none.
+    pub refute_sequence: u64,
+}
+
+/// Message to the decisions.
+pub enum DecideMessage {
+    /// A request came in; its task hears on `verdicts`.
+    Arrive(Arrival, mpsc::Sender<Verdict>),
+    /// Anything else that happened.
+    Event(EntryEvent),
+    /// A partner's round of gossip.
+    Gossip(GossipMessage, oneshot::Sender<GossipSend>),
+    /// It is time for a round of gossip.
+    BeginGossip(oneshot::Sender<Option<GossipSend>>),
+    /// An agent announced itself.
+    Announce(AnnounceCall, oneshot::Sender<AnnounceAnswer>),
+    /// Asks whether this entry watches the platform, and what it has.
+    WatchDuty(Sender<WatchDuty>),
+    /// Asks for the state shown to operators.
+    Status(Sender<Value>),
+}
+
+/// Whether this entry reads the platform.
+#[derive(Debug, Clone, Copy)]
+pub struct WatchDuty {
+    /// Whether it is among its zone's watchers.
+    pub watcher: bool,
+    /// Whether it has configuration.
+    pub configured: bool,
+}
+
+/// Way to the decisions; cheap to clone.
+#[derive(Clone)]
+pub struct Decider {
+    ring: Sender<DecideMessage>,
+}
+
+/// What the decisions reach out to.
+pub struct DecideOutlets {
+    /// Journal of the process.
+    pub journal: Journal,
+    /// Metrics of the process.
+    pub metrics: Arc<Metrics>,
+    /// Probes to make.
+    pub probes: mpsc::Sender<(ServerId, String)>,
+    /// Wakes the gossip loop early.
+    pub news: Arc<Notify>,
+    /// Version of the newest configuration in force.
+    pub in_force: watch::Sender<ObjectVersion>,
+    /// File for a trace.
+    pub trace: Option<File>,
+}
+
+impl Decider {
+    /// Starts the thread.
+    pub fn start(
+        facts: EntryFacts,
+        clock: Arc<dyn Clock>,
+        outlets: DecideOutlets,
+    ) -> eyre::Result<Decider> {
+        let (ring, messages) = bounded(DECIDE_RING);
+        let worker = DecideWorker {
+            trace: None,
+            core: EntryCore::new(facts.clone()),
+            clock,
+            verdicts: FastMap::default(),
+            outlets,
+        };
+        thread::Builder::new()
+            .name("decide".to_string())
+            .spawn(move || worker.start(&facts, &messages))?;
+        Ok(Decider { ring })
+    }
+
+    /// Hands in a request; false when too many messages wait.
+    pub fn arrive(&self, arrival: Arrival, verdicts: mpsc::Sender<Verdict>) -> bool {
+        let sent = self.ring.try_send(DecideMessage::Arrive(arrival, verdicts));
+        !matches!(
+            sent,
+            Err(TrySendError::Full(_) | TrySendError::Disconnected(_))
+        )
+    }
+
+    /// Hands in an event.
+    pub fn event(&self, event: EntryEvent) {
+        self.send(DecideMessage::Event(event));
+    }
+
+    /// Hands in any message.
+    pub fn send(&self, message: DecideMessage) {
+        let _ = self.ring.send(message);
+    }
+
+    /// Asks for the state shown to operators.
+    pub fn status(&self) -> Value {
+        let (reply, answer) = bounded(1);
+        self.send(DecideMessage::Status(reply));
+        answer.recv().unwrap_or(Value::Null)
+    }
+
+    /// Asks whether this entry watches the platform.
+    pub fn watch_duty(&self) -> Option<WatchDuty> {
+        let (reply, answer) = bounded(1);
+        self.send(DecideMessage::WatchDuty(reply));
+        answer.recv().ok()
+    }
+}
+
+struct DecideWorker {
+    core: EntryCore,
+    clock: Arc<dyn Clock>,
+    verdicts: FastMap<RequestId, mpsc::Sender<Verdict>>,
+    outlets: DecideOutlets,
+    trace: Option<BufWriter<File>>,
+}
+
+impl DecideWorker {
+    fn start(mut self, facts: &EntryFacts, messages: &Receiver<DecideMessage>) {
+        self.trace = self.outlets.trace.take().map(BufWriter::new);
+        self.write_trace(&TraceLine::Facts(facts.clone()));
+        self.run(messages);
+    }
+
+    fn run(&mut self, messages: &Receiver<DecideMessage>) {
+        let mut next_tick = self.clock.elapsed();
+        loop {
+            let now = self.clock.elapsed();
+            if now >= next_tick {
+                self.step(EntryEvent::Ticked);
+                self.show_state();
+                next_tick = now + TICK;
+            }
+            match messages.recv_timeout(next_tick.saturating_sub(now)) {
+                Ok(message) => self.take(message),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+        }
+    }
+
+    fn take(&mut self, message: DecideMessage) {
+        match message {
+            DecideMessage::Arrive(arrival, verdicts) => {
+                self.verdicts.insert(arrival.request, verdicts);
+                self.step(EntryEvent::Arrived(arrival));
+            }
+            DecideMessage::Event(event) => {
+                if let EntryEvent::Completed(request) | EntryEvent::Abandoned(request) = &event {
+                    self.verdicts.remove(request);
+                }
+                self.step(event);
+            }
+            DecideMessage::Gossip(message, reply) => {
+                if let Some(answer) = self.step(EntryEvent::Gossiped(message)) {
+                    let _ = reply.send(answer);
+                }
+            }
+            DecideMessage::BeginGossip(reply) => {
+                let _ = reply.send(self.step(EntryEvent::GossipDue));
+            }
+            DecideMessage::Announce(call, reply) => {
+                let _ = reply.send(self.announce(call));
+            }
+            DecideMessage::WatchDuty(reply) => {
+                let _ = reply.send(self.watch_duty());
+            }
+            DecideMessage::Status(reply) => {
+                let _ = reply.send(self.status());
+            }
+        }
+    }
+
+    /// Steps the decisions and carries the actions out; returns gossip to send.
+    fn step(&mut self, event: EntryEvent) -> Option<GossipSend> {
+        let now = self.clock.elapsed();
+        let traced = self.trace.is_some().then(|| event.clone());
+        let actions = self.core.step(now, event);
+        if let Some(event) = traced {
+            self.write_trace(&TraceLine::Step {
+                now,
+                event,
+                actions: actions.clone(),
+            });
+        }
+        let mut answer = None;
+        for action in actions {
+            match action {
+                EntryAction::Gossip(send) => answer = Some(send),
+                other => self.carry_out(other),
+            }
+        }
+        answer
+    }
+
+    fn carry_out(&mut self, action: EntryAction) {
+        match action {
+            EntryAction::Send {
+                request,
+                attempt,
+                server,
+                address,
+            } => {
+                let verdict = Verdict::Send {
+                    attempt,
+                    server,
+                    address,
+                };
+                if let Some(verdicts) = self.verdicts.get(&request) {
+                    let _ = verdicts.try_send(verdict);
+                }
+            }
+            EntryAction::Refuse { request, refusal } => {
+                if let Some(verdicts) = self.verdicts.remove(&request) {
+                    let _ = verdicts.try_send(Verdict::Refuse(refusal));
+                }
+            }
+            EntryAction::Probe { server, address } => {
+                let _ = self.outlets.probes.try_send((server, address));
+            }
+            EntryAction::InForce(objects) => self.put_in_force(&objects),
+            EntryAction::Reject(faults) => {
+                self.outlets
+                    .journal
+                    .warn("config-rejected", o!("faults" => faults.join("; ")));
+            }
+            EntryAction::MemberChanged(record) => self.note_member(&record),
+            EntryAction::Gossip(_) => {}
+        }
+    }
+
+    fn put_in_force(&self, objects: &[ConfigObject]) {
+        for object in objects {
+            let details = o!("key" => object.key.clone(), "version" => object.version);
+            self.outlets.journal.note("config-in-force", None, details);
+        }
+        self.outlets
+            .in_force
+            .send_replace(self.core.config().newest());
+        self.outlets.news.notify_one();
+    }
+
+    fn note_member(&self, record: &MemberRecord) {
+        let details = o!(
+            "member" => record.id.clone(),
+            "state" => format!("{:?}", record.state).to_lowercase(),
+            "incarnation" => record.incarnation,
+            "sequence" => record.sequence,
+        );
+        self.outlets.journal.note("member-changed", None, details);
+        self.outlets.news.notify_one();
+    }
+
+    fn announce(&mut self, call: AnnounceCall) -> AnnounceAnswer {
+        let id = call.record.id.clone();
+        let freshness = call.record.freshness();
+        self.step(EntryEvent::Announced(call.record));
+        self.step(EntryEvent::Load {
+            server: id.clone(),
+            report: call.report,
+        });
+        let mut answer = AnnounceAnswer::default();
+        let known = self.core.members().get(&id).map(|known| &known.record);
+        if let Some(record) = known
+            && record.freshness() > freshness
+            && record.state == MemberState::Gone
+            && record.incarnation == freshness.0
+        {
+            answer.refute_sequence = record.sequence;
+        }
+        let config = self.core.config();
+        if call.config_hash != config.digest() {
+            answer.objects = config.objects_after(call.config_version);
+            if answer.objects.is_empty() {
+                answer.objects = config.objects_after(0);
+            }
+        }
+        if call.wants_entries {
+            answer.entries = self.nearest_entries(&id);
+        }
+        answer
+    }
+
+    fn nearest_entries(&self, id: &str) -> Vec<MemberRecord> {
+        let members = self.core.members();
+        let live = members.live_entries().map(|record| record.id.as_str());
+        let nearest = rendezvous(id.as_bytes(), live, ENTRIES_TOLD);
+        let known = nearest.into_iter().filter_map(|entry| members.get(entry));
+        known.map(|known| known.record.clone()).collect()
+    }
+
+    fn watch_duty(&self) -> WatchDuty {
+        let own = self.core.own_member();
+        WatchDuty {
+            watcher: is_watcher(self.core.members(), &own.id, &own.zone),
+            configured: !self.core.config().is_empty(),
+        }
+    }
+
+    fn show_state(&self) {
+        let metrics = &self.outlets.metrics;
+        metrics.set_state("open_requests", self.core.open_requests() as f64);
+        metrics.set_state("queued_requests", self.core.queued_requests() as f64);
+        metrics.set_state("config_version", self.core.config().newest() as f64);
+        metrics.set_state("members", self.core.members().len() as f64);
+        metrics.set_state("ready", f64::from(u8::from(self.core.ready())));
+    }
+
+    fn status(&self) -> Value {
+        let servers: Vec<Value> = self
+            .core
+            .routes()
+            .overview()
+            .map(|(id, zone, report, in_force)| {
+                json!({
+                    "id": id, "zone": zone, "in_force": in_force,
+                    "in_flight": report.in_flight, "limit": report.limit,
+                })
+            })
+            .collect();
+        json!({
+            "id": self.core.own_member().id,
+            "zone": self.core.own_member().zone,
+            "ready": self.core.ready(),
+            "config_version": self.core.config().newest(),
+            "config_hash": format!("{:016x}", self.core.config().digest()),
+            "members": self.core.members().len(),
+            "open_requests": self.core.open_requests(),
+            "queued_requests": self.core.queued_requests(),
+            "servers": servers,
+        })
+    }
+
+    fn write_trace(&mut self, line: &TraceLine) {
+        let Some(trace) = &mut self.trace else {
+            return;
+        };
+        let written = serde_json::to_writer(&mut *trace, line).map_err(std::io::Error::from);
+        let written = written
+            .and_then(|()| trace.write_all(b"\n"))
+            .and_then(|()| trace.flush());
+        if let Err(error) = written {
+            self.outlets
+                .journal
+                .warn("trace-stopped", o!("error" => error.to_string()));
+            self.trace = None;
+        }
+    }
+}
--- /dev/null
+++ b/crates/operators/src/metrics.rs
@@ -0,0 +1,133 @@
+//! Metrics through opentelemetry, in the text format of Prometheus.
+
+use std::path::Path;
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Gauge;
+use opentelemetry::metrics::Meter;
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+/// Kernel clock ticks in a second, as `/proc` counts processor time.
+const TICKS_PER_SECOND: f64 = 100.0;
+/// Field of `/proc/self/task/T/stat`, after the name, with user ticks.
+const USER_TICKS_FIELD: usize = 11;
+
+/// Metrics of a process.
+pub struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    refusals: Counter<u64>,
+    attempts: Counter<u64>,
+    control_bytes: Counter<u64>,
+    gauges: Gauge<f64>,
+    thread_seconds: Gauge<f64>,
+}
+
+impl Metrics {
+    /// Makes the instruments of `process`.
+    pub fn new(process: &str) -> eyre::Result<Metrics> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter: Meter = provider.meter("cuminpick");
+        let gauge = meter.f64_gauge("cuminpick_process").build();
+        gauge.record(1.0, &[KeyValue::new("id", process.to_string())]);
+        Ok(Metrics {
+            requests: meter.u64_counter("cuminpick_requests").build(),
+            refusals: meter.u64_counter("cuminpick_refusals").build(),
+            attempts: meter.u64_counter("cuminpick_attempts").build(),
+            control_bytes: meter.u64_counter("cuminpick_control_bytes").build(),
+            gauges: meter.f64_gauge("cuminpick_state").build(),
+            thread_seconds: meter.f64_gauge("cuminpick_thread_seconds").build(),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Counts a request that ended.
+    pub fn count_request(&self, class: &str, outcome: &'static str) {
+        let class = KeyValue::new("class", class.to_string());
+        self.requests
+            .add(1, &[class, KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Counts a refusal.
+    pub fn count_refusal(&self, kind: &'static str) {
+        self.refusals.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
+    /// Counts an attempt by how it ended; `retry` for any but the first.
+    pub fn count_attempt(&self, outcome: &'static str, retry: bool) {
+        self.attempts.add(
+            1,
+            &[
+                KeyValue::new("outcome", outcome),
+                KeyValue::new("retry", retry),
+            ],
+        );
+    }
+
+    /// Counts bytes of control messages.
+    pub fn count_control(&self, message: &'static str, direction: &'static str, bytes: usize) {
+        let labels = [
+            KeyValue::new("message", message),
+            KeyValue::new("direction", direction),
+        ];
+        self.control_bytes.add(bytes as u64, &labels);
+    }
+
+    /// Sets a figure of the process's state, such as a limit or a queue length.
+    pub fn set_state(&self, name: &'static str, value: f64) {
+        self.gauges.record(value, &[KeyValue::new("name", name)]);
+    }
+
+    /// Returns all metrics as text.
+    pub fn render(&self) -> String {
+        for (name, seconds) in thread_times() {
+            self.thread_seconds
+                .record(seconds.as_secs_f64(), &[KeyValue::new("thread", name)]);
+        }
+        let encoder = TextEncoder::new();
+        encoder
+            .encode_to_string(&self.registry.gather())
+            .unwrap_or_default()
+    }
+}
+
+/// Returns the processor time of this process's threads, summed by name.
+pub fn thread_times() -> Vec<(String, Duration)> {
+    let Ok(tasks) = std::fs::read_dir("/proc/self/task") else {
+        return Vec::new();
+    };
+    let mut times: Vec<(String, Duration)> = Vec::new();
+    for task in tasks.flatten() {
+        let Some((name, time)) = thread_time(&task.path()) else {
+            continue;
+        };
+        match times.iter_mut().find(|(known, _)| *known == name) {
+            Some((_, sum)) => *sum += time,
+            None => times.push((name, time)),
+        }
+    }
+    times
+}
+
+fn thread_time(task: &Path) -> Option<(String, Duration)> {
+    let stat = std::fs::read_to_string(task.join("stat")).ok()?;
+    let (before, after) = stat.rsplit_once(')')?;
+    let (_, name) = before.split_once('(')?;
+    let mut fields = after.split_whitespace().skip(USER_TICKS_FIELD);
+    let user: f64 = fields.next()?.parse().ok()?;
+    let system: f64 = fields.next()?.parse().ok()?;
+    let seconds = (user + system) / TICKS_PER_SECOND;
+    Some((name.to_string(), Duration::from_secs_f64(seconds)))
+}
--- /dev/null
+++ b/crates/standins/src/drills/scenario.rs
@@ -0,0 +1,257 @@
+//! Scenario files: the fleet, the load, timed faults and expectations.
+
+use std::time::Duration;
+
+use cuminpick::config::ClassTarget;
+use cuminpick::ids::ChoiceRng;
+use cuminpick_platform::CONFIG_PREFIX;
+use cuminpick_platform::settle;
+use eyre::eyre;
+use serde::Deserialize;
+use serde_json::Value;
+
+use crate::fleet::Fleet;
+use crate::load::LoadCall;
+
+/// A scenario.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    /// Length of the measured part.
+    pub seconds: f64,
+    /// Processes.
+    pub fleet: FleetShape,
+    /// Classes of work by name.
+    pub classes: std::collections::BTreeMap<String, ClassTarget>,
+    /// Streams of requests.
+    #[serde(default)]
+    pub load: Vec<LoadShape>,
+    /// Faults in the order of their times.
+    #[serde(default)]
+    pub fault: Vec<TimedFault>,
+    /// Bounds of figures.
+    #[serde(default)]
+    pub expect: Vec<Expectation>,
+}
+
+/// Processes of a scenario.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FleetShape {
+    /// Availability zones.
+    pub zones: Vec<String>,
+    /// Entries in each zone, in the zones' order.
+    pub entries: Vec<usize>,
+    /// Engines in each zone.
+    pub engines: usize,
+    /// Booking services in each zone.
+    pub bookings: usize,
+    /// Bearing of engines.
+    pub engine: BearingShape,
+    /// Bearing of booking services.
+    pub booking: BearingShape,
+}
+
+/// Bearing of stand-ins, and the floor of their agents.
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct BearingShape {
+    /// Concurrency borne when cold.
+    pub cold: f64,
+    /// Concurrency borne when warm.
+    pub full: f64,
+    /// Seconds from cold to warm.
+    pub warm_s: f64,
+    /// Step or answer time of a single request, in ms.
+    pub base_ms: f64,
+    /// Floor of the agent's limit.
+    pub floor: u32,
+}
+
+/// A stream of requests at random times.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LoadShape {
+    /// Class of work.
+    pub class: String,
+    /// Requests a second.
+    pub rate: f64,
+    /// Events of an answer; absent for bookings.
+    #[serde(default)]
+    pub tokens: Option<u64>,
+    /// Organisations that take part equally.
+    pub organisations: usize,
+    /// Prompt prefixes in use.
+    #[serde(default = "one")]
+    pub prefixes: usize,
+    /// Part of the rate that a further organisation `large` adds, from
+    /// `large_from_s` on.
+    #[serde(default)]
+    pub large_rate: f64,
+}
+
+/// A fault at a time from the start of the measured part.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TimedFault {
+    /// Seconds from the start.
+    pub at: f64,
+    /// What happens; see `traffic`.
+    pub action: String,
+    /// Zone or process concerned.
+    #[serde(default)]
+    pub target: String,
+    /// Seconds that it lasts, where that applies.
+    #[serde(default)]
+    pub lasts: f64,
+}
+
+/// A bound of a figure.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Expectation {
+    /// Name of the figure.
+    pub figure: String,
+    /// Largest value.
+    #[serde(default)]
+    pub at_most: Option<f64>,
+    /// Least value.
+    #[serde(default)]
+    pub at_least: Option<f64>,
+}
+
+fn one() -> usize {
+    1
+}
+
+impl Scenario {
+    /// Reads a scenario by its name.
+    pub fn named(name: &str) -> eyre::Result<Scenario> {
+        let text = match name {
+            "path" => include_str!("../../scenarios/path.toml"),
+            other => return Err(eyre!("no drill '{other}'; see `drill --help`")),
+        };
+        Ok(toml::from_str(text)?)
+    }
+
+    /// Starts the scenario's processes and puts its classes in force.
+    pub fn start_fleet(&self, name: &str) -> eyre::Result<Fleet> {
+        let mut fleet = Fleet::start(name)?;
+        for (index, zone) in self.fleet.zones.iter().enumerate() {
+            for number in 0..self.fleet.entries.get(index).copied().unwrap_or(0) {
+                fleet.plan_entry(&format!("entry-{zone}-{number}"), zone, number == 0)?;
+            }
+            for number in 0..self.fleet.engines {
+                let arguments = self.fleet.engine.arguments();
+                let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+                let id = format!("engine-{zone}-{number}");
+                let floor = self.fleet.engine.floor;
+                fleet.plan_server(&id, zone, "model", "engine", &arguments, floor)?;
+            }
+            for number in 0..self.fleet.bookings {
+                let arguments = self.fleet.booking.arguments();
+                let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+                let id = format!("booking-{zone}-{number}");
+                let floor = self.fleet.booking.floor;
+                fleet.plan_server(&id, zone, "booking", "booking", &arguments, floor)?;
+            }
+        }
+        let store = fleet.store();
+        for (class, target) in &self.classes {
+            let key = format!("{CONFIG_PREFIX}classes/{class}");
+            let value = serde_json::to_string(target)?;
+            settle::change(store.as_ref(), &key, None, Some(&value))?;
+        }
+        fleet.launch()?;
+        Ok(fleet)
+    }
+
+    /// Lists the expectations that the figures do not meet.
+    pub fn failed_expectations(&self, figures: &Value) -> Vec<String> {
+        let failed = self.expect.iter().filter_map(|expectation| {
+            let value = figures[&expectation.figure].as_f64();
+            let low = expectation
+                .at_least
+                .is_some_and(|least| value.is_none_or(|v| v < least));
+            let high = expectation
+                .at_most
+                .is_some_and(|most| value.is_none_or(|v| v > most));
+            let bound = expectation.at_least.or(expectation.at_most)?;
+            let side = if expectation.at_least.is_some() {
+                "at least"
+            } else {
+                "at most"
+            };
+            (low || high)
+                .then(|| format!("{} is {value:?}, stated {side} {bound}", expectation.figure))
+        });
+        failed.collect()
+    }
+}
+
+impl BearingShape {
+    fn arguments(&self) -> Vec<String> {
+        let pairs = [
+            ("--cold", self.cold),
+            ("--full", self.full),
+            ("--warm-s", self.warm_s),
+            ("--base-ms", self.base_ms),
+        ];
+        pairs
+            .iter()
+            .flat_map(|(name, value)| [name.to_string(), value.to_string()])
+            .collect()
+    }
+}
+
+/// A request and when to send it.
+#[derive(Debug, Clone)]
+pub struct PlannedCall {
+    /// Time from the start of the load.
+    pub at: Duration,
+    /// Request.
+    pub call: LoadCall,
+}
+
+impl LoadShape {
+    /// Plans the requests of `length` with random gaps.
+    pub fn plan(&self, length: Duration, rng: &mut ChoiceRng) -> Vec<PlannedCall> {
+        let mut planned = Vec::new();
+        let rate = self.rate + self.large_rate;
+        let mut at = 0.0;
+        loop {
+            at += -(1.0 - unit(rng)).ln() / rate;
+            if at >= length.as_secs_f64() {
+                return planned;
+            }
+            let large = unit(rng) * rate >= self.rate;
+            let organisation = if large {
+                "large".to_string()
+            } else {
+                format!("organisation-{}", rng.below(self.organisations))
+            };
+            let call = self.call(&organisation, rng);
+            planned.push(PlannedCall {
+                at: Duration::from_secs_f64(at),
+                call,
+            });
+        }
+    }
+
+    fn call(&self, organisation: &str, rng: &mut ChoiceRng) -> LoadCall {
+        let number = rng.next_bits();
+        match self.tokens {
+            Some(tokens) => {
+                let prefix = format!("{:0256}", rng.below(self.prefixes));
+                let prompt = format!("{prefix} {number:016x}");
+                LoadCall::prompt(&self.class, organisation, &prompt, tokens)
+            }
+            None => LoadCall::booking(&self.class, organisation, &format!("{number:016x}")),
+        }
+    }
+}
+
+/// Returns a number from 0 up to 1.
+pub fn unit(rng: &mut ChoiceRng) -> f64 {
+    (rng.next_bits() >> 11) as f64 / (1_u64 << 53) as f64
+}
--- /dev/null
+++ b/crates/standins/src/server.rs
@@ -0,0 +1,168 @@
+//! HTTP server of the stand-ins that can go down and come back.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::StreamBody;
+use http_body_util::combinators::BoxBody;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde::Serialize;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio_stream::StreamExt;
+use tokio_stream::wrappers::ReceiverStream;
+
+/// Error that cuts an answer.
+#[derive(Debug)]
+pub struct CutError(&'static str);
+
+impl std::fmt::Display for CutError {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str(self.0)
+    }
+}
+
+impl std::error::Error for CutError {}
+
+/// Body of an answer.
+pub type AnswerBody = BoxBody<Bytes, CutError>;
+/// Future of an answer; `None` closes the connection without one.
+pub type AnswerFuture = Pin<Box<dyn Future<Output = Option<Response<AnswerBody>>> + Send>>;
+
+/// A request with its body read.
+pub struct StandinRequest {
+    /// Method.
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+    /// Headers.
+    pub headers: hyper::HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl StandinRequest {
+    /// Returns a header as text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
+    /// Reads the body as JSON.
+    pub fn json(&self) -> serde_json::Value {
+        serde_json::from_slice(&self.body).unwrap_or_default()
+    }
+}
+
+/// What a stand-in answers, and when it is down.
+pub trait StandinService: Send + Sync + 'static {
+    /// Answers a request.
+    fn answer(self: Arc<Self>, request: StandinRequest) -> AnswerFuture;
+
+    /// Whether the server is down; when it turns true all connections break.
+    fn down(&self) -> watch::Receiver<bool>;
+}
+
+/// Serves until the process ends.
+pub async fn serve(address: SocketAddr, service: Arc<dyn StandinService>) -> eyre::Result<()> {
+    let mut down = service.down();
+    loop {
+        let listener = listen(address).await?;
+        let mut connections = JoinSet::new();
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => {
+                    if let Ok((stream, _)) = accepted {
+                        connections.spawn(serve_connection(stream, Arc::clone(&service)));
+                    }
+                }
+                Some(_) = connections.join_next() => {}
+                _ = down.wait_for(|down| *down) => break,
+            }
+        }
+        drop(listener);
+        drop(connections);
+        down.wait_for(|down| !*down).await?;
+    }
+}
+
+async fn listen(address: SocketAddr) -> eyre::Result<TcpListener> {
+    loop {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        if socket.bind(&address.into()).is_ok() {
+            socket.listen(1024)?;
+            socket.set_nonblocking(true)?;
+            return Ok(TcpListener::from_std(socket.into())?);
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+async fn serve_connection(stream: TcpStream, service: Arc<dyn StandinService>) {
+    let _ = stream.set_nodelay(true);
+    let handle = service_fn(move |request: Request<Incoming>| {
+        let service = Arc::clone(&service);
+        async move {
+            let (parts, body) = request.into_parts();
+            let Ok(body) = body.collect().await else {
+                return Err(CutError("the request was cut"));
+            };
+            let request = StandinRequest {
+                method: parts.method.to_string(),
+                path: parts
+                    .uri
+                    .path_and_query()
+                    .map_or_else(String::new, ToString::to_string),
+                headers: parts.headers,
+                body: body.to_bytes(),
+            };
+            service.answer(request).await.ok_or(CutError("no answer"))
+        }
+    });
+    let _ = http1::Builder::new()
+        .serve_connection(TokioIo::new(stream), handle)
+        .await;
+}
+
+/// Makes an answer that is known in whole.
+pub fn whole_answer(status: u16, kind: &str, body: impl Into<Bytes>) -> Response<AnswerBody> {
+    let body = Full::new(body.into()).map_err(|never: Infallible| match never {});
+    let mut response = Response::new(BodyExt::boxed(body));
+    *response.status_mut() = hyper::StatusCode::from_u16(status).unwrap_or_default();
+    if let Ok(value) = kind.parse() {
+        response.headers_mut().insert("content-type", value);
+    }
+    response
+}
+
+/// Makes a JSON answer.
+pub fn json_answer<T: Serialize>(status: u16, value: &T) -> Response<AnswerBody> {
+    let text = serde_json::to_vec(value).unwrap_or_default();
+    whole_answer(status, "application/json", text)
+}
+
+/// Makes a stream of events from a channel.
+pub fn stream_answer(events: mpsc::Receiver<Result<Bytes, CutError>>) -> Response<AnswerBody> {
+    let frames = ReceiverStream::new(events).map(|event| event.map(Frame::data));
+    let mut response = Response::new(BodyExt::boxed(StreamBody::new(frames)));
+    if let Ok(value) = "text/event-stream".parse() {
+        response.headers_mut().insert("content-type", value);
+    }
+    response
+}
