--- a/crates/agent/src/announce.rs
+++ b/crates/agent/src/announce.rs
@@ -98,14 +98,10 @@
     match listed {
         Ok(Ok(vms)) => {
             let mut book = lock(&context.book);
-            vms.into_iter()
-                .map(listed_record)
-                .for_each(|record| book.learn(record));
+            vms.into_iter().map(listed_record).for_each(|record| book.learn(record));
         }
         Ok(Err(error)) => {
-            context
-                .journal
-                .warn("platform-call-failed", o!("error" => error.to_string()));
+            context.journal.warn("platform-call-failed", o!("error" => error.to_string()));
         }
         Err(_) => {}
     }
@@ -114,9 +110,7 @@
 /// Announces to one entry until the stream breaks or the entry falls silent.
 async fn announce_to(context: AnnounceContext, pool: Arc<ChannelPool>, home: MemberRecord) {
     if hold_stream(&context, &pool, &home).await.is_none() {
-        context
-            .journal
-            .note("announce-failed", None, o!("entry" => home.id.clone()));
+        context.journal.note("announce-failed", None, o!("entry" => home.id.clone()));
     }
     pool.forget(&home.address);
     lock(&context.book).note_failure(context.clock.elapsed(), &home.id);
@@ -132,10 +126,7 @@
     sender.send(announcement(context)).await.ok()?;
     let mut client = EntryClient::new(channel);
     let calling = client.announce(ReceiverStream::new(receiver));
-    let answer = tokio::time::timeout(REPLY_TIMEOUT, calling)
-        .await
-        .ok()?
-        .ok()?;
+    let answer = tokio::time::timeout(REPLY_TIMEOUT, calling).await.ok()?.ok()?;
     let mut replies = answer.into_inner();
     let mut changes = context.decider.changes();
     let mut interval = tokio::time::interval(ANNOUNCE_INTERVAL);
@@ -168,32 +159,22 @@
         config_version: view.config_version,
         config_hash: view.config_hash,
     };
-    context
-        .metrics
-        .count_control("announce", "out", message_bytes(&message));
+    context.metrics.count_control("announce", "out", message_bytes(&message));
     message
 }
 
 fn take_reply(context: &AnnounceContext, reply: wire::AnnounceReply) {
-    context
-        .metrics
-        .count_control("announce", "in", message_bytes(&reply));
+    context.metrics.count_control("announce", "in", message_bytes(&reply));
     context.journal.merge(reply.clock);
     if !reply.objects.is_empty() {
         let objects = reply.objects.into_iter().map(object_from_wire).collect();
         context.decider.event(AgentEvent::Configured(objects));
     }
     if reply.refute_sequence > 0 {
-        context
-            .decider
-            .event(AgentEvent::Refuted(reply.refute_sequence));
+        context.decider.event(AgentEvent::Refuted(reply.refute_sequence));
     }
     let mut book = lock(&context.book);
-    reply
-        .entries
-        .into_iter()
-        .filter_map(member_from_wire)
-        .for_each(|record| book.learn(record));
+    reply.entries.into_iter().filter_map(member_from_wire).for_each(|record| book.learn(record));
 }
 
 fn lock(book: &Mutex<HomeBook>) -> std::sync::MutexGuard<'_, HomeBook> {
--- a/crates/agent/src/daemon.rs
+++ b/crates/agent/src/daemon.rs
@@ -47,22 +47,13 @@
     let (journal, guard) = Journal::start(&settings.id, Arc::clone(&clock));
     let metrics = Arc::new(Metrics::new(&settings.id)?);
     let facts = agent_facts(settings, clock.as_ref());
-    let decider = Decider::start(
-        facts,
-        Arc::clone(&clock),
-        journal.clone(),
-        Arc::clone(&metrics),
-    )?;
+    let decider = Decider::start(facts, Arc::clone(&clock), journal.clone(), Arc::clone(&metrics))?;
     let idle = Duration::from_millis(settings.backend_idle_ms);
     let backend: Arc<dyn BackendServer> = Arc::new(HttpBackend::new(&settings.backend, idle));
     let (alarm, alarms) = bounded(1);
     start_health(Arc::clone(&backend), decider.clone(), alarms)?;
-    let worker_context = WorkerContext {
-        backend,
-        decider: decider.clone(),
-        journal: journal.clone(),
-        alarm,
-    };
+    let worker_context =
+        WorkerContext { backend, decider: decider.clone(), journal: journal.clone(), alarm };
     let serve = ServeContext {
         decider: decider.clone(),
         journal: journal.clone(),
@@ -79,20 +70,14 @@
         book: Arc::new(Mutex::new(HomeBook::new(&settings.id, &settings.zone))),
     };
     start_announce(announce)?;
-    serve_admin(
-        settings.admin,
-        metrics,
-        Arc::new(AgentStatus {
-            decider: decider.clone(),
-        }),
-    )?;
+    serve_admin(settings.admin, metrics, Arc::new(AgentStatus { decider: decider.clone() }))?;
     journal.note("started", None, o!("zone" => settings.zone.clone()));
 
     wait_for_stop()?;
     journal.note("leaving", None, o!());
     decider.event(AgentEvent::Draining);
     thread::sleep(FAREWELL);
-    while decider.view().load.in_flight > 0 {
+    while decider.load().in_flight > 0 {
         thread::sleep(DRAIN_POLL);
     }
     decider.event(AgentEvent::Ending);
@@ -126,17 +111,12 @@
 ) -> eyre::Result<()> {
     let runtime = Builder::new_current_thread().enable_all().build()?;
     let address = settings.peers;
-    thread::Builder::new()
-        .name("serve".to_string())
-        .spawn(move || {
-            if let Err(error) = runtime.block_on(run_serve(context, address)) {
-                let remedy = "change `peers` in the settings";
-                journal.warn(
-                    "serve-failed",
-                    o!("error" => format!("{error:?}"), "remedy" => remedy),
-                );
-            }
-        })?;
+    thread::Builder::new().name("serve".to_string()).spawn(move || {
+        if let Err(error) = runtime.block_on(run_serve(context, address)) {
+            let remedy = "change `peers` in the settings";
+            journal.warn("serve-failed", o!("error" => format!("{error:?}"), "remedy" => remedy));
+        }
+    })?;
     Ok(())
 }
 
--- a/crates/agent/src/decide.rs
+++ b/crates/agent/src/decide.rs
@@ -1,13 +1,16 @@
-//! Thread that owns the agent's decisions.
+//! The agent's decisions, shared by the threads that bring events.
+//!
+//! A call takes the lock, steps the decisions and carries the actions out: a
+//! ring and a thread of their own would cost each request two more wake-ups.
+//! Observations of pace come many at a time and wait in a ring.
 
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::PoisonError;
+use std::sync::MutexGuard;
 use std::thread;
 use std::time::Duration;
 
 use crossbeam_channel::Receiver;
-use crossbeam_channel::RecvTimeoutError;
 use crossbeam_channel::Sender;
 use crossbeam_channel::bounded;
 use cuminpick::agent::AgentAction;
@@ -26,17 +29,12 @@
 use serde_json::Value;
 use serde_json::json;
 use slog::o;
-use tokio::sync::oneshot;
 use tokio::sync::watch;
 
-/// Messages that wait for decisions.
-const DECIDE_RING: usize = 16_384;
 /// Observations of pace that wait for the next look; more are lost.
 const PACE_RING: usize = 4_096;
 /// Time between two looks at the observations of pace.
 const LOOK: Duration = Duration::from_millis(20);
-/// Messages taken between two refreshes of the state shown.
-const MESSAGES_AT_ONCE: usize = 64;
 /// When to come back to an agent that cannot decide.
 const RETRY_AFTER: Duration = Duration::from_millis(100);
 
@@ -67,94 +65,69 @@
     pub ready: bool,
 }
 
-/// Message to the decisions.
-enum DecideMessage {
-    Offer(
-        RequestId,
-        AttemptNumber,
-        String,
-        oneshot::Sender<OfferAnswer>,
-    ),
-    Event(AgentEvent),
-}
-
 /// Way to the decisions; cheap to clone.
 #[derive(Clone)]
 pub struct Decider {
-    ring: Sender<DecideMessage>,
+    state: Arc<Mutex<DecideState>>,
     paces: Sender<Duration>,
-    view: Arc<Mutex<AgentView>>,
     changes: watch::Receiver<u64>,
 }
 
 impl Decider {
-    /// Starts the thread.
+    /// Starts the decisions and the thread that looks at the pace.
     pub fn start(
         facts: AgentFacts,
         clock: Arc<dyn Clock>,
         journal: Journal,
         metrics: Arc<Metrics>,
     ) -> eyre::Result<Decider> {
-        let (ring, messages) = bounded(DECIDE_RING);
-        let (paces, pace_inbox) = bounded(PACE_RING);
-        let core = AgentCore::new(facts);
-        let view = Arc::new(Mutex::new(view_of(&core, clock.elapsed())));
+        let (paces, inbox) = bounded(PACE_RING);
         let (announce, changes) = watch::channel(0);
-        let worker = DecideWorker {
-            core,
-            clock,
-            journal,
-            metrics,
-            view: Arc::clone(&view),
-            announce,
-            paces: pace_inbox,
-            next_look: Duration::ZERO,
-        };
-        thread::Builder::new()
-            .name("decide".to_string())
-            .spawn(move || worker.run(&messages))?;
-        Ok(Decider {
-            ring,
-            view,
-            changes,
-        })
+        let core = AgentCore::new(facts);
+        let state = DecideState { core, clock, journal, metrics, announce, closed: true };
+        let decider = Decider { state: Arc::new(Mutex::new(state)), paces, changes };
+        let looking = decider.clone();
+        thread::Builder::new().name("tick".to_string()).spawn(move || {
+            loop {
+                thread::sleep(LOOK);
+                looking.lock().look(&inbox);
+            }
+        })?;
+        Ok(decider)
     }
 
     /// Offers an attempt of `class`.
-    pub async fn offer(
-        &self,
-        request: RequestId,
-        attempt: AttemptNumber,
-        class: &str,
-    ) -> OfferAnswer {
-        let (reply, answer) = oneshot::channel();
-        let message = DecideMessage::Offer(request, attempt, class.to_string(), reply);
-        if self.ring.try_send(message).is_err() {
-            return OfferAnswer::Refused(AgentRefusal::Full, RETRY_AFTER);
-        }
-        answer
-            .await
-            .unwrap_or(OfferAnswer::Refused(AgentRefusal::Leaving, RETRY_AFTER))
+    pub fn offer(&self, request: RequestId, attempt: AttemptNumber, class: &str) -> OfferAnswer {
+        self.lock().offer(request, attempt, class)
     }
 
-    /// Hands in an event.
+    /// Hands in an event that is not an offer.
     pub fn event(&self, event: AgentEvent) {
-        let _ = self.ring.send(DecideMessage::Event(event));
+        self.lock().step(event);
     }
 
-    /// Hands in an observation that may be lost under load.
+    /// Hands in an observation of pace; it wakes nobody and may be lost.
     pub fn observe(&self, pace: Duration) {
-        let _ = self
-            .ring
-            .try_send(DecideMessage::Event(AgentEvent::Paced(pace)));
+        let _ = self.paces.try_send(pace);
     }
 
     /// Returns what others see.
     pub fn view(&self) -> AgentView {
-        self.view
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+        let state = self.lock();
+        let core = &state.core;
+        AgentView {
+            member: core.member().clone(),
+            load: core.load(state.clock.elapsed()),
+            config_version: core.config().newest(),
+            config_hash: core.config().digest(),
+            ready: core.ready(),
+        }
+    }
+
+    /// Returns the load to tell entries.
+    pub fn load(&self) -> LoadReport {
+        let state = self.lock();
+        state.core.load(state.clock.elapsed())
     }
 
     /// Returns a counter of changes that are to be announced at once.
@@ -177,87 +150,57 @@
             "config_hash": format!("{:016x}", view.config_hash),
         })
     }
+
+    /// A decision that panicked broke an invariant: nothing may go on from there.
+    fn lock(&self) -> MutexGuard<'_, DecideState> {
+        self.state.lock().unwrap_or_else(|_| std::process::abort())
+    }
 }
 
-struct DecideWorker {
+struct DecideState {
     core: AgentCore,
     clock: Arc<dyn Clock>,
     journal: Journal,
     metrics: Arc<Metrics>,
-    view: Arc<Mutex<AgentView>>,
     announce: watch::Sender<u64>,
-    paces: Receiver<Duration>,
-    next_look: Duration,
+    closed: bool,
 }
 
-impl DecideWorker {
-    fn run(mut self, messages: &Receiver<DecideMessage>) {
-        loop {
-            let wait = self.next_look.saturating_sub(self.clock.elapsed());
-            match messages.recv_timeout(wait) {
-                Ok(message) => {
-                    self.take(message);
-                    messages
-                        .try_iter()
-                        .take(MESSAGES_AT_ONCE)
-                        .for_each(|m| self.take(m));
-                }
-                Err(RecvTimeoutError::Timeout) => {}
-                Err(RecvTimeoutError::Disconnected) => return,
-            }
-            self.look();
-            self.publish();
+impl DecideState {
+    fn offer(&mut self, request: RequestId, attempt: AttemptNumber, class: &str) -> OfferAnswer {
+        let now = self.clock.elapsed();
+        let actions = self.core.step(now, AgentEvent::Offered { request, attempt });
+        let repeatable = self.core.config().class(class).is_some_and(|target| target.repeatable);
+        let answer = actions.iter().find_map(|action| offer_answer(action, repeatable));
+        answer.unwrap_or(OfferAnswer::Refused(AgentRefusal::NotReady, RETRY_AFTER))
+    }
+
+    fn step(&mut self, event: AgentEvent) {
+        let now = self.clock.elapsed();
+        for action in self.core.step(now, event) {
+            self.carry_out(action);
         }
+        self.announce_turn(now);
     }
 
     /// Takes in the observations of pace that have gathered.
-    fn look(&mut self) {
+    fn look(&mut self, paces: &Receiver<Duration>) {
         let now = self.clock.elapsed();
-        if now < self.next_look {
-            return;
-        }
-        self.next_look = now + LOOK;
-        let count = self.paces.len();
-        for pace in self.paces.clone().try_iter().take(count) {
+        for pace in paces.try_iter().take(PACE_RING) {
             self.core.step(now, AgentEvent::Paced(pace));
         }
         let load = self.core.load(now);
         self.metrics.set_state("limit", f64::from(load.limit));
-        self.metrics
-            .set_state("in_flight", f64::from(load.in_flight));
+        self.metrics.set_state("in_flight", f64::from(load.in_flight));
+        self.announce_turn(now);
     }
 
-    fn take(&mut self, message: DecideMessage) {
-        let now = self.clock.elapsed();
-        match message {
-            DecideMessage::Offer(request, attempt, class, reply) => {
-                let event = AgentEvent::Offered { request, attempt };
-                let actions = self.core.step(now, event);
-                let repeatable = self
-                    .core
-                    .config()
-                    .class(&class)
-                    .is_some_and(|target| target.repeatable);
-                let answer = actions
-                    .iter()
-                    .find_map(|action| offer_answer(action, repeatable));
-                let refused = reply.send(
-                    answer.unwrap_or(OfferAnswer::Refused(AgentRefusal::NotReady, RETRY_AFTER)),
-                );
-                if refused.is_err() {
-                    let ended = AgentEvent::Ended {
-                        request,
-                        attempt,
-                        succeeded: true,
-                    };
-                    self.core.step(now, ended);
-                }
-            }
-            DecideMessage::Event(event) => {
-                for action in self.core.step(now, event) {
-                    self.carry_out(action);
-                }
-            }
+    /// Announces at once when the backend server opens or closes.
+    fn announce_turn(&mut self, now: Duration) {
+        let closed = self.core.load(now).limit == 0;
+        if closed != self.closed {
+            self.closed = closed;
+            self.announce.send_modify(|count| *count += 1);
         }
     }
 
@@ -271,47 +214,20 @@
                 }
             }
             AgentAction::Reject(faults) => {
-                self.journal
-                    .warn("config-rejected", o!("faults" => faults.join("; ")));
+                self.journal.warn("config-rejected", o!("faults" => faults.join("; ")));
             }
             AgentAction::Restarted => self.journal.warn("backend-restarted", o!()),
             AgentAction::Admit | AgentAction::Refuse { .. } => {}
         }
     }
-
-    /// Shows the new state, and announces at once when the server opens or closes.
-    fn publish(&self) {
-        let new = view_of(&self.core, self.clock.elapsed());
-        self.metrics.set_state("limit", f64::from(new.load.limit));
-        self.metrics
-            .set_state("in_flight", f64::from(new.load.in_flight));
-        let mut view = self.view.lock().unwrap_or_else(PoisonError::into_inner);
-        let turned = (view.load.limit == 0) != (new.load.limit == 0);
-        *view = new;
-        drop(view);
-        if turned {
-            self.announce.send_modify(|count| *count += 1);
-        }
-    }
-}
-
-fn view_of(core: &AgentCore, now: Duration) -> AgentView {
-    AgentView {
-        member: core.member().clone(),
-        load: core.load(now),
-        config_version: core.config().newest(),
-        config_hash: core.config().digest(),
-        ready: core.ready(),
-    }
 }
 
 fn offer_answer(action: &AgentAction, repeatable: bool) -> Option<OfferAnswer> {
     match action {
         AgentAction::Admit => Some(OfferAnswer::Admitted { repeatable }),
-        AgentAction::Refuse {
-            reason,
-            retry_after,
-        } => Some(OfferAnswer::Refused(*reason, *retry_after)),
+        AgentAction::Refuse { reason, retry_after } => {
+            Some(OfferAnswer::Refused(*reason, *retry_after))
+        }
         _ => None,
     }
 }
--- a/crates/agent/src/health.rs
+++ b/crates/agent/src/health.rs
@@ -24,27 +24,25 @@
     decider: Decider,
     alarms: Receiver<()>,
 ) -> std::io::Result<()> {
-    thread::Builder::new()
-        .name("health".to_string())
-        .spawn(move || {
-            let mut failures = 0;
-            loop {
-                match backend.health() {
-                    Ok(report) => {
-                        failures = 0;
-                        decider.event(AgentEvent::Healthy { boot: report.boot });
-                    }
-                    Err(error) => {
-                        failures += 1;
-                        let certain = matches!(error, BackendError::Unreachable(_));
-                        if certain || failures >= FAILED_CHECKS {
-                            decider.event(AgentEvent::Unreachable);
-                        }
+    thread::Builder::new().name("health".to_string()).spawn(move || {
+        let mut failures = 0;
+        loop {
+            match backend.health() {
+                Ok(report) => {
+                    failures = 0;
+                    decider.event(AgentEvent::Healthy { boot: report.boot });
+                }
+                Err(error) => {
+                    failures += 1;
+                    let certain = matches!(error, BackendError::Unreachable(_));
+                    if certain || failures >= FAILED_CHECKS {
+                        decider.event(AgentEvent::Unreachable);
                     }
                 }
-                thread::sleep(CHECK_PAUSE);
-                let _ = alarms.recv_timeout(CHECK_INTERVAL);
             }
-        })?;
+            thread::sleep(CHECK_PAUSE);
+            let _ = alarms.recv_timeout(CHECK_INTERVAL);
+        }
+    })?;
     Ok(())
 }
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -1,8 +1,8 @@
 //! The agent daemon: the one gate in front of a backend server.
 //!
-//! Threads, one for each duty, joined by bounded rings:
+//! Threads, one for each duty, around the decisions in [`decide`]:
 //!
-//! - `decide` owns the [`cuminpick::agent::AgentCore`] ([`decide`]);
+//! - `tick` lets the decisions see the backend server's pace;
 //! - `serve` takes attempts from entries over tonic ([`serve`]);
 //! - `worker` threads each read one answer of the backend server ([`worker`]);
 //! - `control` announces the agent to a few entries ([`announce`]);
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -7,9 +7,8 @@
 use cuminpick_agent::daemon::run_agent;
 
 fn main() -> eyre::Result<()> {
-    let settings = bpaf::long("settings")
-        .help("Settings of the agent, in TOML")
-        .argument::<PathBuf>("FILE");
+    let settings =
+        bpaf::long("settings").help("Settings of the agent, in TOML").argument::<PathBuf>("FILE");
     let options = settings
         .to_options()
         .descr("Guards the backend server beside it and carries its answers to entries.")
--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -55,11 +55,7 @@
 ) -> Result<(), tonic::transport::Error> {
     let service =
         AgentServer::new(AgentService { context }).max_decoding_message_size(MAX_REQUEST_BYTES);
-    tonic::transport::Server::builder()
-        .tcp_nodelay(true)
-        .add_service(service)
-        .serve(address)
-        .await
+    tonic::transport::Server::builder().tcp_nodelay(true).add_service(service).serve(address).await
 }
 
 struct AgentService {
@@ -81,11 +77,7 @@
         context.journal.merge(run.clock);
         let request_id = format!("{:016x}", run.request);
         let (frames, stream) = mpsc::channel(FRAME_RING);
-        match context
-            .decider
-            .offer(run.request, run.attempt, &run.class_name)
-            .await
-        {
+        match context.decider.offer(run.request, run.attempt, &run.class_name) {
             OfferAnswer::Admitted { repeatable } => {
                 let details = o!("attempt" => run.attempt, "entry" => run.entry.clone());
                 context.journal.note("admitted", Some(&request_id), details);
@@ -112,14 +104,10 @@
     ) -> Result<Response<wire::LoadFigure>, Status> {
         let context = &self.context;
         let probe = request.into_inner();
-        context
-            .metrics
-            .count_control("probe", "in", message_bytes(&probe));
+        context.metrics.count_control("probe", "in", message_bytes(&probe));
         context.journal.merge(probe.clock);
         let figure = self.figure();
-        context
-            .metrics
-            .count_control("probe", "out", message_bytes(&figure));
+        context.metrics.count_control("probe", "out", message_bytes(&figure));
         Ok(Response::new(figure))
     }
 }
@@ -141,21 +129,13 @@
             }),
         );
         let call = backend_request(run, &request_id, repeatable);
-        let job = Box::new(WorkerJob {
-            request,
-            attempt,
-            request_id,
-            call,
-            frames,
-        });
+        let job = Box::new(WorkerJob { request, attempt, request_id, call, frames });
         if let Err(job) = self.context.workers.run(job) {
-            self.context
-                .decider
-                .event(cuminpick::agent::AgentEvent::Ended {
-                    request,
-                    attempt,
-                    succeeded: true,
-                });
+            self.context.decider.event(cuminpick::agent::AgentEvent::Ended {
+                request,
+                attempt,
+                succeeded: true,
+            });
             let _ = job.frames.try_send(Ok(unable));
         }
     }
@@ -171,34 +151,17 @@
     }
 
     fn figure(&self) -> wire::LoadFigure {
-        load_to_wire(
-            self.context.decider.view().load,
-            self.context.journal.stamp(),
-        )
+        load_to_wire(self.context.decider.load(), self.context.journal.stamp())
     }
 }
 
 fn backend_request(run: wire::RunRequest, request_id: &str, repeatable: bool) -> BackendRequest {
-    let mut headers: Vec<HeaderPair> = run
-        .headers
-        .into_iter()
-        .map(|header| (header.name, header.value))
-        .collect();
+    let mut headers: Vec<HeaderPair> =
+        run.headers.into_iter().map(|header| (header.name, header.value)).collect();
     headers.retain(|(name, _)| name != RESUME_HEADER && name != REQUEST_ID_HEADER);
-    headers.push((
-        REQUEST_ID_HEADER.to_string(),
-        request_id.as_bytes().to_vec(),
-    ));
+    headers.push((REQUEST_ID_HEADER.to_string(), request_id.as_bytes().to_vec()));
     if run.resume_after > 0 {
-        headers.push((
-            RESUME_HEADER.to_string(),
-            run.resume_after.to_string().into_bytes(),
-        ));
-    }
-    BackendRequest {
-        path: run.path,
-        headers,
-        body: run.body,
-        fresh_connection: !repeatable,
+        headers.push((RESUME_HEADER.to_string(), run.resume_after.to_string().into_bytes()));
     }
+    BackendRequest { path: run.path, headers, body: run.body, fresh_connection: !repeatable }
 }
--- a/crates/agent/src/worker.rs
+++ b/crates/agent/src/worker.rs
@@ -77,21 +77,13 @@
     /// Makes a pool for at most `most` jobs at a time.
     pub fn new(most: usize, context: WorkerContext) -> WorkerPool {
         let (jobs, inbox) = bounded(most);
-        WorkerPool {
-            jobs,
-            inbox,
-            idle: Arc::new(AtomicUsize::new(0)),
-            context,
-        }
+        WorkerPool { jobs, inbox, idle: Arc::new(AtomicUsize::new(0)), context }
     }
 
     /// Runs a job in a thread of its own; gives it back when none can start.
     pub fn run(&self, job: Box<WorkerJob>) -> Result<(), Box<WorkerJob>> {
-        let reserved = self
-            .idle
-            .fetch_update(Ordering::AcqRel, Ordering::Acquire, |idle| {
-                idle.checked_sub(1)
-            });
+        let reserved =
+            self.idle.fetch_update(Ordering::AcqRel, Ordering::Acquire, |idle| idle.checked_sub(1));
         if reserved.is_err() && self.start_worker().is_err() {
             return Err(job);
         }
@@ -102,9 +94,7 @@
         let inbox = self.inbox.clone();
         let idle = Arc::clone(&self.idle);
         let context = self.context.clone();
-        let builder = thread::Builder::new()
-            .name("worker".to_string())
-            .stack_size(STACK_BYTES);
+        let builder = thread::Builder::new().name("worker".to_string()).stack_size(STACK_BYTES);
         builder.spawn(move || work(&inbox, &idle, &context))?;
         Ok(())
     }
@@ -115,9 +105,8 @@
         match inbox.recv_timeout(IDLE_TIME) {
             Ok(job) => run_job(context, *job),
             Err(_) => {
-                let left = idle.fetch_update(Ordering::AcqRel, Ordering::Acquire, |idle| {
-                    idle.checked_sub(1)
-                });
+                let left = idle
+                    .fetch_update(Ordering::AcqRel, Ordering::Acquire, |idle| idle.checked_sub(1));
                 if left.is_ok() {
                     return;
                 }
@@ -131,39 +120,37 @@
 fn run_job(context: &WorkerContext, job: WorkerJob) {
     let (request, attempt) = (job.request, job.attempt);
     let request_id = job.request_id.clone();
-    let mut writer = FrameWriter {
-        context,
-        request,
-        attempt,
-        sequence: 0,
-        frames: job.frames,
-    };
+    let mut writer = FrameWriter { context, request, attempt, sequence: 0, frames: job.frames };
     writer.write_with_load(FrameBody::Accepted(wire::Accepted {}));
     let started = Instant::now();
+    let mut times = JobTimes::default();
     let ended = match context.backend.call(&job.call) {
-        Ok((head, reader)) => carry_answer(&mut writer, head, reader, started),
+        Ok((head, reader)) => {
+            times.head = started.elapsed();
+            carry_answer(&mut writer, head, reader, started, &mut times)
+        }
         Err(error) => Err(error),
     };
     let succeeded = ended.is_ok();
-    context.decider.event(AgentEvent::Ended {
-        request,
-        attempt,
-        succeeded,
-    });
+    context.decider.event(AgentEvent::Ended { request, attempt, succeeded });
+    let details = o!(
+        "attempt" => attempt,
+        "succeeded" => succeeded,
+        "head_us" => times.head.as_micros() as u64,
+        "first_us" => times.first.as_micros() as u64,
+        "elapsed_ms" => started.elapsed().as_millis() as u64,
+    );
+    context.journal.note("answered", Some(&request_id), details);
     match ended {
         Ok(CarryEnd::Whole) => writer.write_with_load(FrameBody::End(wire::End {})),
         Ok(CarryEnd::EntryGone) => {
-            context
-                .journal
-                .note("cancelled", Some(&request_id), o!("attempt" => attempt));
+            context.journal.note("cancelled", Some(&request_id), o!("attempt" => attempt));
             true
         }
         Err(error) => {
             let _ = context.alarm.try_send(());
             let details = o!("attempt" => attempt, "error" => error.to_string());
-            context
-                .journal
-                .note("backend-failed", Some(&request_id), details);
+            context.journal.note("backend-failed", Some(&request_id), details);
             let not_run = matches!(error, BackendError::Unreachable(_));
             let reason = error.to_string();
             writer.write_with_load(FrameBody::Failed(wire::Failed { reason, not_run }))
@@ -171,6 +158,13 @@
     };
 }
 
+/// Times of a job since it started.
+#[derive(Default)]
+struct JobTimes {
+    head: Duration,
+    first: Duration,
+}
+
 enum CarryEnd {
     Whole,
     EntryGone,
@@ -181,6 +175,7 @@
     head: AnswerHead,
     mut reader: Box<dyn AnswerReader>,
     started: Instant,
+    times: &mut JobTimes,
 ) -> Result<CarryEnd, BackendError> {
     let streaming = head.streaming;
     if !writer.write(FrameBody::Head(head_to_wire(head))) {
@@ -189,6 +184,9 @@
     let mut last_piece: Option<Instant> = None;
     while let Some(piece) = reader.next_piece()? {
         let now = Instant::now();
+        if times.first.is_zero() {
+            times.first = started.elapsed();
+        }
         if let Some(last) = last_piece.filter(|_| streaming) {
             writer.context.decider.observe(now - last);
         }
@@ -224,7 +222,7 @@
     /// Sends a frame; false when the entry no longer reads.
     fn send(&mut self, body: FrameBody, with_load: bool) -> bool {
         let load = with_load.then(|| {
-            let report = self.context.decider.view().load;
+            let report = self.context.decider.load();
             load_to_wire(report, self.context.journal.stamp())
         });
         let frame = wire::RunFrame {
@@ -243,9 +241,7 @@
     let headers = head.headers.into_iter();
     wire::Head {
         status: u32::from(head.status),
-        headers: headers
-            .map(|(name, value)| wire::Header { name, value })
-            .collect(),
+        headers: headers.map(|(name, value)| wire::Header { name, value }).collect(),
         streaming: head.streaming,
     }
 }
--- a/crates/backends/src/events.rs
+++ b/crates/backends/src/events.rs
@@ -23,19 +23,12 @@
 impl<R: Read> EventReader<R> {
     /// Reads events from `reader`.
     pub fn new(reader: R) -> EventReader<R> {
-        EventReader {
-            reader,
-            buffer: Vec::new(),
-            searched: 0,
-            ended: false,
-        }
+        EventReader { reader, buffer: Vec::new(), searched: 0, ended: false }
     }
 
     fn take_event(&mut self) -> Option<Vec<u8>> {
         let from = self.searched.saturating_sub(EVENT_END.len() - 1);
-        let found = self.buffer[from..]
-            .windows(EVENT_END.len())
-            .position(|end| end == EVENT_END);
+        let found = self.buffer[from..].windows(EVENT_END.len()).position(|end| end == EVENT_END);
         match found {
             Some(offset) => {
                 let rest = self.buffer.split_off(from + offset + EVENT_END.len());
@@ -52,9 +45,7 @@
     fn fill(&mut self) -> Result<(), BackendError> {
         let length = self.buffer.len();
         if length > MAX_EVENT_BYTES {
-            return Err(BackendError::Broken(format!(
-                "an event over {MAX_EVENT_BYTES} bytes"
-            )));
+            return Err(BackendError::Broken(format!("an event over {MAX_EVENT_BYTES} bytes")));
         }
         self.buffer.resize(length + READ_CHUNK, 0);
         let read = self.reader.read(&mut self.buffer[length..]);
@@ -75,9 +66,7 @@
                 return Ok(None);
             }
             if self.ended {
-                return Err(BackendError::Broken(
-                    "the stream ended within an event".to_string(),
-                ));
+                return Err(BackendError::Broken("the stream ended within an event".to_string()));
             }
             self.fill()?;
         }
--- a/crates/backends/src/lib.rs
+++ b/crates/backends/src/lib.rs
@@ -22,8 +22,10 @@
 const IDLE_CONNECTIONS: usize = 64;
 /// Age at which an idle connection is closed.
 const IDLE_AGE: Duration = Duration::from_secs(5);
+/// Bytes of each connection's buffers.
+const BUFFER_BYTES: usize = 8 * 1024;
 /// Bytes of a whole answer that are read at a time.
-const READ_CHUNK: usize = 16 * 1024;
+const READ_CHUNK: usize = 8 * 1024;
 /// Headers that concern one connection and are not passed on.
 const HOP_HEADERS: [&str; 8] = [
     "connection",
@@ -130,6 +132,8 @@
         .max_idle_connections_per_host(kept)
         .max_idle_age(IDLE_AGE)
         .max_redirects(0)
+        .input_buffer_size(BUFFER_BYTES)
+        .output_buffer_size(BUFFER_BYTES)
         .build()
         .into()
 }
@@ -139,11 +143,7 @@
         &self,
         request: &BackendRequest,
     ) -> Result<(AnswerHead, Box<dyn AnswerReader>), BackendError> {
-        let agent = if request.fresh_connection {
-            &self.single
-        } else {
-            &self.pooled
-        };
+        let agent = if request.fresh_connection { &self.single } else { &self.pooled };
         let mut call = agent.post(format!("{}{}", self.base, request.path));
         if request.fresh_connection {
             call = call.header("connection", "close");
@@ -151,9 +151,7 @@
         for (name, value) in request.headers.iter().filter(|(name, _)| passes_on(name)) {
             call = call.header(name.as_str(), value.as_slice());
         }
-        let response = call
-            .send(&request.body[..])
-            .map_err(|error| call_error(&error))?;
+        let response = call.send(&request.body[..]).map_err(|error| call_error(&error))?;
         let (parts, body) = response.into_parts();
         let headers: Vec<HeaderPair> = parts
             .headers
@@ -164,11 +162,7 @@
         let streaming = headers
             .iter()
             .any(|(name, value)| name == "content-type" && value.starts_with(b"text/event-stream"));
-        let head = AnswerHead {
-            status: parts.status.as_u16(),
-            headers,
-            streaming,
-        };
+        let head = AnswerHead { status: parts.status.as_u16(), headers, streaming };
         let reader = body.into_reader();
         if streaming {
             return Ok((head, Box::new(EventReader::new(reader))));
@@ -178,16 +172,10 @@
 
     fn health(&self) -> Result<HealthReport, BackendError> {
         let request = self.single.get(format!("{}/healthz", self.base));
-        let request = request
-            .config()
-            .timeout_global(Some(HEALTH_TIMEOUT))
-            .build();
+        let request = request.config().timeout_recv_response(Some(HEALTH_TIMEOUT)).build();
         let mut response = request.call().map_err(|error| call_error(&error))?;
         if response.status() != 200 {
-            return Err(BackendError::Broken(format!(
-                "health status {}",
-                response.status()
-            )));
+            return Err(BackendError::Broken(format!("health status {}", response.status())));
         }
         let report = response.body_mut().read_json::<HealthReport>();
         report.map_err(|error| BackendError::Broken(error.to_string()))
--- a/crates/callers/src/answer.rs
+++ b/crates/callers/src/answer.rs
@@ -70,16 +70,11 @@
         "remedy": refusal.kind.remedy(),
         "request": request_id,
     });
-    let mut headers = vec![(
-        CONTENT_TYPE.as_str().to_string(),
-        b"application/problem+json".to_vec(),
-    )];
+    let mut headers =
+        vec![(CONTENT_TYPE.as_str().to_string(), b"application/problem+json".to_vec())];
     if let Some(wait) = refusal.retry_after {
         let seconds = wait.as_secs_f64().ceil().max(1.0) as u64;
-        headers.push((
-            RETRY_AFTER.as_str().to_string(),
-            seconds.to_string().into_bytes(),
-        ));
+        headers.push((RETRY_AFTER.as_str().to_string(), seconds.to_string().into_bytes()));
     }
     CallerAnswer {
         request_id: request_id.to_string(),
@@ -135,9 +130,9 @@
     ) -> Poll<Option<Result<Frame<Bytes>, AnswerCut>>> {
         match self.get_mut() {
             ResponseBody::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
-            ResponseBody::Stream(receiver) => receiver
-                .poll_recv(context)
-                .map(|piece| piece.map(|piece| piece.map(Frame::data))),
+            ResponseBody::Stream(receiver) => {
+                receiver.poll_recv(context).map(|piece| piece.map(|piece| piece.map(Frame::data)))
+            }
         }
     }
 
--- a/crates/callers/src/request.rs
+++ b/crates/callers/src/request.rs
@@ -63,19 +63,13 @@
 impl BodyBudget {
     /// Makes a budget of `most` bytes.
     pub fn new(most: usize) -> BodyBudget {
-        BodyBudget {
-            used: AtomicUsize::new(0),
-            most,
-        }
+        BodyBudget { used: AtomicUsize::new(0), most }
     }
 }
 
 impl BodyShare {
     fn new(budget: &Arc<BodyBudget>) -> BodyShare {
-        BodyShare {
-            budget: Arc::clone(budget),
-            bytes: 0,
-        }
+        BodyShare { budget: Arc::clone(budget), bytes: 0 }
     }
 
     fn grow(&mut self, bytes: usize) -> bool {
@@ -115,23 +109,13 @@
         Ok(body) => body?,
         Err(_) => return Err(Refusal::not_run(RefusalKind::TooSlow, None)),
     };
-    let path = parts
-        .uri
-        .path_and_query()
-        .map_or_else(String::new, |path| path.to_string());
+    let path = parts.uri.path_and_query().map_or_else(String::new, |path| path.to_string());
     let headers = parts
         .headers
         .iter()
         .map(|(name, value)| (name.as_str().to_string(), value.as_bytes().to_vec()))
         .collect();
-    Ok(CallerRequest {
-        path,
-        headers,
-        body,
-        class,
-        organisation,
-        time_left,
-    })
+    Ok(CallerRequest { path, headers, body, class, organisation, time_left })
 }
 
 async fn collect_body(
@@ -169,10 +153,7 @@
     let Some(value) = headers.get(DEADLINE_HEADER) else {
         return Ok(None);
     };
-    let millis = value
-        .to_str()
-        .ok()
-        .and_then(|text| text.parse::<u64>().ok());
+    let millis = value.to_str().ok().and_then(|text| text.parse::<u64>().ok());
     match millis {
         Some(millis) if millis > 0 => Ok(Some(Duration::from_millis(millis))),
         _ => Err(malformed()),
--- a/crates/callers/src/server.rs
+++ b/crates/callers/src/server.rs
@@ -178,12 +178,8 @@
 
     async fn answer(self, request: Request<Incoming>) -> CallerAnswer {
         let request_id = self.handler.next_id();
-        let reading = read_request(
-            request,
-            self.limits.max_body,
-            self.limits.read_timeout,
-            &self.budget,
-        );
+        let reading =
+            read_request(request, self.limits.max_body, self.limits.read_timeout, &self.budget);
         match reading.await {
             Ok(request) => self.handler.handle(request_id, request).await,
             Err(refusal) => {
--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -164,11 +164,7 @@
                 self.limit.observe(now, pace);
                 Vec::new()
             }
-            AgentEvent::Ended {
-                request,
-                attempt,
-                succeeded,
-            } => {
+            AgentEvent::Ended { request, attempt, succeeded } => {
                 self.end(now, request, attempt, succeeded);
                 Vec::new()
             }
@@ -214,18 +210,11 @@
             None if !self.limit.try_admit(now) => AgentRefusal::Full,
             None => {
                 self.running.insert(key, self.boots);
-                assert_eq!(
-                    self.running.len(),
-                    self.limit.in_flight() as usize,
-                    "miscounted"
-                );
+                assert_eq!(self.running.len(), self.limit.in_flight() as usize, "miscounted");
                 return AgentAction::Admit;
             }
         };
-        AgentAction::Refuse {
-            reason,
-            retry_after: RETRY_AFTER,
-        }
+        AgentAction::Refuse { reason, retry_after: RETRY_AFTER }
     }
 
     fn closed(&self, now: Duration) -> Option<AgentRefusal> {
@@ -262,11 +251,7 @@
         self.boot = Some(boot);
         self.boots += 1;
         self.limit.reset(now);
-        if first {
-            Vec::new()
-        } else {
-            vec![AgentAction::Restarted]
-        }
+        if first { Vec::new() } else { vec![AgentAction::Restarted] }
     }
 
     fn note_unreachable(&mut self, now: Duration) -> Vec<AgentAction> {
--- a/crates/core/src/answer.rs
+++ b/crates/core/src/answer.rs
@@ -26,20 +26,12 @@
 impl AnswerCheck {
     /// Starts before the first attempt.
     pub fn new(request: RequestId) -> AnswerCheck {
-        AnswerCheck {
-            request,
-            attempt: 0,
-            next: 0,
-            delivered: 0,
-        }
+        AnswerCheck { request, attempt: 0, next: 0, delivered: 0 }
     }
 
     /// Starts an attempt; frames of earlier ones are dropped from now on.
     pub fn begin(&mut self, attempt: AttemptNumber) {
-        assert!(
-            attempt > self.attempt,
-            "attempts of a request must count up"
-        );
+        assert!(attempt > self.attempt, "attempts of a request must count up");
         self.attempt = attempt;
         self.next = 0;
     }
--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -15,9 +15,7 @@
 
 impl Default for RetryBudget {
     fn default() -> RetryBudget {
-        RetryBudget {
-            saved: SAVED_AT_START,
-        }
+        RetryBudget { saved: SAVED_AT_START }
     }
 }
 
--- a/crates/core/src/choose.rs
+++ b/crates/core/src/choose.rs
@@ -168,15 +168,8 @@
         if let Some(index) = self.choose_within(now, &others, query, rng) {
             return self.chosen(index);
         }
-        let any = zones
-            .values()
-            .flatten()
-            .any(|&index| self.slot(index).is_some_and(takes_work));
-        if any {
-            ServerChoice::Full
-        } else {
-            ServerChoice::None
-        }
+        let any = zones.values().flatten().any(|&index| self.slot(index).is_some_and(takes_work));
+        if any { ServerChoice::Full } else { ServerChoice::None }
     }
 
     /// Notes that an attempt was sent to a server.
@@ -246,10 +239,7 @@
         rotated
             .filter_map(|&index| self.slot(index))
             .filter(|slot| takes_work(slot))
-            .filter(|slot| {
-                slot.reported
-                    .is_none_or(|reported| reported + STALE_AFTER < now)
-            })
+            .filter(|slot| slot.reported.is_none_or(|reported| reported + STALE_AFTER < now))
             .take(count)
             .map(|slot| slot.id.clone())
             .collect()
@@ -258,14 +248,7 @@
     /// Lists each server with its zone, its last report and whether it is in force.
     pub fn overview(&self) -> impl Iterator<Item = (&str, &str, LoadReport, bool)> {
         let slots = self.slots.iter().flatten();
-        slots.map(|slot| {
-            (
-                slot.id.as_str(),
-                slot.zone.as_str(),
-                slot.report,
-                slot.in_force,
-            )
-        })
+        slots.map(|slot| (slot.id.as_str(), slot.zone.as_str(), slot.report, slot.in_force))
     }
 
     fn choose_within(
@@ -303,10 +286,7 @@
             .filter(|index| usable(index))
             .filter_map(|&index| {
                 let slot = self.slot(index)?;
-                Some((
-                    hash_parts(&[&prefix.to_le_bytes(), slot.id.as_bytes()]),
-                    index,
-                ))
+                Some((hash_parts(&[&prefix.to_le_bytes(), slot.id.as_bytes()]), index))
             })
             .collect();
         ranked.sort_unstable_by(|left, right| right.cmp(left));
@@ -327,11 +307,7 @@
         let Some(slot) = self.slot(index) else {
             return f64::INFINITY;
         };
-        let limit = if slot.reported.is_some() {
-            slot.report.limit
-        } else {
-            ASSUMED_LIMIT
-        };
+        let limit = if slot.reported.is_some() { slot.report.limit } else { ASSUMED_LIMIT };
         let known = slot.report.in_flight + slot.sent_since;
         let in_flight = known.max(slot.outstanding);
         if limit == 0 {
--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -25,9 +25,7 @@
 impl SystemClock {
     /// Starts a clock whose elapsed time is zero now.
     pub fn start() -> SystemClock {
-        SystemClock {
-            start: Instant::now(),
-        }
+        SystemClock { start: Instant::now() }
     }
 }
 
@@ -70,9 +68,6 @@
 }
 
 fn wall_stamp(wall: SystemTime) -> HybridStamp {
-    let millis = wall
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default()
-        .as_millis();
+    let millis = wall.duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
     (millis as u64) << COUNTER_BITS
 }
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -151,9 +151,7 @@
 
     /// Returns the version held for `key`, 0 when it is unknown.
     pub fn version_of(&self, key: &str) -> ObjectVersion {
-        self.records
-            .get(key)
-            .map_or(0, |record| record.object.version)
+        self.records.get(key).map_or(0, |record| record.object.version)
     }
 
     /// Returns the highest version held.
@@ -218,10 +216,7 @@
     }
 
     fn state_in(&self, key: &str) -> bool {
-        let value = self
-            .records
-            .get(key)
-            .and_then(|record| record.value.as_ref());
+        let value = self.records.get(key).and_then(|record| record.value.as_ref());
         !matches!(value, Some(ConfigValue::State(ServiceState::Out)))
     }
 }
@@ -286,10 +281,7 @@
 }
 
 fn bad_value(key: &str, detail: &str) -> ConfigError {
-    ConfigError::BadValue {
-        key: key.to_string(),
-        detail: detail.to_string(),
-    }
+    ConfigError::BadValue { key: key.to_string(), detail: detail.to_string() }
 }
 
 fn record_hash(key: &str, version: ObjectVersion) -> u64 {
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -228,9 +228,7 @@
             EntryEvent::Announced(record) => self.hear(now, record, &mut actions),
             EntryEvent::Gossiped(message) => self.take_gossip(now, message, &mut actions),
             EntryEvent::GossipDue => {
-                let round = self
-                    .gossip
-                    .begin(&self.members, &self.config, &mut self.rng);
+                let round = self.gossip.begin(&self.members, &self.config, &mut self.rng);
                 actions.extend(round.map(EntryAction::Gossip));
             }
             EntryEvent::Configured(objects) => self.configure(objects, &mut actions),
@@ -309,10 +307,7 @@
     }
 
     fn probe_stale(&mut self, now: Duration, service: &str, actions: &mut Vec<EntryAction>) {
-        for server in self
-            .routes
-            .stale(now, service, PROBES_PER_ARRIVAL, &mut self.rng)
-        {
+        for server in self.routes.stale(now, service, PROBES_PER_ARRIVAL, &mut self.rng) {
             if let Some(address) = self.routes.address(&server) {
                 let address = address.to_string();
                 actions.push(EntryAction::Probe { server, address });
@@ -326,18 +321,11 @@
             return;
         };
         if state.deadline.is_some_and(|deadline| deadline <= now) {
-            self.refuse(
-                request,
-                not_run_or_cut(state, RefusalKind::DeadlinePassed, None),
-                actions,
-            );
+            self.refuse(request, not_run_or_cut(state, RefusalKind::DeadlinePassed, None), actions);
             return;
         }
-        let earlier_waiting = state.attempt == 0
-            && self
-                .queues
-                .get(&state.service)
-                .is_some_and(|q| !q.is_empty());
+        let earlier_waiting =
+            state.attempt == 0 && self.queues.get(&state.service).is_some_and(|q| !q.is_empty());
         if earlier_waiting {
             self.enqueue(now, request, actions);
             return;
@@ -380,54 +368,31 @@
         let Some(state) = self.requests.get_mut(&request) else {
             return;
         };
-        assert!(
-            state.server.is_none(),
-            "request {request} has two attempts at once"
-        );
+        assert!(state.server.is_none(), "request {request} has two attempts at once");
         state.attempt += 1;
         state.server = Some(server.clone());
         let attempt = state.attempt;
-        self.rates
-            .entry(state.service.clone())
-            .or_default()
-            .count_one(now);
+        self.rates.entry(state.service.clone()).or_default().count_one(now);
         self.routes.note_sent(&server);
-        actions.push(EntryAction::Send {
-            request,
-            attempt,
-            server,
-            address,
-        });
+        actions.push(EntryAction::Send { request, attempt, server, address });
     }
 
     fn enqueue(&mut self, now: Duration, request: RequestId, actions: &mut Vec<EntryAction>) {
         let state = &self.requests[&request];
         let capacity = self.facts.queue_capacity;
-        let queue = self
-            .queues
-            .entry(state.service.clone())
-            .or_insert_with(|| FairQueue::new(capacity));
+        let queue =
+            self.queues.entry(state.service.clone()).or_insert_with(|| FairQueue::new(capacity));
         let ahead = queue.ahead_of(state.priority, &state.arrival.organisation);
-        let rate = self
-            .rates
-            .get(&state.service)
-            .map_or(0.0, |rate| rate.per_second);
+        let rate = self.rates.get(&state.service).map_or(0.0, |rate| rate.per_second);
         let wait = expected_wait(ahead, rate);
         let hopeless = wait.is_some_and(|wait| now + wait > state.give_up);
-        let waiting = WaitingRequest {
-            request,
-            give_up: state.give_up,
-        };
+        let waiting = WaitingRequest { request, give_up: state.give_up };
         if hopeless
             || state.give_up <= now
             || !queue.push(state.priority, &state.arrival.organisation, waiting)
         {
             let retry = Some(wait.unwrap_or(DEFAULT_RETRY_AFTER).max(DEFAULT_RETRY_AFTER));
-            self.refuse(
-                request,
-                not_run_or_cut(state, RefusalKind::Overloaded, retry),
-                actions,
-            );
+            self.refuse(request, not_run_or_cut(state, RefusalKind::Overloaded, retry), actions);
         }
     }
 
@@ -508,17 +473,12 @@
                     .config
                     .class(&state.arrival.class)
                     .map_or(DEFAULT_RETRY_AFTER, |target| target.first_token());
-            state.give_up = state
-                .deadline
-                .map_or(patience, |deadline| deadline.min(patience));
+            state.give_up = state.deadline.map_or(patience, |deadline| deadline.min(patience));
             self.place(now, request, actions);
             return;
         }
-        let kind = if state.repeatable {
-            RefusalKind::AnswerCut
-        } else {
-            RefusalKind::OutcomeUnknown
-        };
+        let kind =
+            if state.repeatable { RefusalKind::AnswerCut } else { RefusalKind::OutcomeUnknown };
         self.refuse(request, Refusal::unknown(kind), actions);
     }
 
@@ -623,8 +583,7 @@
         let in_force = record.state == MemberState::Live
             && self.config.zone_in(&record.zone)
             && self.config.server_in(&record.id);
-        self.routes
-            .upsert(&record.id, &record.address, &record.zone, service, in_force);
+        self.routes.upsert(&record.id, &record.address, &record.zone, service, in_force);
     }
 
     fn configure(&mut self, objects: Vec<ConfigObject>, actions: &mut Vec<EntryAction>) {
@@ -649,20 +608,15 @@
         let config = &self.config;
         let members = &self.members;
         self.routes.refresh(|id, zone| {
-            let live = members
-                .get(id)
-                .is_some_and(|known| known.record.state == MemberState::Live);
+            let live = members.get(id).is_some_and(|known| known.record.state == MemberState::Live);
             live && config.zone_in(zone) && config.server_in(id)
         });
         actions.push(EntryAction::InForce(taken));
     }
 
     fn tick(&mut self, now: Duration, actions: &mut Vec<EntryAction>) {
-        let expired: Vec<RequestId> = self
-            .queues
-            .values_mut()
-            .flat_map(|queue| queue.take_expired(now))
-            .collect();
+        let expired: Vec<RequestId> =
+            self.queues.values_mut().flat_map(|queue| queue.take_expired(now)).collect();
         for request in expired {
             let retry = Some(DEFAULT_RETRY_AFTER);
             let refusal = not_run_or_cut(&self.requests[&request], RefusalKind::Overloaded, retry);
@@ -707,19 +661,14 @@
     fn check_actions(&self, actions: &[EntryAction]) {
         for action in actions {
             match action {
-                EntryAction::Send {
-                    server, request, ..
-                } => {
+                EntryAction::Send { server, request, .. } => {
                     assert!(
                         self.routes.may_send(server),
                         "sent {request} to {server} out of force"
                     );
                 }
                 EntryAction::Refuse { request, refusal } => {
-                    assert!(
-                        !self.requests.contains_key(request),
-                        "refused {request} goes on"
-                    );
+                    assert!(!self.requests.contains_key(request), "refused {request} goes on");
                     let _ = refusal;
                 }
                 _ => {}
@@ -731,11 +680,8 @@
 /// A request of which an attempt broke off can no longer be called not run.
 fn not_run_or_cut(state: &RequestState, kind: RefusalKind, retry: Option<Duration>) -> Refusal {
     if state.may_have_run {
-        let kind = if state.repeatable {
-            RefusalKind::AnswerCut
-        } else {
-            RefusalKind::OutcomeUnknown
-        };
+        let kind =
+            if state.repeatable { RefusalKind::AnswerCut } else { RefusalKind::OutcomeUnknown };
         return Refusal::unknown(kind);
     }
     Refusal::not_run(kind, retry)
--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -88,25 +88,13 @@
     /// Passes a member's record on in the coming rounds.
     pub fn spread_member(&mut self, id: &MemberId) {
         let left = spread_rounds(self.fleet);
-        push_change(
-            &mut self.members,
-            PendingChange {
-                key: id.clone(),
-                left,
-            },
-        );
+        push_change(&mut self.members, PendingChange { key: id.clone(), left });
     }
 
     /// Passes a configuration object on in the coming rounds.
     pub fn spread_object(&mut self, key: &str) {
         let left = spread_rounds(self.fleet);
-        push_change(
-            &mut self.objects,
-            PendingChange {
-                key: key.to_string(),
-                left,
-            },
-        );
+        push_change(&mut self.objects, PendingChange { key: key.to_string(), left });
     }
 
     /// Starts a round with a random entry that has not gone.
@@ -140,10 +128,8 @@
         let own_hashes = members.bucket_hashes();
         let differs =
             |bucket: usize| message.member_hashes.get(bucket) != Some(&own_hashes[bucket]);
-        let differing: Vec<&MemberRecord> = members
-            .records()
-            .filter(|record| differs(member_bucket(&record.id)))
-            .collect();
+        let differing: Vec<&MemberRecord> =
+            members.records().filter(|record| differs(member_bucket(&record.id))).collect();
         let room = MEMBERS_PER_ROUND.saturating_sub(reply.members.len());
         for record in rotated(&differing, self.cursor).take(room) {
             reply.members.push((*record).clone());
@@ -151,15 +137,10 @@
         if message.config_hash != config.digest() {
             let objects = config.objects_after(0);
             let room = OBJECTS_PER_ROUND.saturating_sub(reply.objects.len());
-            reply
-                .objects
-                .extend(rotated(&objects, self.cursor).take(room).cloned());
+            reply.objects.extend(rotated(&objects, self.cursor).take(room).cloned());
         }
         self.cursor = self.cursor.wrapping_add(MEMBERS_PER_ROUND);
-        GossipSend {
-            address: message.sender.address.clone(),
-            message: reply,
-        }
+        GossipSend { address: message.sender.address.clone(), message: reply }
     }
 
     fn message(
@@ -217,10 +198,6 @@
 }
 
 fn rotated<T>(items: &[T], cursor: usize) -> impl Iterator<Item = &T> {
-    let start = if items.is_empty() {
-        0
-    } else {
-        cursor % items.len()
-    };
+    let start = if items.is_empty() { 0 } else { cursor % items.len() };
     items[start..].iter().chain(&items[..start])
 }
--- a/crates/core/src/homes.rs
+++ b/crates/core/src/homes.rs
@@ -60,17 +60,9 @@
             let failed = self.failed.get(&record.id);
             record.state == MemberState::Live && failed.is_none_or(|at| *at + FAILED_PAUSE < now)
         };
-        let near = self
-            .entries
-            .values()
-            .filter(usable)
-            .filter(|record| record.zone == self.zone);
+        let near = self.entries.values().filter(usable).filter(|record| record.zone == self.zone);
         let near = self.nearest(near, 1);
-        let others = self
-            .entries
-            .values()
-            .filter(usable)
-            .filter(|r| r.zone != self.zone);
+        let others = self.entries.values().filter(usable).filter(|r| r.zone != self.zone);
         let mut homes = near;
         homes.extend(self.nearest(others, HOME_COUNT - homes.len()));
         if homes.len() < HOME_COUNT {
@@ -94,10 +86,6 @@
     ) -> Vec<MemberRecord> {
         let ids: Vec<&str> = records.map(|record| record.id.as_str()).collect();
         let nearest = rendezvous(self.id.as_bytes(), ids.into_iter(), count);
-        nearest
-            .into_iter()
-            .filter_map(|id| self.entries.get(id))
-            .cloned()
-            .collect()
+        nearest.into_iter().filter_map(|id| self.entries.get(id)).cloned().collect()
     }
 }
--- a/crates/core/src/journal.rs
+++ b/crates/core/src/journal.rs
@@ -56,8 +56,7 @@
 
 /// Reads the events in a text of JSON lines; lines of other kinds are passed over.
 pub fn parse_lines(text: &str) -> impl Iterator<Item = JournalLine> {
-    text.lines()
-        .filter_map(|line| serde_json::from_str(line).ok())
+    text.lines().filter_map(|line| serde_json::from_str(line).ok())
 }
 
 /// Merges events of many processes into causal order.
@@ -70,17 +69,12 @@
 /// Renders an event for people.
 pub fn render_line(line: &JournalLine, start_ms: u64) -> String {
     let offset_ms = stamp_millis(line.stamp).saturating_sub(start_ms);
-    let mut text = format!(
-        "{:>9} ms  {:<16} {:<18}",
-        offset_ms, line.process, line.event
-    );
+    let mut text = format!("{:>9} ms  {:<16} {:<18}", offset_ms, line.process, line.event);
     if let Some(request) = &line.request {
         text.push_str(&format!(" request={request}"));
     }
-    for (key, value) in line
-        .details
-        .iter()
-        .filter(|(key, _)| !["level", "msg", "ts"].contains(&key.as_str()))
+    for (key, value) in
+        line.details.iter().filter(|(key, _)| !["level", "msg", "ts"].contains(&key.as_str()))
     {
         text.push_str(&format!(" {key}={value}"));
     }
--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -44,11 +44,7 @@
 
 impl Default for LimitSettings {
     fn default() -> LimitSettings {
-        LimitSettings {
-            floor: 2,
-            ceiling: 256,
-            pace_target: Duration::from_millis(50),
-        }
+        LimitSettings { floor: 2, ceiling: 256, pace_target: Duration::from_millis(50) }
     }
 }
 
@@ -98,19 +94,13 @@
         }
         self.in_flight += 1;
         self.peak = self.peak.max(self.in_flight);
-        assert!(
-            self.in_flight <= self.settings.ceiling,
-            "admitted above the ceiling"
-        );
+        assert!(self.in_flight <= self.settings.ceiling, "admitted above the ceiling");
         true
     }
 
     /// Notes the end of an admitted request.
     pub fn finish(&mut self, now: Duration, succeeded: bool) {
-        assert!(
-            self.in_flight > 0,
-            "finished more requests than were admitted"
-        );
+        assert!(self.in_flight > 0, "finished more requests than were admitted");
         self.in_flight -= 1;
         if succeeded {
             self.last_sign = now;
@@ -174,10 +164,7 @@
 
     fn close_window(&mut self, now: Duration) {
         let mean = self.window_sum / self.window_count;
-        let best = self
-            .best
-            .map_or(mean, |best| best.min(mean))
-            .max(PACE_NOISE);
+        let best = self.best.map_or(mean, |best| best.min(mean)).max(PACE_NOISE);
         self.best = Some(best);
         self.recent = Some(mean);
         let ratio = mean.as_secs_f64() / best.as_secs_f64();
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -88,10 +88,7 @@
 
 impl Default for MemberTable {
     fn default() -> MemberTable {
-        MemberTable {
-            members: FastMap::default(),
-            buckets: [0; MEMBER_BUCKETS],
-        }
+        MemberTable { members: FastMap::default(), buckets: [0; MEMBER_BUCKETS] }
     }
 }
 
@@ -109,14 +106,7 @@
         };
         self.buckets[bucket] ^= record.hash();
         let id = record.id.clone();
-        self.members.insert(
-            id,
-            KnownMember {
-                record,
-                heard,
-                changed: now,
-            },
-        );
+        self.members.insert(id, KnownMember { record, heard, changed: now });
         true
     }
 
@@ -199,9 +189,8 @@
     ids: impl Iterator<Item = &'a str>,
     count: usize,
 ) -> Vec<&'a str> {
-    let mut ranked: Vec<(u64, &str)> = ids
-        .map(|id| (hash_parts(&[key, id.as_bytes()]), id))
-        .collect();
+    let mut ranked: Vec<(u64, &str)> =
+        ids.map(|id| (hash_parts(&[key, id.as_bytes()]), id)).collect();
     ranked.sort_unstable_by(|left, right| right.cmp(left));
     ranked.truncate(count);
     ranked.into_iter().map(|(_, id)| id).collect()
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -44,11 +44,7 @@
 impl FairQueue {
     /// Makes a queue that holds at most `capacity` requests.
     pub fn new(capacity: usize) -> FairQueue {
-        FairQueue {
-            levels: BTreeMap::new(),
-            length: 0,
-            capacity,
-        }
+        FairQueue { levels: BTreeMap::new(), length: 0, capacity }
     }
 
     /// Adds a request; false when the queue is full.
@@ -101,9 +97,7 @@
 
     /// Takes out one request; false when it does not wait here.
     pub fn remove(&mut self, request: RequestId) -> bool {
-        !self
-            .take_where(|waiting| waiting.request == request)
-            .is_empty()
+        !self.take_where(|waiting| waiting.request == request).is_empty()
     }
 
     /// Returns how many requests would be served before a new one.
@@ -111,21 +105,11 @@
         let mut ahead = 0;
         for (&level_priority, level) in self.levels.range(priority..) {
             if level_priority > priority {
-                ahead += level
-                    .lines
-                    .values()
-                    .map(|line| line.waiting.len())
-                    .sum::<usize>();
+                ahead += level.lines.values().map(|line| line.waiting.len()).sum::<usize>();
                 continue;
             }
-            let own = level
-                .lines
-                .get(organisation)
-                .map_or(0, |line| line.waiting.len());
-            let shares = level
-                .lines
-                .values()
-                .map(|line| line.waiting.len().min(own + 1));
+            let own = level.lines.get(organisation).map_or(0, |line| line.waiting.len());
+            let shares = level.lines.values().map(|line| line.waiting.len().min(own + 1));
             let others = shares.sum::<usize>();
             ahead += others;
         }
@@ -144,11 +128,7 @@
 
     fn take_where(&mut self, matches: impl Fn(&WaitingRequest) -> bool) -> Vec<RequestId> {
         let mut taken = Vec::new();
-        for line in self
-            .levels
-            .values_mut()
-            .flat_map(|level| level.lines.values_mut())
-        {
+        for line in self.levels.values_mut().flat_map(|level| level.lines.values_mut()) {
             line.waiting.retain(|waiting| {
                 let matched = matches(waiting);
                 if matched {
@@ -157,8 +137,7 @@
                 !matched
             });
         }
-        self.levels
-            .retain(|_, level| level.lines.values().any(|line| !line.waiting.is_empty()));
+        self.levels.retain(|_, level| level.lines.values().any(|line| !line.waiting.is_empty()));
         self.length -= taken.len();
         taken
     }
@@ -176,7 +155,5 @@
 /// An idle line whose virtual time is past holds nothing that matters.
 fn forget_idle_lines(level: &mut PriorityLevel) {
     let virtual_time = level.virtual_time;
-    level
-        .lines
-        .retain(|_, line| !line.waiting.is_empty() || line.served > virtual_time);
+    level.lines.retain(|_, line| !line.waiting.is_empty() || line.served > virtual_time);
 }
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -59,20 +59,12 @@
 impl Refusal {
     /// Refusal of a request that did not run.
     pub fn not_run(kind: RefusalKind, retry_after: Option<Duration>) -> Refusal {
-        Refusal {
-            kind,
-            ran: RanState::No,
-            retry_after,
-        }
+        Refusal { kind, ran: RanState::No, retry_after }
     }
 
     /// Refusal of a request that may have run.
     pub fn unknown(kind: RefusalKind) -> Refusal {
-        Refusal {
-            kind,
-            ran: RanState::Unknown,
-            retry_after: None,
-        }
+        Refusal { kind, ran: RanState::Unknown, retry_after: None }
     }
 }
 
--- a/crates/core/src/replay.rs
+++ b/crates/core/src/replay.rs
@@ -74,33 +74,19 @@
     let mut summary = ReplaySummary::default();
     for (index, raw) in text.lines().enumerate() {
         let line = index + 1;
-        let parsed: TraceLine =
-            serde_json::from_str(raw).map_err(|error| ReplayError::Unreadable {
-                line,
-                detail: error.to_string(),
-            })?;
+        let parsed: TraceLine = serde_json::from_str(raw)
+            .map_err(|error| ReplayError::Unreadable { line, detail: error.to_string() })?;
         match (parsed, &mut core) {
             (TraceLine::Facts(facts), None) => core = Some(EntryCore::new(facts)),
             (TraceLine::Facts(_), Some(_)) | (TraceLine::Step { .. }, None) => {
                 return Err(ReplayError::NoFacts);
             }
-            (
-                TraceLine::Step {
-                    now,
-                    event,
-                    actions,
-                },
-                Some(core),
-            ) => {
+            (TraceLine::Step { now, event, actions }, Some(core)) => {
                 let decided = core.step(now, event);
                 if decided != actions {
                     let decided = format!("{decided:?}");
                     let recorded = format!("{actions:?}");
-                    return Err(ReplayError::Differs {
-                        line,
-                        decided,
-                        recorded,
-                    });
+                    return Err(ReplayError::Differs { line, decided, recorded });
                 }
                 count_actions(&decided, &mut summary);
             }
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -110,12 +110,7 @@
         check_url(path, &text, "platform", &settings.platform)?;
         check_above(path, &text, "max_body_bytes", settings.max_body_bytes)?;
         check_above(path, &text, "max_connections", settings.max_connections)?;
-        check_above(
-            path,
-            &text,
-            "max_agent_connections",
-            settings.max_agent_connections,
-        )?;
+        check_above(path, &text, "max_agent_connections", settings.max_agent_connections)?;
         Ok(settings)
     }
 }
@@ -131,12 +126,7 @@
         check_url(path, &text, "backend", &settings.backend)?;
         check_above(path, &text, "cold_floor", settings.cold_floor as usize)?;
         if settings.ceiling < settings.cold_floor {
-            return Err(invalid(
-                path,
-                &text,
-                "ceiling",
-                "ceiling must be at least cold_floor",
-            ));
+            return Err(invalid(path, &text, "ceiling", "ceiling must be at least cold_floor"));
         }
         Ok(settings)
     }
@@ -144,10 +134,8 @@
 
 fn read_file<T: DeserializeOwned>(path: &Path) -> Result<(String, T), SettingsError> {
     let file = path.display().to_string();
-    let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Unreadable {
-        file: file.clone(),
-        source,
-    })?;
+    let text = std::fs::read_to_string(path)
+        .map_err(|source| SettingsError::Unreadable { file: file.clone(), source })?;
     match toml::from_str::<T>(&text) {
         Ok(settings) => Ok((text, settings)),
         Err(error) => {
@@ -183,9 +171,7 @@
 }
 
 fn invalid(path: &Path, text: &str, key: &str, detail: &str) -> SettingsError {
-    let found = text
-        .lines()
-        .position(|line| line.trim_start().starts_with(key));
+    let found = text.lines().position(|line| line.trim_start().starts_with(key));
     SettingsError::Invalid {
         file: path.display().to_string(),
         line: found.map_or(1, |index| index + 1),
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -27,7 +27,6 @@
 use slog::o;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
-use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio_stream::Stream;
 use tokio_stream::StreamExt;
@@ -39,7 +38,6 @@
 
 use crate::decide::AnnounceAnswer;
 use crate::decide::AnnounceCall;
-use crate::decide::DecideMessage;
 use crate::decide::Decider;
 
 /// Time between two rounds of gossip.
@@ -79,19 +77,13 @@
     tokio::spawn(gossip_loop(context.clone()));
     tokio::spawn(probe_loop(context.clone(), probes));
     let service = EntryServer::new(EntryService { context });
-    tonic::transport::Server::builder()
-        .tcp_nodelay(true)
-        .add_service(service)
-        .serve(address)
-        .await
+    tonic::transport::Server::builder().tcp_nodelay(true).add_service(service).serve(address).await
 }
 
 async fn gossip_loop(context: ControlContext) {
     loop {
         let _ = tokio::time::timeout(GOSSIP_INTERVAL, context.news.notified()).await;
-        let (reply, begun) = oneshot::channel();
-        context.decider.send(DecideMessage::BeginGossip(reply));
-        if let Ok(Some(send)) = begun.await {
+        if let Some(send) = context.decider.begin_gossip() {
             let message = gossip_to_wire(&send.message, context.journal.stamp());
             tokio::spawn(gossip_round(context.clone(), send.address, message));
         }
@@ -100,9 +92,7 @@
 }
 
 async fn gossip_round(context: ControlContext, address: String, message: wire::GossipRound) {
-    context
-        .metrics
-        .count_control("gossip", "out", message_bytes(&message));
+    context.metrics.count_control("gossip", "out", message_bytes(&message));
     let exchange = async {
         let channel = context.pool.connect(&address).await.ok()?;
         let mut client = EntryClient::new(channel);
@@ -116,12 +106,10 @@
         return;
     };
     let round = answer.into_inner();
-    context
-        .metrics
-        .count_control("gossip", "in", message_bytes(&round));
+    context.metrics.count_control("gossip", "in", message_bytes(&round));
     context.journal.merge(round.clock);
     if let Some(message) = gossip_from_wire(round, true).filter(well_formed) {
-        context.decider.event(EntryEvent::Gossiped(message));
+        context.decider.gossip(message);
     }
 }
 
@@ -132,12 +120,8 @@
 }
 
 async fn probe_once(context: ControlContext, server: ServerId, address: String) {
-    let request = wire::ProbeRequest {
-        clock: context.journal.stamp(),
-    };
-    context
-        .metrics
-        .count_control("probe", "out", message_bytes(&request));
+    let request = wire::ProbeRequest { clock: context.journal.stamp() };
+    context.metrics.count_control("probe", "out", message_bytes(&request));
     let exchange = async {
         let channel = context.pool.connect(&address).await.ok()?;
         AgentClient::new(channel).probe(request).await.ok()
@@ -145,9 +129,7 @@
     match tokio::time::timeout(CALL_TIMEOUT, exchange).await {
         Ok(Some(figure)) => {
             let figure = figure.into_inner();
-            context
-                .metrics
-                .count_control("probe", "in", message_bytes(&figure));
+            context.metrics.count_control("probe", "in", message_bytes(&figure));
             context.journal.merge(figure.clock);
             let report = load_from_wire(&figure);
             context.decider.event(EntryEvent::Load { server, report });
@@ -171,11 +153,7 @@
         request: Request<Streaming<wire::Announcement>>,
     ) -> Result<Response<ReplyStream>, Status> {
         let (replies, stream) = mpsc::channel(REPLY_RING);
-        tokio::spawn(serve_agent(
-            self.context.clone(),
-            request.into_inner(),
-            replies,
-        ));
+        tokio::spawn(serve_agent(self.context.clone(), request.into_inner(), replies));
         Ok(Response::new(Box::pin(ReceiverStream::new(stream))))
     }
 
@@ -185,22 +163,15 @@
     ) -> Result<Response<wire::GossipRound>, Status> {
         let round = request.into_inner();
         let context = &self.context;
-        context
-            .metrics
-            .count_control("gossip", "in", message_bytes(&round));
+        context.metrics.count_control("gossip", "in", message_bytes(&round));
         context.journal.merge(round.clock);
         let message = gossip_from_wire(round, false)
             .filter(well_formed)
             .ok_or_else(|| Status::invalid_argument("the round lacks its sender or its hashes"))?;
-        let (reply, answer) = oneshot::channel();
-        context.decider.send(DecideMessage::Gossip(message, reply));
-        let send = answer
-            .await
-            .map_err(|_| Status::unavailable("the entry is ending"))?;
+        let send = context.decider.gossip(message);
+        let send = send.ok_or_else(|| Status::internal("the round was not answered"))?;
         let round = gossip_to_wire(&send.message, context.journal.stamp());
-        context
-            .metrics
-            .count_control("gossip", "out", message_bytes(&round));
+        context.metrics.count_control("gossip", "out", message_bytes(&round));
         Ok(Response::new(round))
     }
 }
@@ -235,26 +206,22 @@
         };
         let wants_entries = count % ENTRIES_EVERY == 0;
         count += 1;
-        let Some(answer) = announce(&context, announcement, wants_entries).await else {
+        let Some(answer) = announce(&context, announcement, wants_entries) else {
             break;
         };
         note_sent(announcement, &answer);
         let reply = to_reply(&context, answer);
-        context
-            .metrics
-            .count_control("announce", "out", message_bytes(&reply));
+        context.metrics.count_control("announce", "out", message_bytes(&reply));
         if replies.send(Ok(reply)).await.is_err() {
             break;
         }
     }
     if let Some(member) = last.and_then(|announcement| announcement.member) {
-        context
-            .journal
-            .note("agent-stream-ended", None, o!("member" => member.id));
+        context.journal.note("agent-stream-ended", None, o!("member" => member.id));
     }
 }
 
-async fn announce(
+fn announce(
     context: &ControlContext,
     announcement: &wire::Announcement,
     wants_entries: bool,
@@ -262,18 +229,12 @@
     let record = member_from_wire(announcement.member.clone()?)?;
     let call = AnnounceCall {
         record,
-        report: announcement
-            .load
-            .as_ref()
-            .map(load_from_wire)
-            .unwrap_or_default(),
+        report: announcement.load.as_ref().map(load_from_wire).unwrap_or_default(),
         config_version: announcement.config_version,
         config_hash: announcement.config_hash,
         wants_entries,
     };
-    let (reply, answer) = oneshot::channel();
-    context.decider.send(DecideMessage::Announce(call, reply));
-    answer.await.ok()
+    Some(context.decider.announce(call))
 }
 
 /// Counts what is on its way as held, so that it is not sent twice.
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -73,16 +73,11 @@
     start_control(settings, control, probe_inbox)?;
     let store = Arc::new(HttpStore::new(&settings.platform));
     PlatformWatch::start(store, decider.clone(), journal.clone())?;
-    let status = Arc::new(EntryStatus {
-        decider: decider.clone(),
-    });
+    let status = Arc::new(EntryStatus { decider: decider.clone() });
     serve_admin(settings.admin, Arc::clone(&metrics), status)?;
     let context = TrafficContext {
         entry: settings.id.clone(),
-        id_seed: hash_parts(&[
-            settings.id.as_bytes(),
-            &facts.member.incarnation.to_le_bytes(),
-        ]),
+        id_seed: hash_parts(&[settings.id.as_bytes(), &facts.member.incarnation.to_le_bytes()]),
         id_count: AtomicU64::new(0),
         decider: decider.clone(),
         pool,
@@ -140,17 +135,12 @@
     let runtime = Builder::new_current_thread().enable_all().build()?;
     let address = settings.peers;
     let journal = context.journal.clone();
-    thread::Builder::new()
-        .name("control".to_string())
-        .spawn(move || {
-            if let Err(error) = runtime.block_on(run_control(context, address, probes)) {
-                let remedy = "change `peers` in the settings";
-                journal.warn(
-                    "control-failed",
-                    o!("error" => format!("{error:?}"), "remedy" => remedy),
-                );
-            }
-        })?;
+    thread::Builder::new().name("control".to_string()).spawn(move || {
+        if let Err(error) = runtime.block_on(run_control(context, address, probes)) {
+            let remedy = "change `peers` in the settings";
+            journal.warn("control-failed", o!("error" => format!("{error:?}"), "remedy" => remedy));
+        }
+    })?;
     Ok(())
 }
 
@@ -169,10 +159,7 @@
     let server = {
         let _entered = runtime.enter();
         CallerServer::bind(settings.callers, limits, handler).wrap_err_with(|| {
-            format!(
-                "cannot listen on {}; change `callers` in the settings",
-                settings.callers
-            )
+            format!("cannot listen on {}; change `callers` in the settings", settings.callers)
         })?
     };
     let thread = thread::Builder::new()
@@ -187,7 +174,7 @@
 
 impl AdminSource for EntryStatus {
     fn ready(&self) -> bool {
-        self.status()["ready"] == Value::Bool(true)
+        self.decider.ready()
     }
 
     fn status(&self) -> Value {
--- a/crates/entry/src/decide.rs
+++ b/crates/entry/src/decide.rs
@@ -1,17 +1,17 @@
-//! Thread that owns the entry's decisions.
+//! The entry's decisions, shared by the threads that bring events.
+//!
+//! A call takes the lock, steps the decisions and carries the actions out: a
+//! ring and a thread of their own would cost each request two more wake-ups.
 
 use std::fs::File;
 use std::io::BufWriter;
 use std::io::Write;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::thread;
 use std::time::Duration;
 
-use crossbeam_channel::Receiver;
-use crossbeam_channel::RecvTimeoutError;
-use crossbeam_channel::Sender;
-use crossbeam_channel::TrySendError;
-use crossbeam_channel::bounded;
 use cuminpick::choose::LoadReport;
 use cuminpick::clock::Clock;
 use cuminpick::config::ConfigObject;
@@ -40,11 +40,8 @@
 use slog::o;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
-use tokio::sync::oneshot;
 use tokio::sync::watch;
 
-/// Messages that wait for decisions.
-const DECIDE_RING: usize = 65_536;
 /// Time between two ticks.
 const TICK: Duration = Duration::from_millis(20);
 /// Entries that an agent is told of.
@@ -91,24 +88,6 @@
     pub refute_sequence: u64,
 }
 
-/// Message to the decisions.
-pub enum DecideMessage {
-    /// A request came in; its task hears on `verdicts`.
-    Arrive(Arrival, mpsc::Sender<Verdict>),
-    /// Anything else that happened.
-    Event(EntryEvent),
-    /// A partner's round of gossip.
-    Gossip(GossipMessage, oneshot::Sender<GossipSend>),
-    /// It is time for a round of gossip.
-    BeginGossip(oneshot::Sender<Option<GossipSend>>),
-    /// An agent announced itself.
-    Announce(AnnounceCall, oneshot::Sender<AnnounceAnswer>),
-    /// Asks whether this entry watches the platform, and what it has.
-    WatchDuty(Sender<WatchDuty>),
-    /// Asks for the state shown to operators.
-    Status(Sender<Value>),
-}
-
 /// Whether this entry reads the platform.
 #[derive(Debug, Clone, Copy)]
 pub struct WatchDuty {
@@ -121,7 +100,7 @@
 /// Way to the decisions; cheap to clone.
 #[derive(Clone)]
 pub struct Decider {
-    ring: Sender<DecideMessage>,
+    state: Arc<Mutex<DecideState>>,
 }
 
 /// What the decisions reach out to.
@@ -141,61 +120,87 @@
 }
 
 impl Decider {
-    /// Starts the thread.
+    /// Starts the decisions and the thread that ticks them.
     pub fn start(
         facts: EntryFacts,
         clock: Arc<dyn Clock>,
-        outlets: DecideOutlets,
+        mut outlets: DecideOutlets,
     ) -> eyre::Result<Decider> {
-        let (ring, messages) = bounded(DECIDE_RING);
-        let worker = DecideWorker {
-            trace: None,
-            core: EntryCore::new(facts.clone()),
-            clock,
-            verdicts: FastMap::default(),
-            outlets,
-        };
-        thread::Builder::new()
-            .name("decide".to_string())
-            .spawn(move || worker.start(&facts, &messages))?;
-        Ok(Decider { ring })
+        let trace = outlets.trace.take().map(BufWriter::new);
+        let core = EntryCore::new(facts.clone());
+        let verdicts = FastMap::default();
+        let mut state = DecideState { core, clock, verdicts, outlets, trace };
+        state.write_trace(&TraceLine::Facts(facts));
+        let decider = Decider { state: Arc::new(Mutex::new(state)) };
+        let ticking = decider.clone();
+        thread::Builder::new().name("tick".to_string()).spawn(move || {
+            loop {
+                ticking.tick();
+                thread::sleep(TICK);
+            }
+        })?;
+        Ok(decider)
     }
 
-    /// Hands in a request; false when too many messages wait.
-    pub fn arrive(&self, arrival: Arrival, verdicts: mpsc::Sender<Verdict>) -> bool {
-        let sent = self.ring.try_send(DecideMessage::Arrive(arrival, verdicts));
-        !matches!(
-            sent,
-            Err(TrySendError::Full(_) | TrySendError::Disconnected(_))
-        )
+    /// Hands in a request; its task hears on `verdicts`.
+    pub fn arrive(&self, arrival: Arrival, verdicts: mpsc::Sender<Verdict>) {
+        let mut state = self.lock();
+        state.verdicts.insert(arrival.request, verdicts);
+        state.step(EntryEvent::Arrived(arrival));
     }
 
-    /// Hands in an event.
+    /// Hands in an event that is not a round of gossip.
     pub fn event(&self, event: EntryEvent) {
-        self.send(DecideMessage::Event(event));
+        let mut state = self.lock();
+        if let EntryEvent::Completed(request) | EntryEvent::Abandoned(request) = &event {
+            state.verdicts.remove(request);
+        }
+        state.step(event);
+    }
+
+    /// Takes in half a round of gossip; returns the answer to a first half.
+    pub fn gossip(&self, message: GossipMessage) -> Option<GossipSend> {
+        self.lock().step(EntryEvent::Gossiped(message))
+    }
+
+    /// Starts a round of gossip.
+    pub fn begin_gossip(&self) -> Option<GossipSend> {
+        self.lock().step(EntryEvent::GossipDue)
     }
 
-    /// Hands in any message.
-    pub fn send(&self, message: DecideMessage) {
-        let _ = self.ring.send(message);
+    /// Takes in an agent's announcement.
+    pub fn announce(&self, call: AnnounceCall) -> AnnounceAnswer {
+        self.lock().announce(call)
     }
 
-    /// Asks for the state shown to operators.
+    /// Returns the state shown to operators.
     pub fn status(&self) -> Value {
-        let (reply, answer) = bounded(1);
-        self.send(DecideMessage::Status(reply));
-        answer.recv().unwrap_or(Value::Null)
+        self.lock().status()
     }
 
-    /// Asks whether this entry watches the platform.
-    pub fn watch_duty(&self) -> Option<WatchDuty> {
-        let (reply, answer) = bounded(1);
-        self.send(DecideMessage::WatchDuty(reply));
-        answer.recv().ok()
+    /// Whether this entry takes callers' requests.
+    pub fn ready(&self) -> bool {
+        self.lock().core.ready()
+    }
+
+    /// Tells whether this entry watches the platform.
+    pub fn watch_duty(&self) -> WatchDuty {
+        self.lock().watch_duty()
+    }
+
+    fn tick(&self) {
+        let mut state = self.lock();
+        state.step(EntryEvent::Ticked);
+        state.show_state();
+    }
+
+    /// A decision that panicked broke an invariant: nothing may go on from there.
+    fn lock(&self) -> MutexGuard<'_, DecideState> {
+        self.state.lock().unwrap_or_else(|_| std::process::abort())
     }
 }
 
-struct DecideWorker {
+struct DecideState {
     core: EntryCore,
     clock: Arc<dyn Clock>,
     verdicts: FastMap<RequestId, mpsc::Sender<Verdict>>,
@@ -203,73 +208,14 @@
     trace: Option<BufWriter<File>>,
 }
 
-impl DecideWorker {
-    fn start(mut self, facts: &EntryFacts, messages: &Receiver<DecideMessage>) {
-        self.trace = self.outlets.trace.take().map(BufWriter::new);
-        self.write_trace(&TraceLine::Facts(facts.clone()));
-        self.run(messages);
-    }
-
-    fn run(&mut self, messages: &Receiver<DecideMessage>) {
-        let mut next_tick = self.clock.elapsed();
-        loop {
-            let now = self.clock.elapsed();
-            if now >= next_tick {
-                self.step(EntryEvent::Ticked);
-                self.show_state();
-                next_tick = now + TICK;
-            }
-            match messages.recv_timeout(next_tick.saturating_sub(now)) {
-                Ok(message) => self.take(message),
-                Err(RecvTimeoutError::Timeout) => {}
-                Err(RecvTimeoutError::Disconnected) => return,
-            }
-        }
-    }
-
-    fn take(&mut self, message: DecideMessage) {
-        match message {
-            DecideMessage::Arrive(arrival, verdicts) => {
-                self.verdicts.insert(arrival.request, verdicts);
-                self.step(EntryEvent::Arrived(arrival));
-            }
-            DecideMessage::Event(event) => {
-                if let EntryEvent::Completed(request) | EntryEvent::Abandoned(request) = &event {
-                    self.verdicts.remove(request);
-                }
-                self.step(event);
-            }
-            DecideMessage::Gossip(message, reply) => {
-                if let Some(answer) = self.step(EntryEvent::Gossiped(message)) {
-                    let _ = reply.send(answer);
-                }
-            }
-            DecideMessage::BeginGossip(reply) => {
-                let _ = reply.send(self.step(EntryEvent::GossipDue));
-            }
-            DecideMessage::Announce(call, reply) => {
-                let _ = reply.send(self.announce(call));
-            }
-            DecideMessage::WatchDuty(reply) => {
-                let _ = reply.send(self.watch_duty());
-            }
-            DecideMessage::Status(reply) => {
-                let _ = reply.send(self.status());
-            }
-        }
-    }
-
+impl DecideState {
     /// Steps the decisions and carries the actions out; returns gossip to send.
     fn step(&mut self, event: EntryEvent) -> Option<GossipSend> {
         let now = self.clock.elapsed();
         let traced = self.trace.is_some().then(|| event.clone());
         let actions = self.core.step(now, event);
         if let Some(event) = traced {
-            self.write_trace(&TraceLine::Step {
-                now,
-                event,
-                actions: actions.clone(),
-            });
+            self.write_trace(&TraceLine::Step { now, event, actions: actions.clone() });
         }
         let mut answer = None;
         for action in actions {
@@ -283,17 +229,8 @@
 
     fn carry_out(&mut self, action: EntryAction) {
         match action {
-            EntryAction::Send {
-                request,
-                attempt,
-                server,
-                address,
-            } => {
-                let verdict = Verdict::Send {
-                    attempt,
-                    server,
-                    address,
-                };
+            EntryAction::Send { request, attempt, server, address } => {
+                let verdict = Verdict::Send { attempt, server, address };
                 if let Some(verdicts) = self.verdicts.get(&request) {
                     let _ = verdicts.try_send(verdict);
                 }
@@ -308,9 +245,7 @@
             }
             EntryAction::InForce(objects) => self.put_in_force(&objects),
             EntryAction::Reject(faults) => {
-                self.outlets
-                    .journal
-                    .warn("config-rejected", o!("faults" => faults.join("; ")));
+                self.outlets.journal.warn("config-rejected", o!("faults" => faults.join("; ")));
             }
             EntryAction::MemberChanged(record) => self.note_member(&record),
             EntryAction::Gossip(_) => {}
@@ -322,9 +257,7 @@
             let details = o!("key" => object.key.clone(), "version" => object.version);
             self.outlets.journal.note("config-in-force", None, details);
         }
-        self.outlets
-            .in_force
-            .send_replace(self.core.config().newest());
+        self.outlets.in_force.send_replace(self.core.config().newest());
         self.outlets.news.notify_one();
     }
 
@@ -343,10 +276,7 @@
         let id = call.record.id.clone();
         let freshness = call.record.freshness();
         self.step(EntryEvent::Announced(call.record));
-        self.step(EntryEvent::Load {
-            server: id.clone(),
-            report: call.report,
-        });
+        self.step(EntryEvent::Load { server: id.clone(), report: call.report });
         let mut answer = AnnounceAnswer::default();
         let known = self.core.members().get(&id).map(|known| &known.record);
         if let Some(record) = known
@@ -424,13 +354,9 @@
             return;
         };
         let written = serde_json::to_writer(&mut *trace, line).map_err(std::io::Error::from);
-        let written = written
-            .and_then(|()| trace.write_all(b"\n"))
-            .and_then(|()| trace.flush());
+        let written = written.and_then(|()| trace.write_all(b"\n")).and_then(|()| trace.flush());
         if let Err(error) = written {
-            self.outlets
-                .journal
-                .warn("trace-stopped", o!("error" => error.to_string()));
+            self.outlets.journal.warn("trace-stopped", o!("error" => error.to_string()));
             self.trace = None;
         }
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,8 +1,8 @@
 //! The entry daemon: callers' requests in, attempts at agents out.
 //!
-//! Threads, one for each duty, joined by bounded rings:
+//! Threads, one for each duty, around the decisions in [`decide`]:
 //!
-//! - `decide` owns the [`cuminpick::entry::EntryCore`] ([`decide`]);
+//! - `tick` lets time pass for the decisions;
 //! - `traffic` carries requests and answers ([`serve`]);
 //! - `control` speaks with agents and other entries ([`control`]);
 //! - `platform` reads configuration and VMs ([`watch`]);
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -82,9 +82,7 @@
 impl TrafficHandler {
     /// Makes the handler.
     pub fn new(context: TrafficContext) -> TrafficHandler {
-        TrafficHandler {
-            context: Arc::new(context),
-        }
+        TrafficHandler { context: Arc::new(context) }
     }
 }
 
@@ -160,6 +158,9 @@
     check: AnswerCheck,
     sink: AnswerSink,
     arrived: Duration,
+    connected: Duration,
+    accepted: Duration,
+    first: Duration,
 }
 
 impl RequestCarrier {
@@ -181,6 +182,9 @@
             check,
             sink,
             arrived,
+            connected: Duration::ZERO,
+            accepted: Duration::ZERO,
+            first: Duration::ZERO,
         }
     }
 
@@ -192,15 +196,8 @@
             "organisation" => arrival.organisation.clone(),
             "bytes" => self.call.body.len(),
         );
-        self.context
-            .journal
-            .note("arrived", Some(&self.request_id), details);
-        if !self.context.decider.arrive(arrival, verdicts) {
-            let retry = Some(Duration::from_secs(1));
-            self.refuse(&Refusal::not_run(RefusalKind::TooManyOpen, retry))
-                .await;
-            return;
-        }
+        self.context.journal.note("arrived", Some(&self.request_id), details);
+        self.context.decider.arrive(arrival, verdicts);
         loop {
             let verdict = tokio::select! {
                 verdict = inbox.recv() => verdict,
@@ -210,11 +207,9 @@
                 }
             };
             let ended = match verdict {
-                Some(Verdict::Send {
-                    attempt,
-                    server,
-                    address,
-                }) => self.attempt(attempt, server, address).await,
+                Some(Verdict::Send { attempt, server, address }) => {
+                    self.attempt(attempt, server, address).await
+                }
                 Some(Verdict::Refuse(refusal)) => {
                     self.refuse(&refusal).await;
                     true
@@ -243,9 +238,7 @@
     async fn attempt(&mut self, attempt: AttemptNumber, server: ServerId, address: String) -> bool {
         self.check.begin(attempt);
         let details = o!("attempt" => attempt, "server" => server.clone());
-        self.context
-            .journal
-            .note("sent", Some(&self.request_id), details);
+        self.context.journal.note("sent", Some(&self.request_id), details);
         let end = self.run_attempt(&server, &address).await;
         let request = self.request;
         let (outcome, event, ended) = match end {
@@ -258,21 +251,20 @@
         };
         self.context.metrics.count_attempt(outcome, attempt > 1);
         if ended {
-            self.context
-                .metrics
-                .count_request(&self.call.class, outcome);
+            self.context.metrics.count_request(&self.call.class, outcome);
         }
-        let elapsed = self.context.clock.elapsed().saturating_sub(self.arrived);
+        let elapsed = self.since_arrival();
         let details = o!(
             "attempt" => attempt,
             "server" => server,
             "outcome" => outcome,
             "events" => self.check.delivered(),
             "elapsed_ms" => elapsed.as_millis() as u64,
+            "connected_us" => self.connected.as_micros() as u64,
+            "accepted_us" => self.accepted.as_micros() as u64,
+            "first_us" => self.first.as_micros() as u64,
         );
-        self.context
-            .journal
-            .note("attempt-ended", Some(&self.request_id), details);
+        self.context.journal.note("attempt-ended", Some(&self.request_id), details);
         self.context.decider.event(event);
         ended
     }
@@ -281,6 +273,7 @@
         let Ok(channel) = self.context.pool.connect(address).await else {
             return AttemptEnd::TurnedAway;
         };
+        self.connected = self.since_arrival();
         let mut client = AgentClient::new(channel).max_decoding_message_size(MAX_FRAME_BYTES);
         let message = self.run_message();
         let started = tokio::select! {
@@ -308,10 +301,7 @@
             organisation: self.call.organisation.clone(),
             path: self.call.path.clone(),
             headers: headers
-                .map(|(name, value)| wire::Header {
-                    name: name.clone(),
-                    value: value.clone(),
-                })
+                .map(|(name, value)| wire::Header { name: name.clone(), value: value.clone() })
                 .collect(),
             body: self.call.body.to_vec(),
             resume_after: self.check.delivered(),
@@ -339,15 +329,9 @@
             if let Some(figure) = &frame.load {
                 self.context.journal.merge(figure.clock);
                 let report = load_from_wire(figure);
-                self.context.decider.event(EntryEvent::Load {
-                    server: server.clone(),
-                    report,
-                });
+                self.context.decider.event(EntryEvent::Load { server: server.clone(), report });
             }
-            match self
-                .check
-                .judge(frame.request, frame.attempt, frame.sequence)
-            {
+            match self.check.judge(frame.request, frame.attempt, frame.sequence) {
                 FrameVerdict::Deliver => {}
                 FrameVerdict::Drop => continue,
                 FrameVerdict::Gap => return AttemptEnd::Broke { resumable: true },
@@ -365,12 +349,13 @@
         whole: &mut Option<WholeAnswer>,
     ) -> Option<AttemptEnd> {
         match body {
-            Some(FrameBody::Accepted(_)) => None,
+            Some(FrameBody::Accepted(_)) => {
+                self.accepted = self.since_arrival();
+                None
+            }
             Some(FrameBody::Refused(refused)) => {
                 let details = o!("reason" => refused.reason);
-                self.context
-                    .journal
-                    .note("turned-away", Some(&self.request_id), details);
+                self.context.journal.note("turned-away", Some(&self.request_id), details);
                 Some(AttemptEnd::TurnedAway)
             }
             Some(FrameBody::Head(head)) => {
@@ -387,19 +372,15 @@
         }
     }
 
+    fn since_arrival(&self) -> Duration {
+        self.context.clock.elapsed().saturating_sub(self.arrived)
+    }
+
     fn take_head(&mut self, head: wire::Head, whole: &mut Option<WholeAnswer>) {
-        let headers = head
-            .headers
-            .into_iter()
-            .map(|header| (header.name, header.value))
-            .collect();
+        let headers = head.headers.into_iter().map(|header| (header.name, header.value)).collect();
         let status = head.status as u16;
         if !head.streaming {
-            *whole = Some(WholeAnswer {
-                status,
-                headers,
-                body: BytesMut::new(),
-            });
+            *whole = Some(WholeAnswer { status, headers, body: BytesMut::new() });
             return;
         }
         match std::mem::replace(&mut self.sink, AnswerSink::Done) {
@@ -407,12 +388,7 @@
                 let (pieces, stream) = mpsc::channel(PIECE_RING);
                 let body = AnswerBody::Stream(stream);
                 let request_id = self.request_id.clone();
-                let _ = reply.send(CallerAnswer {
-                    request_id,
-                    status,
-                    headers,
-                    body,
-                });
+                let _ = reply.send(CallerAnswer { request_id, status, headers, body });
                 self.sink = AnswerSink::Streaming(pieces);
             }
             other => self.sink = other,
@@ -424,6 +400,9 @@
         data: Bytes,
         whole: &mut Option<WholeAnswer>,
     ) -> Option<AttemptEnd> {
+        if self.first.is_zero() {
+            self.first = self.since_arrival();
+        }
         if let Some(whole) = whole {
             whole.body.extend_from_slice(&data);
             let too_large = whole.body.len() > MAX_WHOLE_BYTES;
@@ -455,9 +434,7 @@
 
     async fn refuse(&mut self, refusal: &Refusal) {
         note_refusal(&self.context, &self.request_id, refusal);
-        self.context
-            .metrics
-            .count_request(&self.call.class, "refused");
+        self.context.metrics.count_request(&self.call.class, "refused");
         match std::mem::replace(&mut self.sink, AnswerSink::Done) {
             AnswerSink::Waiting(reply) => {
                 let _ = reply.send(refusal_answer(&self.request_id, refusal));
@@ -470,15 +447,9 @@
     }
 
     fn abandon(&mut self) {
-        self.context
-            .metrics
-            .count_request(&self.call.class, "abandoned");
-        self.context
-            .journal
-            .note("abandoned", Some(&self.request_id), o!());
-        self.context
-            .decider
-            .event(EntryEvent::Abandoned(self.request));
+        self.context.metrics.count_request(&self.call.class, "abandoned");
+        self.context.journal.note("abandoned", Some(&self.request_id), o!());
+        self.context.decider.event(EntryEvent::Abandoned(self.request));
     }
 }
 
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -54,14 +54,13 @@
             vms_read: None,
             pause: FIRST_PAUSE,
         };
-        thread::Builder::new()
-            .name("platform".to_string())
-            .spawn(move || watch.run())?;
+        thread::Builder::new().name("platform".to_string()).spawn(move || watch.run())?;
         Ok(())
     }
 
     fn run(&mut self) {
-        while let Some(duty) = self.decider.watch_duty() {
+        loop {
+            let duty = self.decider.watch_duty();
             let needed = duty.watcher || !duty.configured || self.vms_read.is_none();
             if !needed {
                 thread::sleep(DUTY_INTERVAL);
@@ -75,20 +74,13 @@
     }
 
     fn read_once(&mut self, configured: bool) -> Result<(), PlatformError> {
-        if self
-            .vms_read
-            .is_none_or(|read| read.elapsed() > VM_INTERVAL)
-        {
+        if self.vms_read.is_none_or(|read| read.elapsed() > VM_INTERVAL) {
             let vms = self.store.vms()?;
             self.vms_read = Some(Instant::now());
             let records = vms.into_iter().map(listed_record).collect();
             self.decider.event(EntryEvent::Listed(records));
         }
-        let wait = if configured {
-            WATCH_WAIT
-        } else {
-            Duration::ZERO
-        };
+        let wait = if configured { WATCH_WAIT } else { Duration::ZERO };
         let changes = self.store.changes(CONFIG_PREFIX, self.revision, wait)?;
         self.revision = changes.revision;
         let objects = config_objects(changes);
@@ -114,11 +106,7 @@
         .into_iter()
         .filter_map(|object| {
             let key = object.key.strip_prefix(CONFIG_PREFIX)?.to_string();
-            Some(ConfigObject {
-                key,
-                version: object.version,
-                value: object.value,
-            })
+            Some(ConfigObject { key, version: object.version, value: object.value })
         })
         .collect()
 }
--- a/crates/operators/src/admin.rs
+++ b/crates/operators/src/admin.rs
@@ -33,9 +33,7 @@
             eyre::eyre!("cannot serve operators on {address}: {error}; change `admin`")
         })?
         .pool_size(ADMIN_THREADS);
-    thread::Builder::new()
-        .name("admin".to_string())
-        .spawn(move || server.run())?;
+    thread::Builder::new().name("admin".to_string()).spawn(move || server.run())?;
     Ok(())
 }
 
--- a/crates/operators/src/journal.rs
+++ b/crates/operators/src/journal.rs
@@ -46,11 +46,8 @@
             .thread_name("journal".to_string())
             .build_with_guard();
         let logger = Logger::root(drain.fuse(), o!("process" => process.to_string()));
-        let journal = Journal {
-            logger,
-            clock,
-            hybrid: Arc::new(Mutex::new(HybridClock::default())),
-        };
+        let journal =
+            Journal { logger, clock, hybrid: Arc::new(Mutex::new(HybridClock::default())) };
         (journal, JournalGuard { _guard: guard })
     }
 
--- a/crates/operators/src/metrics.rs
+++ b/crates/operators/src/metrics.rs
@@ -56,8 +56,7 @@
     /// Counts a request that ended.
     pub fn count_request(&self, class: &str, outcome: &'static str) {
         let class = KeyValue::new("class", class.to_string());
-        self.requests
-            .add(1, &[class, KeyValue::new("outcome", outcome)]);
+        self.requests.add(1, &[class, KeyValue::new("outcome", outcome)]);
     }
 
     /// Counts a refusal.
@@ -67,21 +66,12 @@
 
     /// Counts an attempt by how it ended; `retry` for any but the first.
     pub fn count_attempt(&self, outcome: &'static str, retry: bool) {
-        self.attempts.add(
-            1,
-            &[
-                KeyValue::new("outcome", outcome),
-                KeyValue::new("retry", retry),
-            ],
-        );
+        self.attempts.add(1, &[KeyValue::new("outcome", outcome), KeyValue::new("retry", retry)]);
     }
 
     /// Counts bytes of control messages.
     pub fn count_control(&self, message: &'static str, direction: &'static str, bytes: usize) {
-        let labels = [
-            KeyValue::new("message", message),
-            KeyValue::new("direction", direction),
-        ];
+        let labels = [KeyValue::new("message", message), KeyValue::new("direction", direction)];
         self.control_bytes.add(bytes as u64, &labels);
     }
 
@@ -93,13 +83,10 @@
     /// Returns all metrics as text.
     pub fn render(&self) -> String {
         for (name, seconds) in thread_times() {
-            self.thread_seconds
-                .record(seconds.as_secs_f64(), &[KeyValue::new("thread", name)]);
+            self.thread_seconds.record(seconds.as_secs_f64(), &[KeyValue::new("thread", name)]);
         }
         let encoder = TextEncoder::new();
-        encoder
-            .encode_to_string(&self.registry.gather())
-            .unwrap_or_default()
+        encoder.encode_to_string(&self.registry.gather()).unwrap_or_default()
     }
 }
 
--- a/crates/peers/src/convert.rs
+++ b/crates/peers/src/convert.rs
@@ -20,11 +20,7 @@
 
 /// Reads a load report.
 pub fn load_from_wire(figure: &wire::LoadFigure) -> LoadReport {
-    LoadReport {
-        in_flight: figure.in_flight,
-        limit: figure.limit,
-        leaving: figure.leaving,
-    }
+    LoadReport { in_flight: figure.in_flight, limit: figure.limit, leaving: figure.leaving }
 }
 
 /// Writes a member's record.
@@ -94,11 +90,7 @@
 pub fn gossip_from_wire(round: wire::GossipRound, reply: bool) -> Option<GossipMessage> {
     Some(GossipMessage {
         sender: member_from_wire(round.sender?)?,
-        members: round
-            .members
-            .into_iter()
-            .filter_map(member_from_wire)
-            .collect(),
+        members: round.members.into_iter().filter_map(member_from_wire).collect(),
         objects: round.objects.into_iter().map(object_from_wire).collect(),
         member_hashes: round.member_hashes,
         config_hash: round.config_hash,
--- a/crates/peers/src/pool.rs
+++ b/crates/peers/src/pool.rs
@@ -34,10 +34,7 @@
 impl ChannelPool {
     /// Makes a pool of at most `capacity` connections.
     pub fn new(capacity: usize) -> ChannelPool {
-        ChannelPool {
-            capacity,
-            state: Mutex::new(PoolState::default()),
-        }
+        ChannelPool { capacity, state: Mutex::new(PoolState::default()) }
     }
 
     /// Returns an open connection to `address` (IP and port).
@@ -86,9 +83,7 @@
         let mut state = self.lock();
         state.uses += 1;
         let used = state.uses;
-        state
-            .channels
-            .insert(address.to_string(), PooledChannel { channel, used });
+        state.channels.insert(address.to_string(), PooledChannel { channel, used });
         if state.channels.len() > self.capacity {
             let oldest = state.channels.iter().min_by_key(|(_, pooled)| pooled.used);
             if let Some(oldest) = oldest.map(|(address, _)| address.clone()) {
@@ -98,8 +93,6 @@
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, PoolState> {
-        self.state
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner)
+        self.state.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 }
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -51,10 +51,7 @@
             .timeout_connect(Some(CONNECT_TIMEOUT))
             .http_status_as_error(false)
             .build();
-        HttpStore {
-            base: base.to_string(),
-            agent: config.into(),
-        }
+        HttpStore { base: base.to_string(), agent: config.into() }
     }
 
     fn object_url(&self, key: &str) -> String {
@@ -67,13 +64,9 @@
         wait: Duration,
     ) -> Result<Option<T>, PlatformError> {
         let request = self.agent.get(url);
-        let request = request
-            .config()
-            .timeout_global(Some(wait + ANSWER_TIMEOUT))
-            .build();
-        let mut response = request
-            .call()
-            .map_err(|error| PlatformError::Unreachable(error.to_string()))?;
+        let request = request.config().timeout_global(Some(wait + ANSWER_TIMEOUT)).build();
+        let mut response =
+            request.call().map_err(|error| PlatformError::Unreachable(error.to_string()))?;
         match response.status().as_u16() {
             200 => read_json(&mut response).map(Some),
             404 => Ok(None),
@@ -115,10 +108,8 @@
         wait: Duration,
     ) -> Result<ObjectChanges, PlatformError> {
         let wait_ms = wait.as_millis();
-        let url = format!(
-            "{}/v1/changes?prefix={prefix}&after={after}&wait_ms={wait_ms}",
-            self.base
-        );
+        let url =
+            format!("{}/v1/changes?prefix={prefix}&after={after}&wait_ms={wait_ms}", self.base);
         let changes = self.read(&url, wait)?;
         changes.ok_or_else(|| PlatformError::Unreadable("no list of changes".to_string()))
     }
@@ -134,20 +125,14 @@
             WriteCondition::Absent => request.header("If-None-Match", "*"),
             WriteCondition::Version(version) => request.header("If-Match", version.to_string()),
         };
-        let request = request
-            .config()
-            .timeout_global(Some(ANSWER_TIMEOUT))
-            .build();
+        let request = request.config().timeout_global(Some(ANSWER_TIMEOUT)).build();
         self.written(request.send(value))
     }
 
     fn delete(&self, key: &str, version: ObjectVersion) -> Result<ObjectVersion, PlatformError> {
         let request = self.agent.delete(self.object_url(key));
         let request = request.header("If-Match", version.to_string());
-        let request = request
-            .config()
-            .timeout_global(Some(ANSWER_TIMEOUT))
-            .build();
+        let request = request.config().timeout_global(Some(ANSWER_TIMEOUT)).build();
         self.written(request.call())
     }
 
@@ -171,10 +156,7 @@
 }
 
 fn retry_after(response: &Response<Body>) -> Duration {
-    let header = response
-        .headers()
-        .get("Retry-After")
-        .and_then(|value| value.to_str().ok());
+    let header = response.headers().get("Retry-After").and_then(|value| value.to_str().ok());
     let seconds = header.and_then(|text| text.parse().ok());
     seconds.map_or(DEFAULT_PAUSE, Duration::from_secs)
 }
--- a/crates/platform/src/settle.rs
+++ b/crates/platform/src/settle.rs
@@ -41,9 +41,7 @@
 ) -> Result<ChangeOutcome, PlatformError> {
     let seen_value = seen.and_then(|object| object.value.as_deref());
     if seen_value == value {
-        return Ok(ChangeOutcome::Unchanged(
-            seen.map_or(0, |object| object.version),
-        ));
+        return Ok(ChangeOutcome::Unchanged(seen.map_or(0, |object| object.version)));
     }
     let mut doubtful = None;
     for _ in 0..MAX_TRIES {
--- a/crates/standins/src/bin/drill.rs
+++ b/crates/standins/src/bin/drill.rs
@@ -21,10 +21,8 @@
 }
 
 fn options() -> OptionParser<(DrillOptions, String)> {
-    let seed = bpaf::long("seed")
-        .help("Seed of the load and the faults")
-        .argument::<u64>("N")
-        .fallback(1);
+    let seed =
+        bpaf::long("seed").help("Seed of the load and the faults").argument::<u64>("N").fallback(1);
     let seconds = bpaf::long("seconds")
         .help("Length of the measured part; the scenario's own without it")
         .argument::<f64>("S")
--- a/crates/standins/src/bin/standin.rs
+++ b/crates/standins/src/bin/standin.rs
@@ -17,29 +17,17 @@
 /// Stand-in to run.
 #[derive(Debug, Clone)]
 enum StandinCommand {
-    Platform {
-        listen: SocketAddr,
-        rates: PlatformRates,
-    },
-    Engine {
-        listen: SocketAddr,
-        bearing: BearingSettings,
-        ignores_fence: bool,
-    },
-    Booking {
-        listen: SocketAddr,
-        bearing: BearingSettings,
-    },
+    Platform { listen: SocketAddr, rates: PlatformRates },
+    Engine { listen: SocketAddr, bearing: BearingSettings, ignores_fence: bool },
+    Booking { listen: SocketAddr, bearing: BearingSettings },
 }
 
 fn main() -> eyre::Result<()> {
     match options().run() {
         StandinCommand::Platform { listen, rates } => PlatformStandin::new(rates).serve(listen),
-        StandinCommand::Engine {
-            listen,
-            bearing,
-            ignores_fence,
-        } => run_async(listen, || EngineStandin::start(bearing, !ignores_fence)),
+        StandinCommand::Engine { listen, bearing, ignores_fence } => {
+            run_async(listen, || EngineStandin::start(bearing, !ignores_fence))
+        }
         StandinCommand::Booking { listen, bearing } => run_async(listen, || {
             let service = BookingStandin::start(bearing);
             service.keep_up();
@@ -52,9 +40,7 @@
     listen: SocketAddr,
     start: impl FnOnce() -> Arc<S>,
 ) -> eyre::Result<()> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(async {
         let service: Arc<dyn StandinService> = start();
         serve(listen, service).await
@@ -74,16 +60,11 @@
     let engine = {
         let listen = listen();
         let bearing = bearing();
-        let ignores_fence = bpaf::long("ignores-fence")
-            .help("Take orders with old fencing numbers")
-            .switch();
-        bpaf::construct!(StandinCommand::Engine {
-            listen,
-            bearing,
-            ignores_fence
-        })
-        .to_options()
-        .command("engine")
+        let ignores_fence =
+            bpaf::long("ignores-fence").help("Take orders with old fencing numbers").switch();
+        bpaf::construct!(StandinCommand::Engine { listen, bearing, ignores_fence })
+            .to_options()
+            .command("engine")
     };
     let booking = {
         let listen = listen();
@@ -98,16 +79,11 @@
 }
 
 fn listen() -> impl Parser<SocketAddr> {
-    bpaf::long("listen")
-        .help("Address to listen on")
-        .argument::<SocketAddr>("ADDRESS")
+    bpaf::long("listen").help("Address to listen on").argument::<SocketAddr>("ADDRESS")
 }
 
 fn number(name: &'static str, help: &'static str, fallback: f64) -> impl Parser<f64> {
-    bpaf::long(name)
-        .help(help)
-        .argument::<f64>("NUMBER")
-        .fallback(fallback)
+    bpaf::long(name).help(help).argument::<f64>("NUMBER").fallback(fallback)
 }
 
 fn bearing() -> impl Parser<BearingSettings> {
@@ -116,10 +92,5 @@
     let warm_time = number("warm-s", "Seconds from cold to warm", 8.0).map(Duration::from_secs_f64);
     let base = number("base-ms", "Step time of a single request", 20.0)
         .map(|millis| Duration::from_secs_f64(millis / 1_000.0));
-    bpaf::construct!(BearingSettings {
-        cold,
-        full,
-        warm_time,
-        base
-    })
+    bpaf::construct!(BearingSettings { cold, full, warm_time, base })
 }
--- a/crates/standins/src/booking.rs
+++ b/crates/standins/src/booking.rs
@@ -46,10 +46,7 @@
             overruns: 0,
             ledger: FastMap::default(),
         };
-        Arc::new(BookingStandin {
-            state: Mutex::new(state),
-            down: watch::Sender::new(false),
-        })
+        Arc::new(BookingStandin { state: Mutex::new(state), down: watch::Sender::new(false) })
     }
 
     fn lock(&self) -> MutexGuard<'_, BookingState> {
@@ -61,10 +58,7 @@
         request: &StandinRequest,
     ) -> Option<hyper::Response<crate::server::AnswerBody>> {
         let received = wall_micros();
-        let booking = request.json()["booking"]
-            .as_str()
-            .unwrap_or("unnamed")
-            .to_string();
+        let booking = request.json()["booking"].as_str().unwrap_or("unnamed").to_string();
         let (time, overrun) = {
             let mut state = self.lock();
             state.batch += 1;
@@ -81,12 +75,8 @@
         let confirmation = confirmation_of(&request.body);
         let answer = json!({"booking": booking, "confirmation": confirmation});
         let mut response = json_answer(200, &answer);
-        response
-            .headers_mut()
-            .insert("standin-received-us", received.into());
-        response
-            .headers_mut()
-            .insert("standin-answered-us", wall_micros().into());
+        response.headers_mut().insert("standin-received-us", received.into());
+        response.headers_mut().insert("standin-answered-us", wall_micros().into());
         Some(response)
     }
 
@@ -118,18 +108,14 @@
     fn answer(self: Arc<Self>, request: StandinRequest) -> AnswerFuture {
         Box::pin(async move {
             match (request.method.as_str(), request.path.as_str()) {
-                ("GET", "/healthz") => Some(json_answer(
-                    200,
-                    &json!({"boot": self.lock().boot.to_string()}),
-                )),
+                ("GET", "/healthz") => {
+                    Some(json_answer(200, &json!({"boot": self.lock().boot.to_string()})))
+                }
                 ("GET", "/standin/ledger") => Some(json_answer(200, &self.lock().ledger)),
                 ("GET", "/standin/counters") => {
                     let state = self.lock();
                     let runs: u32 = state.ledger.values().sum();
-                    Some(json_answer(
-                        200,
-                        &json!({"overruns": state.overruns, "runs": runs}),
-                    ))
+                    Some(json_answer(200, &json!({"overruns": state.overruns, "runs": runs})))
                 }
                 ("POST", "/standin/fault") => {
                     match request.json()["kind"].as_str() {
--- a/crates/standins/src/drills/path.rs
+++ b/crates/standins/src/drills/path.rs
@@ -43,10 +43,8 @@
 pub fn run(scenario: &Scenario, seed: u64, length: Duration) -> eyre::Result<Value> {
     tell("starting processes");
     let fleet = scenario.start_fleet("path")?;
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(2)
-        .enable_all()
-        .build()?;
+    let runtime =
+        tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
     let toured = runtime.block_on(tour(&fleet));
     tell("the same load through one entry, then straight to the engines");
     let entry = fleet.entries[0].callers;
@@ -86,11 +84,7 @@
 
 /// Sends a few requests through every entry and prints what happened.
 async fn tour(fleet: &Fleet) -> TourResult {
-    let mut result = TourResult {
-        answered: 0,
-        wrong: 0,
-        example: String::new(),
-    };
+    let mut result = TourResult { answered: 0, wrong: 0, example: String::new() };
     for number in 0..TOUR_CALLS {
         let entry = &fleet.entries[number % fleet.entries.len()];
         let call = match number % 3 {
@@ -124,10 +118,7 @@
                 let left = 1 + rng.below(tokens as usize) as u64;
                 let prompt = format!("open stream {number} {seed}");
                 let call = LoadCall::prompt(&shape.class, "wholesaler-c", &prompt, left);
-                planned.push(PlannedCall {
-                    at: Duration::from_millis(5 * number as u64),
-                    call,
-                });
+                planned.push(PlannedCall { at: Duration::from_millis(5 * number as u64), call });
             }
         }
         planned.extend(shape.plan(length, &mut rng));
@@ -167,10 +158,7 @@
 }
 
 fn added(through: &[CallRecord], direct: &[CallRecord], streaming: bool) -> AddedTime {
-    AddedTime {
-        through: overheads(through, streaming),
-        direct: overheads(direct, streaming),
-    }
+    AddedTime { through: overheads(through, streaming), direct: overheads(direct, streaming) }
 }
 
 /// Answered bookings a second in a closed loop through one entry.
@@ -200,15 +188,10 @@
 
 fn print_timeline(fleet: Fleet, request: &str) {
     let logs = fleet.finish();
-    let filter = JournalFilter {
-        request: Some(request.to_string()),
-        ..JournalFilter::default()
-    };
+    let filter = JournalFilter { request: Some(request.to_string()), ..JournalFilter::default() };
     let lines = logs.iter().flat_map(|log| parse_lines(log)).collect();
     let lines = merge_lines(lines, &filter);
-    let start = lines
-        .first()
-        .map_or(0, |line| cuminpick::clock::stamp_millis(line.stamp));
+    let start = lines.first().map_or(0, |line| cuminpick::clock::stamp_millis(line.stamp));
     tell(&format!("time line of request {request}"));
     for line in &lines {
         eprintln!("  {}", render_line(line, start));
--- a/crates/standins/src/drills/scenario.rs
+++ b/crates/standins/src/drills/scenario.rs
@@ -170,18 +170,10 @@
     pub fn failed_expectations(&self, figures: &Value) -> Vec<String> {
         let failed = self.expect.iter().filter_map(|expectation| {
             let value = figures[&expectation.figure].as_f64();
-            let low = expectation
-                .at_least
-                .is_some_and(|least| value.is_none_or(|v| v < least));
-            let high = expectation
-                .at_most
-                .is_some_and(|most| value.is_none_or(|v| v > most));
+            let low = expectation.at_least.is_some_and(|least| value.is_none_or(|v| v < least));
+            let high = expectation.at_most.is_some_and(|most| value.is_none_or(|v| v > most));
             let bound = expectation.at_least.or(expectation.at_most)?;
-            let side = if expectation.at_least.is_some() {
-                "at least"
-            } else {
-                "at most"
-            };
+            let side = if expectation.at_least.is_some() { "at least" } else { "at most" };
             (low || high)
                 .then(|| format!("{} is {value:?}, stated {side} {bound}", expectation.figure))
         });
@@ -197,10 +189,7 @@
             ("--warm-s", self.warm_s),
             ("--base-ms", self.base_ms),
         ];
-        pairs
-            .iter()
-            .flat_map(|(name, value)| [name.to_string(), value.to_string()])
-            .collect()
+        pairs.iter().flat_map(|(name, value)| [name.to_string(), value.to_string()]).collect()
     }
 }
 
@@ -231,10 +220,7 @@
                 format!("organisation-{}", rng.below(self.organisations))
             };
             let call = self.call(&organisation, rng);
-            planned.push(PlannedCall {
-                at: Duration::from_secs_f64(at),
-                call,
-            });
+            planned.push(PlannedCall { at: Duration::from_secs_f64(at), call });
         }
     }
 
--- a/crates/standins/src/drills/traffic.rs
+++ b/crates/standins/src/drills/traffic.rs
@@ -42,15 +42,8 @@
         let address = target(number, &planned.call);
         calls.spawn(async move {
             let report = send_call(address, &planned.call).await;
-            let record = CallRecord {
-                at: planned.at,
-                call: planned.call,
-                report,
-            };
-            records
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner)
-                .push(record);
+            let record = CallRecord { at: planned.at, call: planned.call, report };
+            records.lock().unwrap_or_else(PoisonError::into_inner).push(record);
         });
     }
     while calls.join_next().await.is_some() {}
@@ -70,18 +63,11 @@
 
 /// Returns the overheads of answered requests.
 pub fn overheads(records: &[CallRecord], streaming: bool) -> Vec<Duration> {
-    let fitting = records
-        .iter()
-        .filter(|record| record.call.tokens.is_some() == streaming);
-    fitting
-        .filter_map(|record| record.report.overhead)
-        .collect()
+    let fitting = records.iter().filter(|record| record.call.tokens.is_some() == streaming);
+    fitting.filter_map(|record| record.report.overhead).collect()
 }
 
 /// Counts reports with an outcome.
 pub fn count(records: &[CallRecord], outcome: CallOutcome) -> usize {
-    records
-        .iter()
-        .filter(|record| record.report.outcome == outcome)
-        .count()
+    records.iter().filter(|record| record.report.outcome == outcome).count()
 }
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -127,16 +127,9 @@
         request: &StandinRequest,
     ) -> Option<hyper::Response<crate::server::AnswerBody>> {
         let tokens = request.json()["tokens"].as_u64().unwrap_or(16);
-        let resume = request
-            .header("cuminpick-resume-after")
-            .and_then(|text| text.parse().ok());
-        let priority = request
-            .header("cuminpick-priority")
-            .and_then(|text| text.parse().ok());
-        let poisoned = request
-            .body
-            .windows(POISON_MARK.len())
-            .any(|part| part == POISON_MARK);
+        let resume = request.header("cuminpick-resume-after").and_then(|text| text.parse().ok());
+        let priority = request.header("cuminpick-priority").and_then(|text| text.parse().ok());
+        let poisoned = request.body.windows(POISON_MARK.len()).any(|part| part == POISON_MARK);
         if poisoned {
             self.crash();
             return None;
@@ -166,9 +159,7 @@
         }
         self.wake.notify_one();
         let mut response = stream_answer(stream);
-        response
-            .headers_mut()
-            .insert("standin-received-us", wall_micros().into());
+        response.headers_mut().insert("standin-received-us", wall_micros().into());
         Some(response)
     }
 
@@ -178,18 +169,13 @@
         let hit = state.cache.contains(&prefix);
         state.cache.retain(|cached| *cached != prefix);
         state.cache.push_front(prefix);
-        let evicted = (state.cache.len() > CACHE_PREFIXES)
-            .then(|| state.cache.pop_back())
-            .flatten();
+        let evicted =
+            (state.cache.len() > CACHE_PREFIXES).then(|| state.cache.pop_back()).flatten();
         let stored = (!hit).then_some((prefix, true));
         let removed = evicted.map(|prefix| (prefix, false));
         for (prefix, stored) in stored.into_iter().chain(removed) {
             if self.cache_count.fetch_add(1, Ordering::Relaxed) % 5 != 4 {
-                let event = CacheEvent {
-                    at: Instant::now(),
-                    prefix,
-                    stored,
-                };
+                let event = CacheEvent { at: Instant::now(), prefix, stored };
                 state.cache_events.push_back(event);
             }
         }
@@ -247,22 +233,14 @@
 
     fn load_report(&self) -> usize {
         let state = self.lock();
-        let told = state
-            .loads
-            .iter()
-            .rev()
-            .find(|(at, _)| at.elapsed() >= LOAD_LAG);
+        let told = state.loads.iter().rev().find(|(at, _)| at.elapsed() >= LOAD_LAG);
         told.map_or(0, |(_, load)| *load)
     }
 
     fn cache_events(&self) -> serde_json::Value {
         let state = self.lock();
-        let told = state
-            .cache_events
-            .iter()
-            .filter(|event| event.at.elapsed() > CACHE_EVENT_DELAY);
-        told.map(|event| json!({"prefix": event.prefix, "stored": event.stored}))
-            .collect()
+        let told = state.cache_events.iter().filter(|event| event.at.elapsed() > CACHE_EVENT_DELAY);
+        told.map(|event| json!({"prefix": event.prefix, "stored": event.stored})).collect()
     }
 
     fn counters(&self) -> serde_json::Value {
@@ -282,25 +260,18 @@
         if state.loads.len() > 256 {
             state.loads.pop_front();
         }
-        let stall = state
-            .stalled_until
-            .saturating_duration_since(Instant::now());
+        let stall = state.stalled_until.saturating_duration_since(Instant::now());
         (batch > 0).then(|| state.model.step_time(batch) + stall)
     }
 
     fn emit(&self) {
         let mut state = self.lock();
-        state
-            .streams
-            .sort_by_key(|stream| std::cmp::Reverse(stream.priority));
+        state.streams.sort_by_key(|stream| std::cmp::Reverse(stream.priority));
         for stream in &mut state.streams {
             if stream.prefill > 0 {
                 stream.prefill -= 1;
             } else if stream.next < stream.tokens
-                && stream
-                    .events
-                    .try_send(Ok(event_text(&stream.body, stream.next)))
-                    .is_ok()
+                && stream.events.try_send(Ok(event_text(&stream.body, stream.next))).is_ok()
             {
                 stream.next += 1;
             }
@@ -333,18 +304,15 @@
 pub fn event_text(body: &[u8], index: u64) -> Bytes {
     let token = hash_parts(&[body, &index.to_le_bytes()]) as u32;
     let at = wall_micros();
-    Bytes::from(format!(
-        "data: {{\"index\":{index},\"token\":\"{token:08x}\"}}\n: at={at}\n\n"
-    ))
+    Bytes::from(format!("data: {{\"index\":{index},\"token\":\"{token:08x}\"}}\n: at={at}\n\n"))
 }
 
 impl StandinService for EngineStandin {
     fn answer(self: Arc<Self>, request: StandinRequest) -> AnswerFuture {
         let answer = match (request.method.as_str(), request.path.as_str()) {
-            ("GET", "/healthz") => Some(json_answer(
-                200,
-                &json!({"boot": self.lock().boot.to_string()}),
-            )),
+            ("GET", "/healthz") => {
+                Some(json_answer(200, &json!({"boot": self.lock().boot.to_string()})))
+            }
             ("GET", "/load") => Some(json_answer(200, &json!({"batch": self.load_report()}))),
             ("GET", "/cache/events") => Some(json_answer(200, &self.cache_events())),
             ("GET", "/cache/export") => {
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -109,9 +109,8 @@
         };
         let listen = platform.to_string();
         fleet.spawn("platform", "standin", &["platform", "--listen", &listen])?;
-        fleet.wait("platform", || {
-            http_json("GET", &platform, "/standin/counters", None).is_ok()
-        })?;
+        fleet
+            .wait("platform", || http_json("GET", &platform, "/standin/counters", None).is_ok())?;
         Ok(fleet)
     }
 
@@ -190,9 +189,7 @@
         }
         for entry in &self.entries {
             let all = self.servers.len();
-            self.wait(&entry.id, || {
-                ready(&entry.admin) && knows_servers(&entry.admin, all)
-            })?;
+            self.wait(&entry.id, || ready(&entry.admin) && knows_servers(&entry.admin, all))?;
         }
         Ok(())
     }
@@ -244,10 +241,7 @@
 
     fn spawn(&self, id: &str, binary: &str, arguments: &[&str]) -> eyre::Result<()> {
         let path = self.binaries.join(binary);
-        let log = File::options()
-            .create(true)
-            .append(true)
-            .open(self.log_path(id))?;
+        let log = File::options().create(true).append(true).open(self.log_path(id))?;
         let errors = log.try_clone()?;
         let child = Command::new(&path)
             .args(arguments)
@@ -256,10 +250,7 @@
             .stderr(errors)
             .spawn()
             .wrap_err_with(|| {
-                format!(
-                    "cannot start {}; run `cargo build --release` first",
-                    path.display()
-                )
+                format!("cannot start {}; run `cargo build --release` first", path.display())
             })?;
         lock(&self.children).insert(id.to_string(), child);
         Ok(())
@@ -276,10 +267,8 @@
     /// Sends a signal by name, such as `STOP`, `CONT` or `TERM`.
     pub fn signal(&self, id: &str, signal: &str) -> eyre::Result<()> {
         let pid = self.pid(id)?;
-        let status = Command::new("kill")
-            .arg(format!("-{signal}"))
-            .arg(pid.to_string())
-            .status()?;
+        let status =
+            Command::new("kill").arg(format!("-{signal}")).arg(pid.to_string()).status()?;
         if !status.success() {
             return Err(eyre!("cannot send {signal} to {id}"));
         }
@@ -291,9 +280,7 @@
         let start = Instant::now();
         while start.elapsed() < LEAVE_TIME {
             let mut children = lock(&self.children);
-            let child = children
-                .get_mut(id)
-                .ok_or_else(|| eyre!("no process {id}"))?;
+            let child = children.get_mut(id).ok_or_else(|| eyre!("no process {id}"))?;
             if let Some(status) = child.try_wait()? {
                 children.remove(id);
                 return Ok(status.success());
@@ -301,19 +288,13 @@
             drop(children);
             thread::sleep(POLL);
         }
-        Err(eyre!(
-            "{id} did not leave within {} s",
-            LEAVE_TIME.as_secs()
-        ))
+        Err(eyre!("{id} did not leave within {} s", LEAVE_TIME.as_secs()))
     }
 
     /// Returns the process id of a process.
     pub fn pid(&self, id: &str) -> eyre::Result<u32> {
         let children = lock(&self.children);
-        children
-            .get(id)
-            .map(Child::id)
-            .ok_or_else(|| eyre!("no process {id}"))
+        children.get(id).map(Child::id).ok_or_else(|| eyre!("no process {id}"))
     }
 
     /// Returns a process's resident memory in MB.
@@ -350,8 +331,7 @@
         thread::sleep(POLL);
         let ids = self.entries.iter().map(|entry| &entry.id);
         let ids = ids.chain(self.servers.iter().map(|server| &server.id));
-        ids.filter_map(|id| std::fs::read_to_string(self.log_path(id)).ok())
-            .collect()
+        ids.filter_map(|id| std::fs::read_to_string(self.log_path(id)).ok()).collect()
     }
 
     fn wait(&self, id: &str, done: impl Fn() -> bool) -> eyre::Result<()> {
@@ -360,10 +340,7 @@
             if start.elapsed() > READY_TIME {
                 let log = std::fs::read_to_string(self.log_path(id)).unwrap_or_default();
                 let tail: Vec<&str> = log.lines().rev().take(5).collect();
-                return Err(eyre!(
-                    "{id} is not ready; the end of its log: {}",
-                    tail.join("\n")
-                ));
+                return Err(eyre!("{id} is not ready; the end of its log: {}", tail.join("\n")));
             }
             thread::sleep(POLL);
         }
@@ -399,14 +376,12 @@
     use signal_hook::consts::SIGINT;
     use signal_hook::consts::SIGTERM;
     let mut signals = signal_hook::iterator::Signals::new([SIGINT, SIGTERM])?;
-    thread::Builder::new()
-        .name("signals".to_string())
-        .spawn(move || {
-            if signals.forever().next().is_some() {
-                stop_all(&children);
-                std::process::exit(130);
-            }
-        })?;
+    thread::Builder::new().name("signals".to_string()).spawn(move || {
+        if signals.forever().next().is_some() {
+            stop_all(&children);
+            std::process::exit(130);
+        }
+    })?;
     Ok(())
 }
 
@@ -422,10 +397,8 @@
     path: &str,
     body: Option<Value>,
 ) -> eyre::Result<Value> {
-    let agent: ureq::Agent = ureq::Agent::config_builder()
-        .timeout_global(Some(Duration::from_secs(2)))
-        .build()
-        .into();
+    let agent: ureq::Agent =
+        ureq::Agent::config_builder().timeout_global(Some(Duration::from_secs(2))).build().into();
     let url = format!("http://{address}{path}");
     let mut response = match (method, body) {
         ("POST", Some(body)) => agent.post(&url).send_json(body)?,
@@ -442,7 +415,5 @@
     let Ok(status) = http_json("GET", admin, "/status", None) else {
         return false;
     };
-    status["servers"]
-        .as_array()
-        .is_some_and(|servers| servers.len() >= count)
+    status["servers"].as_array().is_some_and(|servers| servers.len() >= count)
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -21,8 +21,6 @@
 
 /// Wall time in microseconds, comparable between processes of one machine.
 pub fn wall_micros() -> u64 {
-    let since = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     since.as_micros() as u64
 }
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -185,11 +185,7 @@
     if report.status != 200 {
         return refusal_outcome(&bytes, report);
     }
-    Some(if right_answer(call, &bytes) {
-        CallOutcome::Answered
-    } else {
-        CallOutcome::Wrong
-    })
+    Some(if right_answer(call, &bytes) { CallOutcome::Answered } else { CallOutcome::Wrong })
 }
 
 fn refusal_outcome(bytes: &[u8], report: &mut CallReport) -> Option<CallOutcome> {
@@ -221,9 +217,7 @@
     let mut events = text.lines().filter(|line| line.starts_with("data: "));
     for index in 0..tokens {
         let expected = event_text(&call.body, index);
-        let expected = std::str::from_utf8(&expected)
-            .ok()
-            .and_then(|text| text.lines().next());
+        let expected = std::str::from_utf8(&expected).ok().and_then(|text| text.lines().next());
         if events.next() != expected {
             return false;
         }
--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -29,10 +29,7 @@
 impl BearingModel {
     /// Starts cold.
     pub fn new(settings: BearingSettings) -> BearingModel {
-        BearingModel {
-            settings,
-            cold_since: Instant::now(),
-        }
+        BearingModel { settings, cold_since: Instant::now() }
     }
 
     /// Turns cold.
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -40,11 +40,7 @@
 
 impl CallBucket {
     fn new(rate: f64) -> CallBucket {
-        CallBucket {
-            rate,
-            left: rate,
-            at: Instant::now(),
-        }
+        CallBucket { rate, left: rate, at: Instant::now() }
     }
 
     fn take(&mut self) -> bool {
@@ -93,10 +89,7 @@
             lose_answers: 0,
             counts: BTreeMap::new(),
         };
-        PlatformStandin {
-            state: Mutex::new(state),
-            changed: Condvar::new(),
-        }
+        PlatformStandin { state: Mutex::new(state), changed: Condvar::new() }
     }
 
     /// Serves until the process ends.
@@ -137,15 +130,8 @@
         if state.outage_until > Instant::now() {
             return Some(Response::text("outage").with_status_code(503));
         }
-        *state
-            .counts
-            .entry(if write { "writes" } else { "reads" })
-            .or_default() += 1;
-        let bucket = if write {
-            &mut state.writes
-        } else {
-            &mut state.reads
-        };
+        *state.counts.entry(if write { "writes" } else { "reads" }).or_default() += 1;
+        let bucket = if write { &mut state.writes } else { &mut state.reads };
         if !bucket.take() {
             *state.counts.entry("limited").or_default() += 1;
             let response = Response::text("rate limit").with_status_code(429);
@@ -159,10 +145,7 @@
     fn object(&self, method: &str, key: &str, request: &Request) -> Response {
         if method == "GET" {
             let state = self.lock();
-            let object = state
-                .objects
-                .get(key)
-                .filter(|object| object.value.is_some());
+            let object = state.objects.get(key).filter(|object| object.value.is_some());
             return object.map_or_else(Response::empty_404, Response::json);
         }
         let value = match method {
@@ -173,25 +156,15 @@
             _ => None,
         };
         let mut state = self.lock();
-        let present = state
-            .objects
-            .get(key)
-            .filter(|object| object.value.is_some());
+        let present = state.objects.get(key).filter(|object| object.value.is_some());
         let present = present.map_or(0, |object| object.version);
-        let wanted = request
-            .header("If-Match")
-            .and_then(|text| text.parse().ok())
-            .unwrap_or(0);
+        let wanted = request.header("If-Match").and_then(|text| text.parse().ok()).unwrap_or(0);
         if present != wanted {
             return Response::json(&json!({"version": present})).with_status_code(412);
         }
         state.revision += 1;
         let version = state.revision;
-        let object = StoredObject {
-            key: key.to_string(),
-            version,
-            value,
-        };
+        let object = StoredObject { key: key.to_string(), version, value };
         state.objects.insert(key.to_string(), object);
         self.changed.notify_all();
         if state.lose_answers > 0 {
@@ -215,10 +188,7 @@
             let left = end.saturating_duration_since(Instant::now());
             if !objects.is_empty() || left.is_zero() {
                 objects.sort_by_key(|object| object.version);
-                return Response::json(&ObjectChanges {
-                    revision: state.revision,
-                    objects,
-                });
+                return Response::json(&ObjectChanges { revision: state.revision, objects });
             }
             let waited = self.changed.wait_timeout(state, left);
             state = waited.unwrap_or_else(PoisonError::into_inner).0;
@@ -264,10 +234,7 @@
 }
 
 fn number_param(request: &Request, name: &str) -> u64 {
-    request
-        .get_param(name)
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(0)
+    request.get_param(name).and_then(|text| text.parse().ok()).unwrap_or(0)
 }
 
 fn read_body(request: &Request) -> Option<String> {
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -125,19 +125,14 @@
             };
             let request = StandinRequest {
                 method: parts.method.to_string(),
-                path: parts
-                    .uri
-                    .path_and_query()
-                    .map_or_else(String::new, ToString::to_string),
+                path: parts.uri.path_and_query().map_or_else(String::new, ToString::to_string),
                 headers: parts.headers,
                 body: body.to_bytes(),
             };
             service.answer(request).await.ok_or(CutError("no answer"))
         }
     });
-    let _ = http1::Builder::new()
-        .serve_connection(TokioIo::new(stream), handle)
-        .await;
+    let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), handle).await;
 }
 
 /// Makes an answer that is known in whole.
