Cut an engine's answers when it breaks down; keep the best pace

The engine stand-in ended its streams in order when it broke down. It broke down because the agent's limit passed what the engine bears: after a start under load the best pace was that of a full batch.

Ruled out: the HTTP client taking a cut answer for a whole one (new tests cut a stream, a chunk, a length and a head; each is an error).

--- a/crates/agent/src/daemon.rs
+++ b/crates/agent/src/daemon.rs
@@ -44,7 +44,7 @@
 /// Runs an agent until SIGTERM or SIGINT, then lets it finish what it has.
 pub fn run_agent(settings: &AgentSettings) -> eyre::Result<()> {
     let clock: Arc<dyn Clock> = Arc::new(SystemClock::start());
-    let (journal, guard) = Journal::start(&settings.id, Arc::clone(&clock));
+    let (journal, guard) = Journal::start(&settings.id, Arc::clone(&clock))?;
     let metrics = Arc::new(Metrics::new(&settings.id)?);
     let facts = agent_facts(settings, clock.as_ref());
     let decider = Decider::start(facts, Arc::clone(&clock), journal.clone(), Arc::clone(&metrics))?;
--- a/crates/agent/src/worker.rs
+++ b/crates/agent/src/worker.rs
@@ -52,7 +52,7 @@
     pub frames: FrameSender,
 }
 
-/// Threads that start as needed, up to a bound.
+/// Threads that start as needed, up to a bound, with one to spare.
 pub struct WorkerPool {
     jobs: Sender<Box<WorkerJob>>,
     inbox: Receiver<Box<WorkerJob>>,
@@ -81,13 +81,17 @@
     }
 
     /// Runs a job in a thread of its own; gives it back when none can start.
+    ///
+    /// A spare thread is started behind the job, so that the next one finds it.
     pub fn run(&self, job: Box<WorkerJob>) -> Result<(), Box<WorkerJob>> {
-        let reserved =
-            self.idle.fetch_update(Ordering::AcqRel, Ordering::Acquire, |idle| idle.checked_sub(1));
-        if reserved.is_err() && self.start_worker().is_err() {
+        if !reserve(&self.idle) && self.start_worker().is_err() {
             return Err(job);
         }
-        self.jobs.try_send(job).map_err(|error| error.into_inner())
+        self.jobs.try_send(job).map_err(|error| error.into_inner())?;
+        if self.idle.load(Ordering::Acquire) == 0 && self.start_worker().is_ok() {
+            self.idle.fetch_add(1, Ordering::AcqRel);
+        }
+        Ok(())
     }
 
     fn start_worker(&self) -> std::io::Result<()> {
@@ -100,20 +104,23 @@
     }
 }
 
+/// Takes one idle worker out of the count.
+fn reserve(idle: &AtomicUsize) -> bool {
+    let reserved =
+        idle.fetch_update(Ordering::AcqRel, Ordering::Acquire, |idle| idle.checked_sub(1));
+    reserved.is_ok()
+}
+
 fn work(inbox: &Receiver<Box<WorkerJob>>, idle: &AtomicUsize, context: &WorkerContext) {
     loop {
         match inbox.recv_timeout(IDLE_TIME) {
-            Ok(job) => run_job(context, *job),
-            Err(_) => {
-                let left = idle
-                    .fetch_update(Ordering::AcqRel, Ordering::Acquire, |idle| idle.checked_sub(1));
-                if left.is_ok() {
-                    return;
-                }
-                continue;
+            Ok(job) => {
+                run_job(context, *job);
+                idle.fetch_add(1, Ordering::AcqRel);
             }
+            Err(_) if reserve(idle) => return,
+            Err(_) => {}
         }
-        idle.fetch_add(1, Ordering::AcqRel);
     }
 }
 
--- /dev/null
+++ b/crates/backends/tests/cut_answers.rs
@@ -0,0 +1,92 @@
+//! Answers that end before they are whole.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpListener;
+use std::thread;
+use std::time::Duration;
+
+use cuminpick_backends::BackendError;
+use cuminpick_backends::BackendRequest;
+use cuminpick_backends::BackendServer;
+use cuminpick_backends::HttpBackend;
+
+/// Serves one connection with a fixed text and closes it.
+fn serve_once(text: &'static str) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let base = format!("http://{}", listener.local_addr().unwrap());
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut request = Vec::new();
+        while !request.ends_with(b"{}") {
+            let mut part = [0; 256];
+            let count = stream.read(&mut part).unwrap();
+            request.extend_from_slice(&part[..count]);
+        }
+        stream.write_all(text.as_bytes()).unwrap();
+    });
+    base
+}
+
+/// Reads an answer to its end and returns its pieces, or the error.
+fn read_answer(text: &'static str) -> Result<Vec<u8>, BackendError> {
+    let backend = HttpBackend::new(&serve_once(text), Duration::from_secs(5));
+    let request = BackendRequest {
+        path: "/v1/work".to_string(),
+        headers: Vec::new(),
+        body: b"{}".to_vec(),
+        fresh_connection: true,
+    };
+    let (_, mut reader) = backend.call(&request)?;
+    let mut whole = Vec::new();
+    while let Some(piece) = reader.next_piece()? {
+        whole.extend(piece);
+    }
+    Ok(whole)
+}
+
+#[test]
+fn whole_stream() {
+    let answer = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
+                  transfer-encoding: chunked\r\n\r\nb\r\ndata: one\n\n\r\n0\r\n\r\n";
+    assert_eq!(read_answer(answer).unwrap(), b"data: one\n\n");
+}
+
+#[test]
+fn cut_stream() {
+    let answer = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
+                  transfer-encoding: chunked\r\n\r\nb\r\ndata: one\n\n\r\n";
+    assert!(matches!(read_answer(answer), Err(BackendError::Broken(_))));
+}
+
+#[test]
+fn cut_chunk() {
+    let answer = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
+                  transfer-encoding: chunked\r\n\r\nb\r\ndata: o";
+    assert!(matches!(read_answer(answer), Err(BackendError::Broken(_))));
+}
+
+#[test]
+fn cut_length() {
+    let answer = "HTTP/1.1 200 OK\r\ncontent-length: 20\r\n\r\nonly a part";
+    assert!(matches!(read_answer(answer), Err(BackendError::Broken(_))));
+}
+
+#[test]
+fn cut_head() {
+    let answer = "HTTP/1.1 200 OK\r\ncontent-le";
+    assert!(matches!(read_answer(answer), Err(BackendError::Broken(_))));
+}
+
+#[test]
+fn nobody_listens() {
+    let free = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let backend = HttpBackend::new(&format!("http://{free}"), Duration::from_secs(5));
+    let request = BackendRequest {
+        path: "/v1/work".to_string(),
+        headers: Vec::new(),
+        body: Vec::new(),
+        fresh_connection: true,
+    };
+    assert!(matches!(backend.call(&request), Err(BackendError::Unreachable(_))));
+}
--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -28,6 +28,8 @@
 const PACE_NOISE: Duration = Duration::from_millis(4);
 /// Share of the limit that must be in use for a rise to be earned.
 const USED_SHARE: f64 = 0.75;
+/// Growth of the best pace in each window, so that an old one is forgotten.
+const BEST_AGEING: f64 = 1.002;
 /// Silence of a server with work in flight after which it counts as stalled.
 const STALL_AFTER: Duration = Duration::from_secs(2);
 
@@ -124,9 +126,10 @@
     }
 
     /// Returns to the floor: the server restarted or turned cold.
+    ///
+    /// The best pace is kept, for work in flight would set a worse one.
     pub fn reset(&mut self, now: Duration) {
         self.limit = f64::from(self.settings.floor);
-        self.best = None;
         self.recent = None;
         self.slow_streak = 0;
         self.last_rise = now;
@@ -164,7 +167,8 @@
 
     fn close_window(&mut self, now: Duration) {
         let mean = self.window_sum / self.window_count;
-        let best = self.best.map_or(mean, |best| best.min(mean)).max(PACE_NOISE);
+        let aged = self.best.map_or(mean, |best| best.mul_f64(BEST_AGEING));
+        let best = aged.min(mean).max(PACE_NOISE);
         self.best = Some(best);
         self.recent = Some(mean);
         let ratio = mean.as_secs_f64() / best.as_secs_f64();
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -40,13 +40,15 @@
 use crate::serve::TrafficHandler;
 use crate::watch::PlatformWatch;
 
+/// Threads that carry requests and answers.
+const TRAFFIC_THREADS: usize = 3;
 /// Probes that wait to be made.
 const PROBE_RING: usize = 256;
 
 /// Runs an entry until SIGTERM or SIGINT, then lets it finish what it has.
 pub fn run_entry(settings: &EntrySettings) -> eyre::Result<()> {
     let clock: Arc<dyn Clock> = Arc::new(SystemClock::start());
-    let (journal, guard) = Journal::start(&settings.id, Arc::clone(&clock));
+    let (journal, guard) = Journal::start(&settings.id, Arc::clone(&clock))?;
     let metrics = Arc::new(Metrics::new(&settings.id)?);
     let facts = entry_facts(settings, clock.as_ref());
     let news = Arc::new(Notify::new());
@@ -149,7 +151,11 @@
     context: TrafficContext,
     closing: watch::Receiver<bool>,
 ) -> eyre::Result<thread::JoinHandle<()>> {
-    let runtime = Builder::new_current_thread().enable_all().build()?;
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(TRAFFIC_THREADS)
+        .thread_name("traffic")
+        .enable_all()
+        .build()?;
     let limits = ServerLimits {
         max_connections: settings.max_connections,
         max_body: settings.max_body_bytes,
@@ -163,7 +169,7 @@
         })?
     };
     let thread = thread::Builder::new()
-        .name("traffic".to_string())
+        .name("accept".to_string())
         .spawn(move || runtime.block_on(server.serve(closing)))?;
     Ok(thread)
 }
--- a/crates/standins/src/drills/path.rs
+++ b/crates/standins/src/drills/path.rs
@@ -55,6 +55,9 @@
     let direct = runtime.block_on(send_planned(planned, straight(&fleet)));
     tell("closed loop for the ceiling");
     let ceiling = runtime.block_on(ceiling(entry));
+    if let Some(record) = records.iter().find(|r| r.report.outcome == CallOutcome::Wrong) {
+        tell(&format!("wrong answer {}: {}", record.report.request_id, record.report.kind));
+    }
     let wrong = count(&records, CallOutcome::Wrong) + toured.wrong;
     let mut first = added(&records, &direct, true);
     let mut whole = added(&records, &direct, false);
--- a/crates/standins/src/drills/scenario.rs
+++ b/crates/standins/src/drills/scenario.rs
@@ -66,6 +66,9 @@
     pub base_ms: f64,
     /// Floor of the agent's limit.
     pub floor: u32,
+    /// Ceiling of the agent's limit.
+    #[serde(default = "default_ceiling")]
+    pub ceiling: u32,
 }
 
 /// A stream of requests at random times.
@@ -120,6 +123,10 @@
     pub at_least: Option<f64>,
 }
 
+fn default_ceiling() -> u32 {
+    256
+}
+
 fn one() -> usize {
     1
 }
@@ -142,18 +149,10 @@
                 fleet.plan_entry(&format!("entry-{zone}-{number}"), zone, number == 0)?;
             }
             for number in 0..self.fleet.engines {
-                let arguments = self.fleet.engine.arguments();
-                let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
-                let id = format!("engine-{zone}-{number}");
-                let floor = self.fleet.engine.floor;
-                fleet.plan_server(&id, zone, "model", "engine", &arguments, floor)?;
+                self.fleet.engine.plan(&mut fleet, zone, "model", "engine", number)?;
             }
             for number in 0..self.fleet.bookings {
-                let arguments = self.fleet.booking.arguments();
-                let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
-                let id = format!("booking-{zone}-{number}");
-                let floor = self.fleet.booking.floor;
-                fleet.plan_server(&id, zone, "booking", "booking", &arguments, floor)?;
+                self.fleet.booking.plan(&mut fleet, zone, "booking", "booking", number)?;
             }
         }
         let store = fleet.store();
@@ -182,6 +181,19 @@
 }
 
 impl BearingShape {
+    fn plan(
+        &self,
+        fleet: &mut Fleet,
+        zone: &str,
+        service: &str,
+        kind: &'static str,
+        number: usize,
+    ) -> eyre::Result<()> {
+        let id = format!("{kind}-{zone}-{number}");
+        let limits = (self.floor, self.ceiling);
+        fleet.plan_server(&id, zone, service, kind, self.arguments(), limits)
+    }
+
     fn arguments(&self) -> Vec<String> {
         let pairs = [
             ("--cold", self.cold),
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -24,9 +24,9 @@
 use crate::model::BearingModel;
 use crate::model::BearingSettings;
 use crate::server::AnswerFuture;
-use crate::server::CutError;
 use crate::server::StandinRequest;
 use crate::server::StandinService;
+use crate::server::StreamPart;
 use crate::server::json_answer;
 use crate::server::stream_answer;
 use crate::wall_micros;
@@ -56,7 +56,7 @@
     tokens: u64,
     prefill: u32,
     priority: u32,
-    events: mpsc::Sender<Result<Bytes, CutError>>,
+    events: mpsc::Sender<StreamPart>,
 }
 
 struct CacheEvent {
@@ -271,12 +271,17 @@
             if stream.prefill > 0 {
                 stream.prefill -= 1;
             } else if stream.next < stream.tokens
-                && stream.events.try_send(Ok(event_text(&stream.body, stream.next))).is_ok()
+                && stream
+                    .events
+                    .try_send(StreamPart::Event(event_text(&stream.body, stream.next)))
+                    .is_ok()
             {
                 stream.next += 1;
             }
         }
-        state.streams.retain(|stream| stream.next < stream.tokens);
+        state.streams.retain(|stream| {
+            stream.next < stream.tokens || stream.events.try_send(StreamPart::End).is_err()
+        });
     }
 }
 
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -47,8 +47,8 @@
     pub kind: &'static str,
     /// Arguments of the stand-in.
     pub arguments: Vec<String>,
-    /// Floor of the agent's limit.
-    pub cold_floor: u32,
+    /// Floor and ceiling of the agent's limit.
+    pub limits: (u32, u32),
     /// Address of the stand-in.
     pub backend: SocketAddr,
     /// Address of the agent for entries.
@@ -134,16 +134,16 @@
         zone: &str,
         service: &str,
         kind: &'static str,
-        arguments: &[&str],
-        cold_floor: u32,
+        arguments: Vec<String>,
+        limits: (u32, u32),
     ) -> eyre::Result<()> {
         self.servers.push(ServerPlan {
             id: id.to_string(),
             zone: zone.to_string(),
             service: service.to_string(),
             kind,
-            arguments: arguments.iter().map(ToString::to_string).collect(),
-            cold_floor,
+            arguments,
+            limits,
             backend: free_address()?,
             peers: free_address()?,
             admin: free_address()?,
@@ -206,7 +206,8 @@
     pub fn start_agent(&self, server: &ServerPlan) -> eyre::Result<()> {
         let settings = format!(
             "id = \"{}\"\nzone = \"{}\"\nservice = \"{}\"\nbackend = \"http://{}\"\n\
-             peers = \"{}\"\nadmin = \"{}\"\nplatform = \"http://{}\"\ncold_floor = {}\n",
+             peers = \"{}\"\nadmin = \"{}\"\nplatform = \"http://{}\"\n\
+             cold_floor = {}\nceiling = {}\n",
             server.id,
             server.zone,
             server.service,
@@ -214,7 +215,8 @@
             server.peers,
             server.admin,
             self.platform,
-            server.cold_floor,
+            server.limits.0,
+            server.limits.1,
         );
         self.spawn_daemon(&server.id, "cuminpick-agent", &settings)
     }
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -185,7 +185,23 @@
     if report.status != 200 {
         return refusal_outcome(&bytes, report);
     }
-    Some(if right_answer(call, &bytes) { CallOutcome::Answered } else { CallOutcome::Wrong })
+    if right_answer(call, &bytes) {
+        return Some(CallOutcome::Answered);
+    }
+    report.kind = first_difference(call, &bytes);
+    Some(CallOutcome::Wrong)
+}
+
+/// Describes where an answer departs from the right one.
+fn first_difference(call: &LoadCall, bytes: &[u8]) -> String {
+    let text = String::from_utf8_lossy(bytes);
+    let events: Vec<&str> = text.lines().filter(|line| line.starts_with("data: ")).collect();
+    let differs = events.iter().enumerate().find(|(index, event)| {
+        let expected = event_text(&call.body, *index as u64);
+        !expected.starts_with(event.as_bytes())
+    });
+    let wanted = call.tokens.unwrap_or(0);
+    format!("{} of {wanted} events, first difference {differs:?}", events.len())
 }
 
 fn refusal_outcome(bytes: &[u8], report: &mut CallReport) -> Option<CallOutcome> {
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -152,9 +152,24 @@
     whole_answer(status, "application/json", text)
 }
 
+/// Part of a streamed answer.
+pub enum StreamPart {
+    /// An event.
+    Event(Bytes),
+    /// The answer is whole; a channel that closes without it cuts the answer.
+    End,
+}
+
 /// Makes a stream of events from a channel.
-pub fn stream_answer(events: mpsc::Receiver<Result<Bytes, CutError>>) -> Response<AnswerBody> {
-    let frames = ReceiverStream::new(events).map(|event| event.map(Frame::data));
+pub fn stream_answer(parts: mpsc::Receiver<StreamPart>) -> Response<AnswerBody> {
+    let frames = ReceiverStream::new(parts)
+        .map(Some)
+        .chain(tokio_stream::once(None))
+        .take_while(|part| !matches!(part, Some(StreamPart::End)))
+        .map(|part| match part {
+            Some(StreamPart::Event(event)) => Ok(Frame::data(event)),
+            _ => Err(CutError("the server broke down")),
+        });
     let mut response = Response::new(BodyExt::boxed(StreamBody::new(frames)));
     if let Ok(value) = "text/event-stream".parse() {
         response.headers_mut().insert("content-type", value);
