--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,2 +1,51 @@
-//! x
-fn main() {}
+//! Binary of the operators' command line.
+
+use std::io::Write;
+
+use cuminpick_cli::files::check_file;
+use cuminpick_cli::files::replay_file;
+use cuminpick_cli::files::show_timeline;
+use cuminpick_cli::options::OperatorCommand;
+use cuminpick_cli::options::command_line;
+use cuminpick_cli::report::CommandError;
+use cuminpick_cli::report::CommandReport;
+use cuminpick_cli::stated;
+use cuminpick_cli::status::fleet_status;
+use cuminpick_platform::HttpStore;
+
+fn main() {
+    let line = command_line().run();
+    let store = HttpStore::new(&line.platform);
+    let status = match run(&store, line.command) {
+        Ok(report) if line.json => print(&report.json.to_string()),
+        Ok(report) => print(&report.text),
+        Err(error) => {
+            let _ = writeln!(std::io::stderr(), "cuminpick: {error}");
+            error.exit_status()
+        }
+    };
+    std::process::exit(status);
+}
+
+fn run(store: &HttpStore, command: OperatorCommand) -> Result<CommandReport, CommandError> {
+    match command {
+        OperatorCommand::SetTarget(class, fields) => stated::set_target(store, &class, &fields),
+        OperatorCommand::RemoveTarget(class) => stated::remove_target(store, &class),
+        OperatorCommand::ListTargets => stated::list_targets(store),
+        OperatorCommand::SetState(kind, state, name) => {
+            stated::set_state(store, kind, &name, state)
+        }
+        OperatorCommand::ListStates(kind) => stated::list_states(store, kind),
+        OperatorCommand::Status(admins) => fleet_status(store, &admins),
+        OperatorCommand::Timeline(filter, files) => show_timeline(&files, &filter),
+        OperatorCommand::Replay(file) => replay_file(&file),
+        OperatorCommand::Check(file) => check_file(&file),
+    }
+}
+
+fn print(text: &str) -> i32 {
+    match writeln!(std::io::stdout(), "{text}") {
+        Ok(()) => 0,
+        Err(_) => 1,
+    }
+}
--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -1,10 +1,12 @@
 //! Admission limit of one backend server, learned from its own behaviour.
 //!
-//! The limit starts at a cold floor. It rises while the server keeps its pace
-//! at the limit, falls when the pace drops, and returns to the floor at once
-//! when the server restarts or its pace collapses. Pace is the time between
-//! tokens or, for plain services, the time of an answer; it is compared with
-//! the best pace since the last start, so nobody has to tell what is normal.
+//! The limit starts at a cold floor. It rises while the pace that is to be
+//! expected at the raised limit stays near the pace of an idle server, falls
+//! when the pace drops, and returns to the floor at once when the server
+//! restarts or its pace collapses. Pace is the time between tokens or, for
+//! plain services, the time of an answer. The idle pace is the best one seen;
+//! it is corrected upwards only while little is in flight, because a loaded
+//! server would make its own slowness the norm.
 
 use std::time::Duration;
 
@@ -14,22 +16,24 @@
 const RISE_INTERVAL: Duration = Duration::from_millis(500);
 /// Rise at a time, as a share of the limit; at least one.
 const RISE_SHARE: f64 = 0.1;
-/// Pace, relative to the best, below which the limit may rise.
-const RISE_BELOW: f64 = 1.35;
+/// Pace expected after a rise, relative to the best, up to which the limit rises.
+const RISE_BELOW: f64 = 1.4;
 /// Pace, relative to the best, above which the limit falls.
-const FALL_ABOVE: f64 = 1.7;
+const FALL_ABOVE: f64 = 1.55;
 /// Factor of one fall.
 const FALL_FACTOR: f64 = 0.85;
+/// Part of the difference by which the best pace is corrected upwards.
+const BEST_CORRECTION: f64 = 0.1;
 /// A pace this many times the recent one, seen twice in a row, is a collapse.
 const COLLAPSE_RATIO: f64 = 3.0;
 /// Observations in a row that make a collapse.
 const COLLAPSE_COUNT: u32 = 2;
 /// Pace below which a ratio says nothing but noise.
 const PACE_NOISE: Duration = Duration::from_millis(4);
+/// Limit of a server whose pace has never been seen.
+const UNKNOWN_LIMIT: u32 = 1;
 /// Share of the limit that must be in use for a rise to be earned.
 const USED_SHARE: f64 = 0.75;
-/// Growth of the best pace in each window, so that an old one is forgotten.
-const BEST_AGEING: f64 = 1.002;
 /// Silence of a server with work in flight after which it counts as stalled.
 const STALL_AFTER: Duration = Duration::from_secs(2);
 
@@ -62,6 +66,7 @@
     window_start: Duration,
     window_sum: Duration,
     window_count: u32,
+    window_load: u64,
     last_rise: Duration,
     last_sign: Duration,
     slow_streak: u32,
@@ -80,6 +85,7 @@
             window_start: Duration::ZERO,
             window_sum: Duration::ZERO,
             window_count: 0,
+            window_load: 0,
             last_rise: Duration::ZERO,
             last_sign: Duration::ZERO,
             slow_streak: 0,
@@ -120,6 +126,7 @@
         }
         self.window_sum += pace;
         self.window_count += 1;
+        self.window_load += u64::from(self.in_flight);
         if now >= self.window_start + PACE_WINDOW {
             self.close_window(now);
         }
@@ -141,9 +148,9 @@
         self.settings.pace_target = target;
     }
 
-    /// Returns the concurrency that is admitted now.
+    /// Returns the concurrency that is admitted now: one until a pace is known.
     pub fn limit(&self) -> u32 {
-        self.limit as u32
+        if self.best.is_none() { UNKNOWN_LIMIT } else { self.limit as u32 }
     }
 
     /// Returns the number of admitted requests that have not ended.
@@ -166,28 +173,46 @@
     }
 
     fn close_window(&mut self, now: Duration) {
-        let mean = self.window_sum / self.window_count;
-        let aged = self.best.map_or(mean, |best| best.mul_f64(BEST_AGEING));
-        let best = aged.min(mean).max(PACE_NOISE);
+        let mean = (self.window_sum / self.window_count).max(PACE_NOISE);
+        let load = self.window_load as f64 / f64::from(self.window_count);
+        let best = self.corrected_best(mean, load);
         self.best = Some(best);
         self.recent = Some(mean);
         let ratio = mean.as_secs_f64() / best.as_secs_f64();
-        let late = mean > self.settings.pace_target;
-        if ratio > FALL_ABOVE || late {
+        if ratio > FALL_ABOVE || mean > self.settings.pace_target {
             self.fall();
-        } else if ratio < RISE_BELOW {
-            self.rise(now);
+        } else {
+            self.rise(now, ratio, load);
         }
         self.open_window(now);
     }
 
-    fn rise(&mut self, now: Duration) {
+    fn corrected_best(&self, mean: Duration, load: f64) -> Duration {
+        let Some(best) = self.best.filter(|best| *best < mean) else {
+            return mean;
+        };
+        if load > f64::from(self.settings.floor) {
+            return best;
+        }
+        best + (mean - best).mul_f64(BEST_CORRECTION)
+    }
+
+    /// Raises the limit if it is used and the expected pace allows it.
+    ///
+    /// The part of the pace above the best is taken to grow with the square of
+    /// what is in flight.
+    fn rise(&mut self, now: Duration, ratio: f64, load: f64) {
         let used = f64::from(self.peak) >= self.limit.floor() * USED_SHARE;
         if !used || now < self.last_rise + RISE_INTERVAL {
             return;
         }
         let step = (self.limit * RISE_SHARE).max(1.0);
-        self.limit = (self.limit + step).min(f64::from(self.settings.ceiling));
+        let raised = (self.limit + step).min(f64::from(self.settings.ceiling));
+        let growth = raised / load.max(1.0);
+        if 1.0 + (ratio - 1.0) * growth * growth > RISE_BELOW {
+            return;
+        }
+        self.limit = raised;
         self.last_rise = now;
         self.peak = self.in_flight;
     }
@@ -201,5 +226,6 @@
         self.window_start = now;
         self.window_sum = Duration::ZERO;
         self.window_count = 0;
+        self.window_load = 0;
     }
 }
--- /dev/null
+++ b/crates/core/tests/admission_limit.rs
@@ -0,0 +1,143 @@
+//! The limit against a backend server with a hidden bearing.
+
+mod support;
+
+use std::time::Duration;
+
+use cuminpick::ids::ChoiceRng;
+use cuminpick::limit::AdmissionLimit;
+use cuminpick::limit::LimitSettings;
+
+use crate::support::schedules;
+
+/// Step time of a server that bears `bears` requests at a time.
+fn step_time(in_flight: u32, bears: f64) -> Duration {
+    let load = f64::from(in_flight) / bears;
+    Duration::from_millis(20).mul_f64(1.0 + 0.6 * load * load)
+}
+
+struct HiddenServer {
+    limit: AdmissionLimit,
+    now: Duration,
+    overruns: u32,
+}
+
+impl HiddenServer {
+    fn new() -> HiddenServer {
+        let limit = AdmissionLimit::new(LimitSettings::default());
+        HiddenServer { limit, now: Duration::ZERO, overruns: 0 }
+    }
+
+    /// Runs steps for `length` with `offered` requests always wanting in.
+    fn run(&mut self, length: Duration, offered: u32, bears: impl Fn(Duration) -> f64) {
+        let end = self.now + length;
+        while self.now < end {
+            let bearing = bears(self.now);
+            while self.limit.in_flight() < offered && self.limit.try_admit(self.now) {
+                let over = f64::from(self.limit.in_flight()) > bearing;
+                self.overruns += u32::from(over);
+            }
+            let step = step_time(self.limit.in_flight(), bearing);
+            self.now += step;
+            for _ in 0..self.limit.in_flight() {
+                self.limit.observe(self.now, step);
+            }
+            if self.limit.in_flight() > 0 {
+                self.limit.finish(self.now, true);
+            }
+        }
+    }
+
+    fn drain(&mut self) {
+        while self.limit.in_flight() > 0 {
+            self.limit.finish(self.now, true);
+        }
+    }
+}
+
+/// Bearing that grows from 3 to `full` over eight seconds from `start`.
+fn warming(start: Duration, full: f64) -> impl Fn(Duration) -> f64 {
+    move |now| {
+        let warmth = now.saturating_sub(start).as_secs_f64() / 8.0;
+        3.0 + (full - 3.0) * warmth.min(1.0)
+    }
+}
+
+#[test]
+fn cold_start() {
+    for full in [6.0, 12.0, 32.0, 100.0] {
+        let mut server = HiddenServer::new();
+        server.run(Duration::from_secs(60), 1_000, warming(Duration::ZERO, full));
+        assert_eq!(server.overruns, 0, "bears {full}");
+        let used = f64::from(server.limit.limit()) / full;
+        assert!(used > 0.6, "bears {full} but is given {}", server.limit.limit());
+    }
+}
+
+#[test]
+fn restart_floor() {
+    let mut server = HiddenServer::new();
+    server.run(Duration::from_secs(40), 1_000, warming(Duration::ZERO, 32.0));
+    assert!(server.limit.limit() > 16);
+    server.drain();
+    server.limit.reset(server.now);
+    let restarted = server.now;
+    server.run(Duration::from_secs(40), 1_000, warming(restarted, 32.0));
+    assert_eq!(server.overruns, 0);
+    assert!(server.limit.limit() > 16);
+}
+
+#[test]
+fn sudden_cold() {
+    let mut server = HiddenServer::new();
+    server.run(Duration::from_secs(40), 1_000, warming(Duration::ZERO, 32.0));
+    let before = server.limit.limit();
+    let cold = server.now;
+    let step = step_time(server.limit.in_flight(), 3.0);
+    for _ in 0..2 {
+        server.now += step;
+        server.limit.observe(server.now, step);
+    }
+    assert!(server.limit.limit() <= 2, "limit stays at {} of {before}", server.limit.limit());
+    server.drain();
+    server.run(Duration::from_secs(40), 1_000, warming(cold, 32.0));
+    assert_eq!(server.overruns, 0);
+}
+
+#[test]
+fn stalled_server() {
+    let mut limit = AdmissionLimit::new(LimitSettings::default());
+    limit.observe(Duration::from_secs(1), Duration::from_millis(20));
+    assert!(limit.try_admit(Duration::from_secs(1)));
+    assert!(!limit.try_admit(Duration::from_secs(4)), "silent for three seconds");
+    limit.observe(Duration::from_secs(4), Duration::from_millis(20));
+    assert!(limit.try_admit(Duration::from_secs(4)));
+}
+
+#[test]
+fn random_schedules() {
+    bolero::check!().with_iterations(schedules()).with_type::<(u64, Vec<(u8, u16)>)>().for_each(
+        |(seed, steps)| {
+            let mut rng = ChoiceRng::new(*seed);
+            let mut limit =
+                AdmissionLimit::new(LimitSettings { ceiling: 16, ..Default::default() });
+            let mut now = Duration::ZERO;
+            let mut held = 0_u32;
+            for (kind, amount) in steps {
+                now += Duration::from_millis(u64::from(*amount % 500));
+                match kind % 5 {
+                    0 | 1 => held += u32::from(limit.try_admit(now)),
+                    2 if held > 0 => {
+                        held -= 1;
+                        limit.finish(now, rng.below(4) > 0);
+                    }
+                    3 => limit.observe(now, Duration::from_micros(u64::from(*amount) * 10)),
+                    4 if amount % 50 == 0 => limit.reset(now),
+                    _ => {}
+                }
+                assert_eq!(limit.in_flight(), held);
+                assert!((1..=16).contains(&limit.limit()));
+            }
+        },
+    );
+}
--- /dev/null
+++ b/crates/core/tests/config_merge.rs
@@ -0,0 +1,107 @@
+//! Configuration never reverts, in whatever order it comes.
+
+mod support;
+
+use cuminpick::config::ClassTarget;
+use cuminpick::config::ConfigError;
+use cuminpick::config::ConfigObject;
+use cuminpick::config::ConfigTable;
+use cuminpick::ids::ChoiceRng;
+
+use crate::support::schedules;
+
+fn state(key: &str, version: u64, state: &str) -> ConfigObject {
+    let value = Some(format!("{{\"state\":\"{state}\"}}"));
+    ConfigObject { key: key.to_string(), version, value }
+}
+
+fn target() -> ClassTarget {
+    ClassTarget {
+        service: "model".to_string(),
+        share: 0.95,
+        first_token_ms: 830,
+        token_gap_ms: Some(50),
+        repeatable: true,
+        priority: 4,
+    }
+}
+
+#[test]
+fn higher_version() {
+    let mut table = ConfigTable::default();
+    assert_eq!(table.merge(state("zones/bole", 7, "out")), Ok(true));
+    assert_eq!(table.merge(state("zones/bole", 5, "in")), Ok(false));
+    assert!(!table.zone_in("bole"));
+    assert!(table.zone_in("merkato"));
+}
+
+#[test]
+fn kept_tombstone() {
+    let mut table = ConfigTable::default();
+    let value = Some(serde_json::to_string(&target()).unwrap());
+    let class = ConfigObject { key: "classes/drafting".to_string(), version: 3, value };
+    table.merge(class.clone()).unwrap();
+    assert!(table.class("drafting").is_some());
+    table.merge(ConfigObject { version: 4, value: None, ..class.clone() }).unwrap();
+    assert!(table.class("drafting").is_none());
+    assert_eq!(table.merge(class), Ok(false));
+    assert!(table.class("drafting").is_none());
+}
+
+#[test]
+fn bad_values() {
+    let mut table = ConfigTable::default();
+    table.merge(state("zones/bole", 2, "out")).unwrap();
+    assert!(matches!(
+        table.merge(state("zones/bole", 3, "gone")),
+        Err(ConfigError::BadValue { .. })
+    ));
+    assert!(!table.zone_in("bole"), "the old value stays in force");
+    assert!(matches!(table.merge(state("zone/bole", 3, "in")), Err(ConfigError::BadKey(_))));
+    for bad in [
+        ClassTarget { share: 0.0, ..target() },
+        ClassTarget { share: f64::NAN, ..target() },
+        ClassTarget { first_token_ms: 0, ..target() },
+        ClassTarget { token_gap_ms: Some(0), ..target() },
+        ClassTarget { priority: 10, ..target() },
+        ClassTarget { service: String::new(), ..target() },
+    ] {
+        let value = Some(serde_json::to_string(&bad).unwrap());
+        let object = ConfigObject { key: "classes/x".to_string(), version: 9, value };
+        assert!(table.merge(object).is_err(), "{bad:?}");
+    }
+}
+
+#[test]
+fn random_orders() {
+    bolero::check!().with_iterations(schedules()).with_type::<(u64, Vec<(u8, bool)>)>().for_each(
+        |(seed, changes)| {
+            let objects: Vec<ConfigObject> = changes
+                .iter()
+                .enumerate()
+                .map(|(index, (key, out))| {
+                    let word = if *out { "out" } else { "in" };
+                    state(&format!("zones/z{}", key % 3), index as u64 + 1, word)
+                })
+                .collect();
+            let mut ordered = ConfigTable::default();
+            objects.iter().for_each(|object| drop(ordered.merge(object.clone())));
+            let mut rng = ChoiceRng::new(*seed);
+            let mut shuffled = ConfigTable::default();
+            let mut newest = 0;
+            for _ in 0..objects.len() * 4 {
+                let object = &objects[rng.below(objects.len())];
+                let before = shuffled.version_of(&object.key);
+                shuffled.merge(object.clone()).unwrap();
+                assert!(shuffled.version_of(&object.key) >= before, "reverted");
+                assert!(shuffled.newest() >= newest);
+                newest = shuffled.newest();
+            }
+            objects.iter().for_each(|object| drop(shuffled.merge(object.clone())));
+            assert_eq!(shuffled.digest(), ordered.digest());
+            for zone in ["z0", "z1", "z2"] {
+                assert_eq!(shuffled.zone_in(zone), ordered.zone_in(zone));
+            }
+        },
+    );
+}
--- /dev/null
+++ b/crates/platform/tests/settled_changes.rs
@@ -0,0 +1,167 @@
+//! Changes through lost races and lost answers.
+
+use std::sync::Mutex;
+use std::time::Duration;
+
+use cuminpick_platform::ObjectChanges;
+use cuminpick_platform::ObjectStore;
+use cuminpick_platform::PlatformError;
+use cuminpick_platform::StoredObject;
+use cuminpick_platform::VmEntry;
+use cuminpick_platform::WriteCondition;
+use cuminpick_platform::settle::ChangeOutcome;
+use cuminpick_platform::settle::change;
+
+/// What happens to a write.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum WriteFault {
+    None,
+    LostBefore,
+    LostAfter,
+    Raced,
+    Unreachable,
+}
+
+#[derive(Default)]
+struct FakeState {
+    object: Option<StoredObject>,
+    revision: u64,
+    faults: Vec<WriteFault>,
+    writes: u32,
+}
+
+#[derive(Default)]
+struct FakeStore(Mutex<FakeState>);
+
+impl FakeStore {
+    fn with(faults: &[WriteFault]) -> FakeStore {
+        let state = FakeState { faults: faults.to_vec(), ..FakeState::default() };
+        FakeStore(Mutex::new(state))
+    }
+
+    fn value(&self) -> Option<String> {
+        self.0.lock().unwrap().object.as_ref()?.value.clone()
+    }
+}
+
+impl FakeState {
+    fn store(&mut self, value: Option<&str>) -> u64 {
+        self.revision += 1;
+        let version = self.revision;
+        self.object = value.map(|value| StoredObject {
+            key: "k".to_string(),
+            version,
+            value: Some(value.to_string()),
+        });
+        version
+    }
+
+    fn write(&mut self, value: Option<&str>, wanted: u64) -> Result<u64, PlatformError> {
+        let fault = if self.faults.is_empty() { WriteFault::None } else { self.faults.remove(0) };
+        self.writes += 1;
+        match fault {
+            WriteFault::Unreachable => return Err(PlatformError::Unreachable("x".to_string())),
+            WriteFault::LostBefore => return Err(PlatformError::Ambiguous("x".to_string())),
+            WriteFault::Raced => drop(self.store(Some("other"))),
+            WriteFault::None | WriteFault::LostAfter => {}
+        }
+        let present = self.object.as_ref().map_or(0, |object| object.version);
+        if present != wanted {
+            return Err(PlatformError::Conflict(present));
+        }
+        let version = self.store(value);
+        if fault == WriteFault::LostAfter {
+            return Err(PlatformError::Ambiguous("x".to_string()));
+        }
+        Ok(version)
+    }
+}
+
+impl ObjectStore for FakeStore {
+    fn get(&self, _: &str) -> Result<Option<StoredObject>, PlatformError> {
+        Ok(self.0.lock().unwrap().object.clone())
+    }
+
+    fn changes(&self, _: &str, _: u64, _: Duration) -> Result<ObjectChanges, PlatformError> {
+        Ok(ObjectChanges::default())
+    }
+
+    fn put(&self, _: &str, value: &str, condition: WriteCondition) -> Result<u64, PlatformError> {
+        let wanted = match condition {
+            WriteCondition::Absent => 0,
+            WriteCondition::Version(version) => version,
+        };
+        self.0.lock().unwrap().write(Some(value), wanted)
+    }
+
+    fn delete(&self, _: &str, version: u64) -> Result<u64, PlatformError> {
+        self.0.lock().unwrap().write(None, version)
+    }
+
+    fn vms(&self) -> Result<Vec<VmEntry>, PlatformError> {
+        Ok(Vec::new())
+    }
+}
+
+fn set(faults: &[WriteFault]) -> (Result<ChangeOutcome, PlatformError>, FakeStore) {
+    let store = FakeStore::with(faults);
+    (change(&store, "k", None, Some("mine")), store)
+}
+
+#[test]
+fn plain_write() {
+    let (outcome, store) = set(&[]);
+    assert_eq!(outcome, Ok(ChangeOutcome::Written(1)));
+    assert_eq!(store.value().as_deref(), Some("mine"));
+}
+
+#[test]
+fn answer_lost() {
+    let (outcome, store) = set(&[WriteFault::LostAfter]);
+    assert_eq!(outcome, Ok(ChangeOutcome::Written(1)));
+    assert_eq!(store.0.lock().unwrap().writes, 1, "the write is not made twice");
+}
+
+#[test]
+fn write_lost() {
+    let (outcome, store) = set(&[WriteFault::LostBefore, WriteFault::LostAfter]);
+    assert_eq!(outcome, Ok(ChangeOutcome::Written(1)));
+    assert_eq!(store.value().as_deref(), Some("mine"));
+}
+
+#[test]
+fn lost_race() {
+    let (outcome, store) = set(&[WriteFault::Raced]);
+    assert_eq!(outcome, Err(PlatformError::Conflict(1)));
+    assert_eq!(store.value().as_deref(), Some("other"));
+}
+
+#[test]
+fn raced_when_doubtful() {
+    let (outcome, store) = set(&[WriteFault::LostBefore, WriteFault::Raced]);
+    assert_eq!(outcome, Err(PlatformError::Conflict(1)));
+    assert_eq!(store.value().as_deref(), Some("other"));
+}
+
+#[test]
+fn always_lost() {
+    let (outcome, _) = set(&[WriteFault::LostBefore; 9]);
+    assert!(matches!(outcome, Err(PlatformError::Ambiguous(_))));
+}
+
+#[test]
+fn not_reached() {
+    let (outcome, _) = set(&[WriteFault::Unreachable]);
+    assert!(matches!(outcome, Err(PlatformError::Unreachable(_))));
+}
+
+#[test]
+fn same_value() {
+    let store = FakeStore::default();
+    change(&store, "k", None, Some("mine")).unwrap();
+    let seen = store.get("k").unwrap();
+    let again = change(&store, "k", seen.as_ref(), Some("mine"));
+    assert_eq!(again, Ok(ChangeOutcome::Unchanged(1)));
+    assert_eq!(change(&store, "k", seen.as_ref(), None), Ok(ChangeOutcome::Written(2)));
+    assert_eq!(store.value(), None);
+}
