Drill a zone out, stopped and back; keep the limit off the edge

Rises stopped at 1.4 and falls began at 1.55 times the best pace, but the best pace itself was measured some 5 to 10% above the idle one, so that the fall began past the edge; between the two, noise let the limit creep up.

Ruled out: stampede of several entries (the agent's own count was 17 at both); a cold engine (both were warm for 20 s).

Change: rises stop at 1.28, falls begin at 1.4. The drill runner takes timed faults, polls entries as the platform's balancer does, reads the evidence from logs and ledgers, and runs the same load round robin without admission.

--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -17,9 +17,9 @@
 /// Rise at a time, as a share of the limit; at least one.
 const RISE_SHARE: f64 = 0.1;
 /// Pace expected after a rise, relative to the best, up to which the limit rises.
-const RISE_BELOW: f64 = 1.4;
+const RISE_BELOW: f64 = 1.28;
 /// Pace, relative to the best, above which the limit falls.
-const FALL_ABOVE: f64 = 1.55;
+const FALL_ABOVE: f64 = 1.4;
 /// Factor of one fall.
 const FALL_FACTOR: f64 = 0.85;
 /// Part of the difference by which the best pace is corrected upwards.
--- a/crates/standins/src/bin/standin.rs
+++ b/crates/standins/src/bin/standin.rs
@@ -1,6 +1,8 @@
 //! Command line of the stand-ins.
 
+use std::fs::File;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -19,7 +21,7 @@
 enum StandinCommand {
     Platform { listen: SocketAddr, rates: PlatformRates },
     Engine { listen: SocketAddr, bearing: BearingSettings, ignores_fence: bool },
-    Booking { listen: SocketAddr, bearing: BearingSettings },
+    Booking { listen: SocketAddr, bearing: BearingSettings, ledger: Option<PathBuf> },
 }
 
 fn main() -> eyre::Result<()> {
@@ -28,11 +30,15 @@
         StandinCommand::Engine { listen, bearing, ignores_fence } => {
             run_async(listen, || EngineStandin::start(bearing, !ignores_fence))
         }
-        StandinCommand::Booking { listen, bearing } => run_async(listen, || {
-            let service = BookingStandin::start(bearing);
-            service.keep_up();
-            service
-        }),
+        StandinCommand::Booking { listen, bearing, ledger } => {
+            let open = |path| File::options().create(true).append(true).open(path);
+            let file = ledger.map(open).transpose()?;
+            run_async(listen, || {
+                let service = BookingStandin::start(bearing, file);
+                service.keep_up();
+                service
+            })
+        }
     }
 }
 
@@ -69,7 +75,11 @@
     let booking = {
         let listen = listen();
         let bearing = bearing();
-        bpaf::construct!(StandinCommand::Booking { listen, bearing })
+        let ledger = bpaf::long("ledger")
+            .help("File to which each run is appended")
+            .argument::<PathBuf>("FILE")
+            .optional();
+        bpaf::construct!(StandinCommand::Booking { listen, bearing, ledger })
             .to_options()
             .command("booking")
     };
--- a/crates/standins/src/booking.rs
+++ b/crates/standins/src/booking.rs
@@ -1,5 +1,7 @@
 //! Stand-in of a plain booking service with a ledger of its runs.
 
+use std::fs::File;
+use std::io::Write;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -13,6 +15,7 @@
 
 use crate::model::BearingModel;
 use crate::model::BearingSettings;
+use crate::model::note_overrun;
 use crate::server::AnswerFuture;
 use crate::server::StandinRequest;
 use crate::server::StandinService;
@@ -33,12 +36,13 @@
 /// A booking service.
 pub struct BookingStandin {
     state: Mutex<BookingState>,
+    ledger_file: Option<Mutex<File>>,
     down: watch::Sender<bool>,
 }
 
 impl BookingStandin {
-    /// Starts cold.
-    pub fn start(settings: BearingSettings) -> Arc<BookingStandin> {
+    /// Starts cold; each run is also appended to `ledger_file`.
+    pub fn start(settings: BearingSettings, ledger_file: Option<File>) -> Arc<BookingStandin> {
         let state = BookingState {
             model: BearingModel::new(settings),
             boot: wall_micros(),
@@ -46,7 +50,9 @@
             overruns: 0,
             ledger: FastMap::default(),
         };
-        Arc::new(BookingStandin { state: Mutex::new(state), down: watch::Sender::new(false) })
+        let ledger_file = ledger_file.map(Mutex::new);
+        let down = watch::Sender::new(false);
+        Arc::new(BookingStandin { state: Mutex::new(state), ledger_file, down })
     }
 
     fn lock(&self) -> MutexGuard<'_, BookingState> {
@@ -59,6 +65,7 @@
     ) -> Option<hyper::Response<crate::server::AnswerBody>> {
         let received = wall_micros();
         let booking = request.json()["booking"].as_str().unwrap_or("unnamed").to_string();
+        self.write_run(&booking);
         let (time, overrun) = {
             let mut state = self.lock();
             state.batch += 1;
@@ -68,6 +75,7 @@
             (state.model.step_time(state.batch), overrun)
         };
         if overrun {
+            note_overrun();
             self.down.send_replace(true);
         }
         tokio::time::sleep(time).await;
@@ -80,6 +88,14 @@
         Some(response)
     }
 
+    fn write_run(&self, booking: &str) {
+        let Some(file) = &self.ledger_file else {
+            return;
+        };
+        let mut file = file.lock().unwrap_or_else(PoisonError::into_inner);
+        let _ = file.write_all(format!("{booking}\n").as_bytes());
+    }
+
     async fn recover(self: Arc<Self>) {
         let mut down = self.down.subscribe();
         while down.wait_for(|down| *down).await.is_ok() {
@@ -111,7 +127,6 @@
                 ("GET", "/healthz") => {
                     Some(json_answer(200, &json!({"boot": self.lock().boot.to_string()})))
                 }
-                ("GET", "/standin/ledger") => Some(json_answer(200, &self.lock().ledger)),
                 ("GET", "/standin/counters") => {
                     let state = self.lock();
                     let runs: u32 = state.ledger.values().sum();
--- a/crates/standins/src/drills/mod.rs
+++ b/crates/standins/src/drills/mod.rs
@@ -1,7 +1,11 @@
 //! Drills: a scenario over real processes, and the figures that it gives.
 
+pub mod balancer;
+pub mod evidence;
+pub mod faults;
 pub mod path;
 pub mod scenario;
+pub mod service;
 pub mod traffic;
 
 use std::time::Duration;
@@ -26,7 +30,7 @@
     let length = Duration::from_secs_f64(seconds);
     let mut figures = match name {
         "path" => path::run(&scenario, options.seed, length)?,
-        other => eyre::bail!("drill '{other}' has no runner"),
+        other => service::run(&scenario, other, options.seed, length)?,
     };
     figures["drill"] = Value::from(name);
     figures["seed"] = Value::from(options.seed);
--- a/crates/standins/src/drills/path.rs
+++ b/crates/standins/src/drills/path.rs
@@ -124,7 +124,7 @@
                 planned.push(PlannedCall { at: Duration::from_millis(5 * number as u64), call });
             }
         }
-        planned.extend(shape.plan(length, &mut rng));
+        planned.extend(shape.plan(Duration::ZERO, length, &mut rng));
     }
     planned
 }
--- a/crates/standins/src/drills/scenario.rs
+++ b/crates/standins/src/drills/scenario.rs
@@ -19,6 +19,15 @@
 pub struct Scenario {
     /// Length of the measured part.
     pub seconds: f64,
+    /// Seconds of load before the measured part.
+    #[serde(default)]
+    pub warm_up: f64,
+    /// Part in which the fault is felt: start and end, in seconds.
+    #[serde(default)]
+    pub during: (f64, f64),
+    /// Seconds from the end of that part until service counts as after it.
+    #[serde(default)]
+    pub settle: f64,
     /// Processes.
     pub fleet: FleetShape,
     /// Classes of work by name.
@@ -83,14 +92,18 @@
     #[serde(default)]
     pub tokens: Option<u64>,
     /// Organisations that take part equally.
+    #[serde(default = "one")]
     pub organisations: usize,
     /// Prompt prefixes in use.
     #[serde(default = "one")]
     pub prefixes: usize,
-    /// Part of the rate that a further organisation `large` adds, from
-    /// `large_from_s` on.
+    /// Organisation that sends, in place of the equal ones.
+    #[serde(default)]
+    pub organisation: Option<String>,
+    /// Seconds from the start of the measured part in which it is sent; all
+    /// along, warm-up included, without it.
     #[serde(default)]
-    pub large_rate: f64,
+    pub span: Option<(f64, f64)>,
 }
 
 /// A fault at a time from the start of the measured part.
@@ -136,13 +149,16 @@
     pub fn named(name: &str) -> eyre::Result<Scenario> {
         let text = match name {
             "path" => include_str!("../../scenarios/path.toml"),
+            "zone" => include_str!("../../scenarios/zone.toml"),
+            "vanish" => include_str!("../../scenarios/vanish.toml"),
+            "overload" => include_str!("../../scenarios/overload.toml"),
             other => return Err(eyre!("no drill '{other}'; see `drill --help`")),
         };
         Ok(toml::from_str(text)?)
     }
 
-    /// Starts the scenario's processes and puts its classes in force.
-    pub fn start_fleet(&self, name: &str) -> eyre::Result<Fleet> {
+    /// Plans the scenario's processes behind a running platform stand-in.
+    fn plan_fleet(&self, name: &str) -> eyre::Result<Fleet> {
         let mut fleet = Fleet::start(name)?;
         for (index, zone) in self.fleet.zones.iter().enumerate() {
             for number in 0..self.fleet.entries.get(index).copied().unwrap_or(0) {
@@ -155,6 +171,19 @@
                 self.fleet.booking.plan(&mut fleet, zone, "booking", "booking", number)?;
             }
         }
+        Ok(fleet)
+    }
+
+    /// Starts the scenario's backend servers alone.
+    pub fn start_backends(&self, name: &str) -> eyre::Result<Fleet> {
+        let fleet = self.plan_fleet(name)?;
+        fleet.launch_backends()?;
+        Ok(fleet)
+    }
+
+    /// Starts the scenario's processes and puts its classes in force.
+    pub fn start_fleet(&self, name: &str) -> eyre::Result<Fleet> {
+        let fleet = self.plan_fleet(name)?;
         let store = fleet.store();
         for (class, target) in &self.classes {
             let key = format!("{CONFIG_PREFIX}classes/{class}");
@@ -215,21 +244,28 @@
 }
 
 impl LoadShape {
-    /// Plans the requests of `length` with random gaps.
-    pub fn plan(&self, length: Duration, rng: &mut ChoiceRng) -> Vec<PlannedCall> {
+    /// Plans the requests of a load of `length` after `warm_up`, at random gaps.
+    pub fn plan(
+        &self,
+        warm_up: Duration,
+        length: Duration,
+        rng: &mut ChoiceRng,
+    ) -> Vec<PlannedCall> {
+        let (warm_up, length) = (warm_up.as_secs_f64(), length.as_secs_f64());
+        let (from, until) = match self.span {
+            Some((from, until)) => (warm_up + from, warm_up + until.min(length)),
+            None => (0.0, warm_up + length),
+        };
         let mut planned = Vec::new();
-        let rate = self.rate + self.large_rate;
-        let mut at = 0.0;
+        let mut at = from;
         loop {
-            at += -(1.0 - unit(rng)).ln() / rate;
-            if at >= length.as_secs_f64() {
+            at += -(1.0 - unit(rng)).ln() / self.rate;
+            if at >= until {
                 return planned;
             }
-            let large = unit(rng) * rate >= self.rate;
-            let organisation = if large {
-                "large".to_string()
-            } else {
-                format!("organisation-{}", rng.below(self.organisations))
+            let organisation = match &self.organisation {
+                Some(organisation) => organisation.clone(),
+                None => format!("organisation-{}", rng.below(self.organisations)),
             };
             let call = self.call(&organisation, rng);
             planned.push(PlannedCall { at: Duration::from_secs_f64(at), call });
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -23,6 +23,7 @@
 
 use crate::model::BearingModel;
 use crate::model::BearingSettings;
+use crate::model::note_overrun;
 use crate::server::AnswerFuture;
 use crate::server::StandinRequest;
 use crate::server::StandinService;
@@ -154,6 +155,7 @@
         }
         drop(state);
         if overrun {
+            note_overrun();
             self.crash();
             return None;
         }
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -175,9 +175,7 @@
     /// Starts all planned processes and waits until they are ready.
     pub fn launch(&self) -> eyre::Result<()> {
         self.list_vms()?;
-        for server in &self.servers {
-            self.start_backend(server)?;
-        }
+        self.launch_backends()?;
         for entry in &self.entries {
             self.start_entry(entry)?;
         }
@@ -194,12 +192,28 @@
         Ok(())
     }
 
+    /// Starts all planned backend servers and waits until they answer.
+    pub fn launch_backends(&self) -> eyre::Result<()> {
+        for server in &self.servers {
+            self.start_backend(server)?;
+        }
+        for server in &self.servers {
+            let answers = || http_json("GET", &server.backend, "/healthz", None).is_ok();
+            self.wait(&backend_id(&server.id), answers)?;
+        }
+        Ok(())
+    }
+
     /// Starts the stand-in of a backend server.
     pub fn start_backend(&self, server: &ServerPlan) -> eyre::Result<()> {
         let listen = server.backend.to_string();
         let mut arguments = vec![server.kind, "--listen", &listen];
         arguments.extend(server.arguments.iter().map(String::as_str));
-        self.spawn(&format!("{}-backend", server.id), "standin", &arguments)
+        let ledger = self.ledger_path().display().to_string();
+        if server.kind == "booking" {
+            arguments.extend(["--ledger", &ledger]);
+        }
+        self.spawn(&backend_id(&server.id), "standin", &arguments)
     }
 
     /// Starts the agent of a backend server.
@@ -323,9 +337,33 @@
         self.folder.join(format!("{id}.jsonl"))
     }
 
-    /// Folder of settings and logs.
-    pub fn folder(&self) -> &Path {
-        &self.folder
+    /// Path of the file in which booking services note their runs.
+    pub fn ledger_path(&self) -> PathBuf {
+        self.folder.join("ledger.txt")
+    }
+
+    /// Ids of a zone's processes: entries, then agents, then backend servers.
+    pub fn zone_processes(&self, zone: &str) -> Vec<String> {
+        let entries = self.entries.iter().filter(|entry| entry.zone == zone);
+        let servers: Vec<&ServerPlan> =
+            self.servers.iter().filter(|server| server.zone == zone).collect();
+        entries
+            .map(|entry| entry.id.clone())
+            .chain(servers.iter().map(|server| server.id.clone()))
+            .chain(servers.iter().map(|server| backend_id(&server.id)))
+            .collect()
+    }
+
+    /// Starts a zone's processes again.
+    pub fn start_zone(&self, zone: &str) -> eyre::Result<()> {
+        for server in self.servers.iter().filter(|server| server.zone == zone) {
+            self.start_backend(server)?;
+            self.start_agent(server)?;
+        }
+        for entry in self.entries.iter().filter(|entry| entry.zone == zone) {
+            self.start_entry(entry)?;
+        }
+        Ok(())
     }
 
     /// Stops every process and reads the daemons' logs first.
@@ -359,6 +397,11 @@
     }
 }
 
+/// Id of the stand-in process of a backend server.
+pub fn backend_id(server: &str) -> String {
+    format!("{server}-backend")
+}
+
 fn lock(children: &ChildTable) -> std::sync::MutexGuard<'_, BTreeMap<String, Child>> {
     children.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -100,6 +100,16 @@
     }
 }
 
+impl LoadCall {
+    /// Name of a booking; `None` for a prompt.
+    pub fn booking_name(&self) -> Option<&str> {
+        if self.tokens.is_some() {
+            return None;
+        }
+        std::str::from_utf8(&self.body).ok()?.split('"').nth(3)
+    }
+}
+
 /// Sends a request to `address` and reads its answer to the end.
 pub async fn send_call(address: SocketAddr, call: &LoadCall) -> CallReport {
     let started = Instant::now();
--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -1,5 +1,6 @@
 //! What a stand-in backend server bears: a hidden curve from cold to warm.
 
+use std::io::Write;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -19,6 +20,14 @@
     pub base: Duration,
 }
 
+/// Line that a stand-in writes when it gets more than it bears.
+pub const OVERRUN_LINE: &str = "overrun";
+
+/// Writes [`OVERRUN_LINE`] to standard output, for the drill to count.
+pub fn note_overrun() {
+    let _ = writeln!(std::io::stdout(), "{OVERRUN_LINE}");
+}
+
 /// What the server bears now.
 #[derive(Debug, Clone)]
 pub struct BearingModel {
