Raise the limit only from windows that use it

Its limit had risen from windows in which 10 were in flight; the pace at 17 was extrapolated from noise. Ruled out: a stampede (the agent's count was 17), cold (warm for 20 s). Change: a rise needs 0.8 of the limit in use over the whole window, and takes the worse of two windows.

--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -32,8 +32,9 @@
 const PACE_NOISE: Duration = Duration::from_millis(4);
 /// Limit of a server whose pace has never been seen.
 const UNKNOWN_LIMIT: u32 = 1;
-/// Share of the limit that must be in use for a rise to be earned.
-const USED_SHARE: f64 = 0.75;
+/// Share of the limit that must be in use over a window for a rise: from little
+/// use the pace at the limit cannot be told.
+const USED_SHARE: f64 = 0.8;
 /// Silence of a server with work in flight after which it counts as stalled.
 const STALL_AFTER: Duration = Duration::from_secs(2);
 
@@ -60,7 +61,7 @@
     settings: LimitSettings,
     limit: f64,
     in_flight: u32,
-    peak: u32,
+    last_ratio: f64,
     best: Option<Duration>,
     recent: Option<Duration>,
     window_start: Duration,
@@ -79,7 +80,7 @@
             settings,
             limit: f64::from(settings.floor),
             in_flight: 0,
-            peak: 0,
+            last_ratio: 1.0,
             best: None,
             recent: None,
             window_start: Duration::ZERO,
@@ -101,7 +102,6 @@
             self.last_sign = now;
         }
         self.in_flight += 1;
-        self.peak = self.peak.max(self.in_flight);
         assert!(self.in_flight <= self.settings.ceiling, "admitted above the ceiling");
         true
     }
@@ -182,8 +182,9 @@
         if ratio > FALL_ABOVE || mean > self.settings.pace_target {
             self.fall();
         } else {
-            self.rise(now, ratio, load);
+            self.rise(now, ratio.max(self.last_ratio), load);
         }
+        self.last_ratio = ratio;
         self.open_window(now);
     }
 
@@ -202,7 +203,7 @@
     /// The part of the pace above the best is taken to grow with the square of
     /// what is in flight.
     fn rise(&mut self, now: Duration, ratio: f64, load: f64) {
-        let used = f64::from(self.peak) >= self.limit.floor() * USED_SHARE;
+        let used = load >= self.limit.floor() * USED_SHARE;
         if !used || now < self.last_rise + RISE_INTERVAL {
             return;
         }
@@ -214,12 +215,10 @@
         }
         self.limit = raised;
         self.last_rise = now;
-        self.peak = self.in_flight;
     }
 
     fn fall(&mut self) {
         self.limit = (self.limit * FALL_FACTOR).max(f64::from(self.settings.floor));
-        self.peak = self.in_flight;
     }
 
     fn open_window(&mut self, now: Duration) {
--- a/crates/standins/src/drills/evidence.rs
+++ b/crates/standins/src/drills/evidence.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 
 use cuminpick::clock::stamp_millis;
 use cuminpick::journal::JournalLine;
@@ -24,6 +25,7 @@
 pub struct FleetEvidence {
     lines: BTreeMap<String, Vec<JournalLine>>,
     zones: BTreeMap<String, String>,
+    entries: BTreeMap<SocketAddr, String>,
     ledger: BTreeMap<String, u32>,
     overruns: usize,
 }
@@ -49,7 +51,8 @@
         for booking in text.lines() {
             *ledger.entry(booking.to_string()).or_insert(0) += 1;
         }
-        FleetEvidence { lines, zones, ledger, overruns }
+        let entries = fleet.entries.iter().map(|entry| (entry.callers, entry.id.clone())).collect();
+        FleetEvidence { lines, zones, entries, ledger, overruns }
     }
 
     /// Times that a backend server got more than it bears.
@@ -121,6 +124,32 @@
         longest
     }
 
+    /// Answers cut though the entry that they went through was not killed.
+    pub fn cut_elsewhere(&self, records: &[CallRecord], faults: &FaultRecord) -> usize {
+        let cut = records.iter().filter(|r| r.report.outcome == CallOutcome::Cut);
+        cut.filter(|record| {
+            let entry = self.entries.get(&record.address);
+            !faults.absent.iter().any(|span| Some(&span.process) == entry)
+        })
+        .count()
+    }
+
+    /// Requests of unknown outcome though the server that they were sent to was
+    /// not killed.
+    pub fn unknown_elsewhere(&self, records: &[CallRecord], faults: &FaultRecord) -> usize {
+        let unknown = records.iter().filter(|r| r.report.outcome == CallOutcome::RefusedUnknown);
+        unknown
+            .filter(|record| {
+                let request = Some(&record.report.request_id);
+                let lines = self.lines.values().flatten();
+                let mut sent = lines
+                    .filter(|line| line.event == "sent" && line.request.as_ref() == request)
+                    .filter_map(|line| line.details["server"].as_str());
+                !sent.any(|server| faults.absent.iter().any(|span| span.process == server))
+            })
+            .count()
+    }
+
     /// Attempts that went on from an earlier attempt's events.
     pub fn resumed(&self) -> usize {
         let lines = self.lines.values().flatten();
--- a/crates/standins/src/drills/service.rs
+++ b/crates/standins/src/drills/service.rs
@@ -167,6 +167,8 @@
         "refused": outcome(all, CallOutcome::RefusedNotRun),
         "unknown": unknown(all),
         "cut": outcome(all, CallOutcome::Cut) + cut_answers(all),
+        "cut_elsewhere": evidence.cut_elsewhere(all, &result.faults),
+        "unknown_elsewhere": evidence.unknown_elsewhere(all, &result.faults),
         "wrong_answers": outcome(all, CallOutcome::Wrong),
         "doubled": evidence.doubled(),
         "lost": evidence.lost(all),
--- a/crates/standins/src/drills/traffic.rs
+++ b/crates/standins/src/drills/traffic.rs
@@ -25,6 +25,8 @@
     pub at: Duration,
     /// Request.
     pub call: LoadCall,
+    /// Where it was sent.
+    pub address: SocketAddr,
     /// Report.
     pub report: CallReport,
 }
@@ -42,7 +44,7 @@
         let address = target(number, &planned.call);
         calls.spawn(async move {
             let report = send_call(address, &planned.call).await;
-            let record = CallRecord { at: planned.at, call: planned.call, report };
+            let record = CallRecord { at: planned.at, call: planned.call, address, report };
             records.lock().unwrap_or_else(PoisonError::into_inner).push(record);
         });
     }
