Leave room for organisations within their part; measure overload

Ruled out: the order of the queue (its test serves others every second turn).

Change: an organisation above its equal part fills servers to 0.9 of their limit, one place at least left free, at the entry's choice and at the agent; its refused attempts wait and leave the retry budget to others; a full server is not passed over for everybody. Prompts of the drills differ in their first bytes.

What is left looks like old knowledge: an entry hears of a place that came free only on its own streams and once a second.

--- a/crates/agent/src/decide.rs
+++ b/crates/agent/src/decide.rs
@@ -24,6 +24,7 @@
 use cuminpick::ids::ObjectVersion;
 use cuminpick::ids::RequestId;
 use cuminpick::member::MemberRecord;
+use cuminpick::share::FillPercent;
 use cuminpick_operators::journal::Journal;
 use cuminpick_operators::metrics::Metrics;
 use serde_json::Value;
@@ -97,8 +98,14 @@
     }
 
     /// Offers an attempt of `class`.
-    pub fn offer(&self, request: RequestId, attempt: AttemptNumber, class: &str) -> OfferAnswer {
-        self.lock().offer(request, attempt, class)
+    pub fn offer(
+        &self,
+        request: RequestId,
+        attempt: AttemptNumber,
+        class: &str,
+        fill: FillPercent,
+    ) -> OfferAnswer {
+        self.lock().offer(request, attempt, class, fill)
     }
 
     /// Hands in an event that is not an offer.
@@ -167,9 +174,15 @@
 }
 
 impl DecideState {
-    fn offer(&mut self, request: RequestId, attempt: AttemptNumber, class: &str) -> OfferAnswer {
+    fn offer(
+        &mut self,
+        request: RequestId,
+        attempt: AttemptNumber,
+        class: &str,
+        fill: FillPercent,
+    ) -> OfferAnswer {
         let now = self.clock.elapsed();
-        let actions = self.core.step(now, AgentEvent::Offered { request, attempt });
+        let actions = self.core.step(now, AgentEvent::Offered { request, attempt, fill });
         let repeatable = self.core.config().class(class).is_some_and(|target| target.repeatable);
         let answer = actions.iter().find_map(|action| offer_answer(action, repeatable));
         answer.unwrap_or(OfferAnswer::Refused(AgentRefusal::NotReady, RETRY_AFTER))
--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -77,7 +77,7 @@
         context.journal.merge(run.clock);
         let request_id = format!("{:016x}", run.request);
         let (frames, stream) = mpsc::channel(FRAME_RING);
-        match context.decider.offer(run.request, run.attempt, &run.class_name) {
+        match context.decider.offer(run.request, run.attempt, &run.class_name, run.fill_percent) {
             OfferAnswer::Admitted { repeatable } => {
                 let details = o!("attempt" => run.attempt, "entry" => run.entry.clone());
                 context.journal.note("admitted", Some(&request_id), details);
--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -15,6 +15,8 @@
 use crate::limit::LimitSettings;
 use crate::member::MemberRecord;
 use crate::member::MemberState;
+use crate::share::FillPercent;
+use crate::share::filled_limit;
 
 /// When an entry may ask again after a refusal.
 const RETRY_AFTER: Duration = Duration::from_millis(200);
@@ -73,6 +75,8 @@
         request: RequestId,
         /// Attempt offered.
         attempt: AttemptNumber,
+        /// Part of the limit up to which it may fill the backend server.
+        fill: FillPercent,
     },
     /// Time between two tokens, or the time of a plain answer.
     Paced(Duration),
@@ -159,7 +163,9 @@
     /// Takes an event in and returns what has to be done.
     pub fn step(&mut self, now: Duration, event: AgentEvent) -> Vec<AgentAction> {
         match event {
-            AgentEvent::Offered { request, attempt } => vec![self.offer(now, request, attempt)],
+            AgentEvent::Offered { request, attempt, fill } => {
+                vec![self.offer(now, request, attempt, fill)]
+            }
             AgentEvent::Paced(pace) => {
                 self.limit.observe(now, pace);
                 Vec::new()
@@ -202,12 +208,18 @@
         self.reachable && !self.config.is_empty() && self.facts.member.state == MemberState::Live
     }
 
-    fn offer(&mut self, now: Duration, request: RequestId, attempt: AttemptNumber) -> AgentAction {
+    fn offer(
+        &mut self,
+        now: Duration,
+        request: RequestId,
+        attempt: AttemptNumber,
+        fill: FillPercent,
+    ) -> AgentAction {
         let key = (request, attempt);
         let reason = match self.closed(now) {
             Some(reason) => reason,
             None if self.running.contains_key(&key) => AgentRefusal::Repeated,
-            None if !self.limit.try_admit(now) => AgentRefusal::Full,
+            None if !self.has_room(fill) || !self.limit.try_admit(now) => AgentRefusal::Full,
             None => {
                 self.running.insert(key, self.boots);
                 assert_eq!(self.running.len(), self.limit.in_flight() as usize, "miscounted");
@@ -217,6 +229,10 @@
         AgentAction::Refuse { reason, retry_after: RETRY_AFTER }
     }
 
+    fn has_room(&self, fill: FillPercent) -> bool {
+        self.limit.in_flight() < filled_limit(self.limit.limit(), fill)
+    }
+
     fn closed(&self, now: Duration) -> Option<AgentRefusal> {
         let member = &self.facts.member;
         if member.state != MemberState::Live {
--- a/crates/core/src/choose.rs
+++ b/crates/core/src/choose.rs
@@ -13,6 +13,8 @@
 use crate::ids::ServiceName;
 use crate::ids::ZoneName;
 use crate::ids::hash_parts;
+use crate::share::FillPercent;
+use crate::share::filled_limit;
 
 /// Candidates by rendezvous hash.
 const HASHED_CANDIDATES: usize = 2;
@@ -63,6 +65,8 @@
     pub prefix: u64,
     /// Servers that this request must not go to again.
     pub excluded: &'a [ServerId],
+    /// Part of their limits up to which servers may be filled.
+    pub fill: FillPercent,
 }
 
 /// Outcome of a choice.
@@ -265,14 +269,14 @@
         };
         let hashed = self.hashed_candidates(list, query.prefix, usable);
         for &index in &hashed {
-            if self.load_with_one_more(index) <= BOUNDED_LOAD {
+            if self.load_with_one_more(index, query.fill) <= BOUNDED_LOAD {
                 return Some(index);
             }
         }
         let random = (0..RANDOM_CANDIDATES.min(list.len())).map(|_| list[rng.below(list.len())]);
         let sampled = hashed.iter().copied().chain(random.filter(usable));
-        let best = self.least_loaded(sampled);
-        best.or_else(|| self.least_loaded(list.iter().copied().filter(usable)))
+        let best = self.least_loaded(sampled, query.fill);
+        best.or_else(|| self.least_loaded(list.iter().copied().filter(usable), query.fill))
     }
 
     fn hashed_candidates(
@@ -295,19 +299,24 @@
     }
 
     /// Returns the candidate that is least loaded with one more, if it has room.
-    fn least_loaded(&self, candidates: impl Iterator<Item = usize>) -> Option<usize> {
+    fn least_loaded(
+        &self,
+        candidates: impl Iterator<Item = usize>,
+        fill: FillPercent,
+    ) -> Option<usize> {
         candidates
-            .map(|index| (self.load_with_one_more(index), index))
+            .map(|index| (self.load_with_one_more(index, fill), index))
             .filter(|&(load, _)| load <= 1.0)
             .min_by(|left, right| left.0.total_cmp(&right.0))
             .map(|(_, index)| index)
     }
 
-    fn load_with_one_more(&self, index: usize) -> f64 {
+    fn load_with_one_more(&self, index: usize, fill: FillPercent) -> f64 {
         let Some(slot) = self.slot(index) else {
             return f64::INFINITY;
         };
         let limit = if slot.reported.is_some() { slot.report.limit } else { ASSUMED_LIMIT };
+        let limit = filled_limit(limit, fill);
         let known = slot.report.in_flight + slot.sent_since;
         let in_flight = known.max(slot.outstanding);
         if limit == 0 {
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -33,6 +33,9 @@
 use crate::queue::WaitingRequest;
 use crate::refusal::Refusal;
 use crate::refusal::RefusalKind;
+use crate::share::FillPercent;
+use crate::share::ShareTable;
+use crate::share::WHOLE_FILL;
 
 /// Most attempts of one request.
 const MAX_ATTEMPTS: AttemptNumber = 12;
@@ -80,7 +83,12 @@
     /// A caller's request came in whole.
     Arrived(Arrival),
     /// An agent refused an attempt, or could not be reached with it.
-    TurnedAway(RequestId),
+    TurnedAway {
+        /// Request of the attempt.
+        request: RequestId,
+        /// Whether the backend server is full and otherwise well.
+        full: bool,
+    },
     /// An attempt's answer is complete.
     Completed(RequestId),
     /// An attempt failed after the request may have reached the backend server.
@@ -129,6 +137,8 @@
         server: ServerId,
         /// Address of its agent.
         address: String,
+        /// Part of its limit up to which the server may be filled.
+        fill: FillPercent,
     },
     /// Give the caller its final refusal.
     Refuse {
@@ -178,6 +188,7 @@
     gossip: GossipCore,
     queues: FastMap<ServiceName, FairQueue>,
     rates: FastMap<ServiceName, PlacementRate>,
+    shares: FastMap<ServiceName, ShareTable>,
     budget: RetryBudget,
     requests: FastMap<RequestId, RequestState>,
     rng: ChoiceRng,
@@ -205,6 +216,7 @@
             routes: RouteTable::default(),
             queues: FastMap::default(),
             rates: FastMap::default(),
+            shares: FastMap::default(),
             budget: RetryBudget::default(),
             requests: FastMap::default(),
             draining: false,
@@ -216,7 +228,9 @@
         let mut actions = Vec::new();
         match event {
             EntryEvent::Arrived(arrival) => self.arrive(now, arrival, &mut actions),
-            EntryEvent::TurnedAway(request) => self.turn_away(now, request, &mut actions),
+            EntryEvent::TurnedAway { request, full } => {
+                self.turn_away(now, request, full, &mut actions);
+            }
             EntryEvent::Completed(request) => self.complete(now, request, &mut actions),
             EntryEvent::Broke { request, resumable } => {
                 self.break_off(now, request, resumable, &mut actions);
@@ -327,7 +341,9 @@
         let earlier_waiting =
             state.attempt == 0 && self.queues.get(&state.service).is_some_and(|q| !q.is_empty());
         if earlier_waiting {
+            let service = state.service.clone();
             self.enqueue(now, request, actions);
+            self.pump(now, &service, actions);
             return;
         }
         match self.choose(now, request) {
@@ -351,10 +367,17 @@
             zone: &self.facts.member.zone,
             prefix: state.arrival.prefix,
             excluded: &state.excluded,
+            fill: self.fill(state),
         };
         self.routes.choose(now, &query, &mut self.rng)
     }
 
+    /// Part of their limits up to which a request may fill servers.
+    fn fill(&self, state: &RequestState) -> FillPercent {
+        let shares = self.shares.get(&state.service);
+        shares.map_or(WHOLE_FILL, |shares| shares.fill(&state.arrival.organisation))
+    }
+
     fn send(
         &mut self,
         now: Duration,
@@ -365,6 +388,7 @@
         let Some(address) = self.routes.address(&server).map(str::to_string) else {
             return;
         };
+        let fill = self.requests.get(&request).map_or(WHOLE_FILL, |state| self.fill(state));
         let Some(state) = self.requests.get_mut(&request) else {
             return;
         };
@@ -373,8 +397,10 @@
         state.server = Some(server.clone());
         let attempt = state.attempt;
         self.rates.entry(state.service.clone()).or_default().count_one(now);
+        let shares = self.shares.entry(state.service.clone()).or_default();
+        shares.add(&state.arrival.organisation);
         self.routes.note_sent(&server);
-        actions.push(EntryAction::Send { request, attempt, server, address });
+        actions.push(EntryAction::Send { request, attempt, server, address, fill });
     }
 
     fn enqueue(&mut self, now: Duration, request: RequestId, actions: &mut Vec<EntryAction>) {
@@ -397,18 +423,28 @@
     }
 
     /// Places waiting requests of a service while there is room.
+    ///
+    /// An organisation that may not fill servers up is passed over when what it
+    /// may fill is full; others behind it are placed all the same.
     fn pump(&mut self, now: Duration, service: &str, actions: &mut Vec<EntryAction>) {
-        while let Some((request, give_up)) = self.queues.get_mut(service).and_then(FairQueue::pop) {
+        let mut passed: Vec<OrganisationName> = Vec::new();
+        while let Some((request, give_up)) =
+            self.queues.get_mut(service).and_then(|queue| queue.pop_except(&passed))
+        {
             match self.choose(now, request) {
                 ServerChoice::Chosen(server) => self.send(now, request, server, actions),
                 ServerChoice::Full => {
                     let state = &self.requests[&request];
+                    let organisation = state.arrival.organisation.clone();
+                    let crowded = self.fill(state) < WHOLE_FILL;
                     let waiting = WaitingRequest { request, give_up };
-                    let organisation = &state.arrival.organisation;
                     if let Some(queue) = self.queues.get_mut(service) {
-                        queue.push_back_first(state.priority, organisation, waiting);
+                        queue.push_back_first(state.priority, &organisation, waiting);
                     }
-                    return;
+                    if !crowded {
+                        return;
+                    }
+                    passed.push(organisation);
                 }
                 ServerChoice::None => {
                     let state = &self.requests[&request];
@@ -420,11 +456,19 @@
         }
     }
 
-    fn turn_away(&mut self, now: Duration, request: RequestId, actions: &mut Vec<EntryAction>) {
+    fn turn_away(
+        &mut self,
+        now: Duration,
+        request: RequestId,
+        full: bool,
+        actions: &mut Vec<EntryAction>,
+    ) {
         let Some(server) = self.end_attempt(request) else {
             return;
         };
-        self.routes.avoid(now, &server);
+        if !full {
+            self.routes.avoid(now, &server);
+        }
         let Some(state) = self.requests.get_mut(&request) else {
             return;
         };
@@ -433,7 +477,11 @@
             let retry = Some(DEFAULT_RETRY_AFTER);
             let refusal = not_run_or_cut(state, RefusalKind::Overloaded, retry);
             self.refuse(request, refusal, actions);
-        } else if self.budget.withdraw() {
+            return;
+        }
+        // What crowds others out waits, and leaves the budget to them.
+        let crowds = self.fill(&self.requests[&request]) < WHOLE_FILL;
+        if !crowds && self.budget.withdraw() {
             self.place(now, request, actions);
         } else {
             self.enqueue(now, request, actions);
@@ -494,7 +542,11 @@
     }
 
     fn end_attempt(&mut self, request: RequestId) -> Option<ServerId> {
-        let server = self.requests.get_mut(&request)?.server.take()?;
+        let state = self.requests.get_mut(&request)?;
+        let server = state.server.take()?;
+        if let Some(shares) = self.shares.get_mut(&state.service) {
+            shares.remove(&state.arrival.organisation);
+        }
         self.routes.note_ended(&server);
         Some(server)
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,7 +9,8 @@
 //! - [`config`] holds what operators state: class targets and take-outs.
 //! - [`member`] knows the backend servers and entries, [`gossip`] spreads changes.
 //! - [`entry`] decides for an entry: it queues a request ([`queue`]), picks a
-//!   backend server ([`choose`]) and retries within a budget ([`budget`]).
+//!   backend server ([`choose`]), leaves room for others ([`share`]) and retries
+//!   within a budget ([`budget`]).
 //! - [`agent`] decides beside a backend server, with the limit from [`limit`].
 //! - [`answer`] checks that the frames of an answer belong together.
 //! - [`refusal`] names every way in which a request is turned down.
@@ -45,4 +46,5 @@
 pub mod refusal;
 pub mod replay;
 pub mod settings;
+pub mod share;
 pub mod watcher;
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -74,8 +74,16 @@
 
     /// Takes the request that is served next.
     pub fn pop(&mut self) -> Option<(RequestId, Duration)> {
-        let (&priority, level) = self.levels.iter_mut().next_back()?;
-        let name = next_line(level)?;
+        self.pop_except(&[])
+    }
+
+    /// Takes the request that is served next, passing over some organisations.
+    pub fn pop_except(&mut self, passed: &[OrganisationName]) -> Option<(RequestId, Duration)> {
+        let levels = self.levels.iter().rev();
+        let mut choices =
+            levels.filter_map(|(priority, level)| Some((*priority, next_line(level, passed)?)));
+        let (priority, name) = choices.next()?;
+        let level = self.levels.get_mut(&priority)?;
         let line = level.lines.get_mut(&name)?;
         let waiting = line.waiting.pop_front()?;
         level.virtual_time = line.served;
@@ -143,11 +151,11 @@
     }
 }
 
-fn next_line(level: &PriorityLevel) -> Option<OrganisationName> {
+fn next_line(level: &PriorityLevel, passed: &[OrganisationName]) -> Option<OrganisationName> {
     level
         .lines
         .iter()
-        .filter(|(_, line)| !line.waiting.is_empty())
+        .filter(|(name, line)| !line.waiting.is_empty() && !passed.contains(name))
         .min_by(|left, right| (left.1.served, left.0).cmp(&(right.1.served, right.0)))
         .map(|(name, _)| name.clone())
 }
--- a/crates/core/tests/entry_schedules.rs
+++ b/crates/core/tests/entry_schedules.rs
@@ -23,6 +23,7 @@
 use cuminpick::member::MemberState;
 use cuminpick::refusal::RanState;
 use cuminpick::refusal::Refusal;
+use cuminpick::share::FillPercent;
 
 use crate::support::schedules;
 
@@ -48,6 +49,7 @@
     attempt: u32,
     agent: usize,
     running: bool,
+    fill: FillPercent,
     boots: u32,
 }
 
@@ -141,7 +143,7 @@
     fn feed(&mut self, entry: usize, event: EntryEvent) {
         for action in self.entries[entry].step(self.now, event) {
             match action {
-                EntryAction::Send { request, attempt, server, .. } => {
+                EntryAction::Send { request, attempt, server, fill, .. } => {
                     let agent: usize = server[1..].parse().unwrap();
                     let flying = FlyingAttempt {
                         entry,
@@ -149,6 +151,7 @@
                         attempt,
                         agent,
                         running: false,
+                        fill,
                         boots: self.boots[agent],
                     };
                     self.flying.push(flying);
@@ -211,7 +214,8 @@
         let agent = &mut self.agents[flying.agent];
         let zone_in = agent.config().zone_in(&agent.member().zone);
         let before = agent.load(self.now);
-        let actions = agent.step(self.now, AgentEvent::Offered { request, attempt });
+        let actions =
+            agent.step(self.now, AgentEvent::Offered { request, attempt, fill: flying.fill });
         if actions.contains(&AgentAction::Admit) {
             assert!(zone_in, "admitted in a zone that is out");
             assert!(before.in_flight < before.limit, "admitted above the limit");
@@ -222,7 +226,8 @@
             self.flying[index].boots = self.boots[flying.agent];
         } else {
             self.flying.remove(index);
-            self.feed(flying.entry, EntryEvent::TurnedAway(request));
+            let full = self.rng.below(2) == 0;
+            self.feed(flying.entry, EntryEvent::TurnedAway { request, full });
         }
     }
 
@@ -374,7 +379,7 @@
 #[test]
 fn long_schedule() {
     let mut world = FaultWorld::new(7);
-    for _ in 0..20_000 {
+    for _ in 0..60_000 {
         let kind = world.rng.below(16) as u8;
         world.step(kind);
     }
--- a/crates/entry/src/decide.rs
+++ b/crates/entry/src/decide.rs
@@ -32,6 +32,7 @@
 use cuminpick::member::rendezvous;
 use cuminpick::refusal::Refusal;
 use cuminpick::replay::TraceLine;
+use cuminpick::share::FillPercent;
 use cuminpick::watcher::is_watcher;
 use cuminpick_operators::journal::Journal;
 use cuminpick_operators::metrics::Metrics;
@@ -58,6 +59,8 @@
         server: ServerId,
         /// Address of its agent.
         address: String,
+        /// Part of its limit up to which the server may be filled.
+        fill: FillPercent,
     },
     /// Give the caller its final refusal.
     Refuse(Refusal),
@@ -229,8 +232,8 @@
 
     fn carry_out(&mut self, action: EntryAction) {
         match action {
-            EntryAction::Send { request, attempt, server, address } => {
-                let verdict = Verdict::Send { attempt, server, address };
+            EntryAction::Send { request, attempt, server, address, fill } => {
+                let verdict = Verdict::Send { attempt, server, address, fill };
                 if let Some(verdicts) = self.verdicts.get(&request) {
                     let _ = verdicts.try_send(verdict);
                 }
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use cuminpick::agent::AgentRefusal;
 use cuminpick::answer::AnswerCheck;
 use cuminpick::answer::FrameVerdict;
 use cuminpick::clock::Clock;
@@ -18,6 +19,8 @@
 use cuminpick::ids::hash_parts;
 use cuminpick::refusal::Refusal;
 use cuminpick::refusal::RefusalKind;
+use cuminpick::share::FillPercent;
+use cuminpick::share::WHOLE_FILL;
 use cuminpick_callers::AnswerBody;
 use cuminpick_callers::AnswerPiece;
 use cuminpick_callers::CallerAnswer;
@@ -125,7 +128,7 @@
     /// The answer is complete.
     Completed,
     /// The agent refused, or could not be reached; nothing ran.
-    TurnedAway,
+    TurnedAway { full: bool },
     /// The attempt failed after it may have run.
     Broke { resumable: bool },
     /// The caller went away.
@@ -157,6 +160,7 @@
     call: CallerRequest,
     check: AnswerCheck,
     sink: AnswerSink,
+    fill: FillPercent,
     arrived: Duration,
     connected: Duration,
     accepted: Duration,
@@ -181,6 +185,7 @@
             call,
             check,
             sink,
+            fill: WHOLE_FILL,
             arrived,
             connected: Duration::ZERO,
             accepted: Duration::ZERO,
@@ -207,7 +212,8 @@
                 }
             };
             let ended = match verdict {
-                Some(Verdict::Send { attempt, server, address }) => {
+                Some(Verdict::Send { attempt, server, address, fill }) => {
+                    self.fill = fill;
                     self.attempt(attempt, server, address).await
                 }
                 Some(Verdict::Refuse(refusal)) => {
@@ -243,7 +249,9 @@
         let request = self.request;
         let (outcome, event, ended) = match end {
             AttemptEnd::Completed => ("completed", EntryEvent::Completed(request), true),
-            AttemptEnd::TurnedAway => ("turned-away", EntryEvent::TurnedAway(request), false),
+            AttemptEnd::TurnedAway { full } => {
+                ("turned-away", EntryEvent::TurnedAway { request, full }, false)
+            }
             AttemptEnd::Broke { resumable } => {
                 ("broke", EntryEvent::Broke { request, resumable }, false)
             }
@@ -271,7 +279,7 @@
 
     async fn run_attempt(&mut self, server: &ServerId, address: &str) -> AttemptEnd {
         let Ok(channel) = self.context.pool.connect(address).await else {
-            return AttemptEnd::TurnedAway;
+            return AttemptEnd::TurnedAway { full: false };
         };
         self.connected = self.since_arrival();
         let mut client = AgentClient::new(channel).max_decoding_message_size(MAX_FRAME_BYTES);
@@ -306,7 +314,7 @@
             body: self.call.body.to_vec(),
             resume_after: self.check.delivered(),
             deadline_ms: left.map_or(0, |left| left.as_millis() as u64),
-            priority: 0,
+            fill_percent: self.fill,
             clock: self.context.journal.stamp(),
             entry: self.context.entry.clone(),
         }
@@ -354,9 +362,10 @@
                 None
             }
             Some(FrameBody::Refused(refused)) => {
+                let full = refused.reason == AgentRefusal::Full.name();
                 let details = o!("reason" => refused.reason);
                 self.context.journal.note("turned-away", Some(&self.request_id), details);
-                Some(AttemptEnd::TurnedAway)
+                Some(AttemptEnd::TurnedAway { full })
             }
             Some(FrameBody::Head(head)) => {
                 self.take_head(head, whole);
@@ -367,7 +376,9 @@
                 self.finish(whole.take());
                 Some(AttemptEnd::Completed)
             }
-            Some(FrameBody::Failed(failed)) if failed.not_run => Some(AttemptEnd::TurnedAway),
+            Some(FrameBody::Failed(failed)) if failed.not_run => {
+                Some(AttemptEnd::TurnedAway { full: false })
+            }
             Some(FrameBody::Failed(_)) | None => Some(AttemptEnd::Broke { resumable: true }),
         }
     }
--- a/crates/standins/src/bin/drill.rs
+++ b/crates/standins/src/bin/drill.rs
@@ -28,7 +28,7 @@
         .argument::<f64>("S")
         .optional();
     let options = bpaf::construct!(DrillOptions { seed, seconds });
-    let name = bpaf::positional::<String>("NAME").help("path, zone, vanish or overload");
+    let name = bpaf::positional::<String>("NAME").help("path, zone, vanish, overload or capacity");
     bpaf::construct!(options, name)
         .to_options()
         .descr("Runs a scenario over real processes and prints its figures as JSON.")
--- a/crates/standins/src/drills/mod.rs
+++ b/crates/standins/src/drills/mod.rs
@@ -1,6 +1,7 @@
 //! Drills: a scenario over real processes, and the figures that it gives.
 
 pub mod balancer;
+pub mod capacity;
 pub mod evidence;
 pub mod faults;
 pub mod path;
@@ -30,6 +31,7 @@
     let length = Duration::from_secs_f64(seconds);
     let mut figures = match name {
         "path" => path::run(&scenario, options.seed, length)?,
+        "capacity" => capacity::run(&scenario, length)?,
         other => service::run(&scenario, other, options.seed, length)?,
     };
     figures["drill"] = Value::from(name);
--- a/crates/standins/src/drills/scenario.rs
+++ b/crates/standins/src/drills/scenario.rs
@@ -25,6 +25,12 @@
     /// Part in which the fault is felt: start and end, in seconds.
     #[serde(default)]
     pub during: (f64, f64),
+    /// Part before it that it is compared with; all before it without this.
+    #[serde(default)]
+    pub before: Option<(f64, f64)>,
+    /// Part in which equal organisations ask for more than there is.
+    #[serde(default)]
+    pub capacity: Option<(f64, f64)>,
     /// Seconds from the end of that part until service counts as after it.
     #[serde(default)]
     pub settle: f64,
@@ -149,6 +155,7 @@
     pub fn named(name: &str) -> eyre::Result<Scenario> {
         let text = match name {
             "path" => include_str!("../../scenarios/path.toml"),
+            "capacity" => include_str!("../../scenarios/capacity.toml"),
             "zone" => include_str!("../../scenarios/zone.toml"),
             "vanish" => include_str!("../../scenarios/vanish.toml"),
             "overload" => include_str!("../../scenarios/overload.toml"),
@@ -276,7 +283,7 @@
         let number = rng.next_bits();
         match self.tokens {
             Some(tokens) => {
-                let prefix = format!("{:0256}", rng.below(self.prefixes));
+                let prefix = format!("{:08}", rng.below(self.prefixes)).repeat(32);
                 let prompt = format!("{prefix} {number:016x}");
                 LoadCall::prompt(&self.class, organisation, &prompt, tokens)
             }
--- a/crates/standins/src/drills/service.rs
+++ b/crates/standins/src/drills/service.rs
@@ -154,7 +154,8 @@
         all.iter().filter(inside).cloned().collect()
     };
     let (begin, end) = scenario.during;
-    let before = within(0.0, begin);
+    let (before_begin, before_end) = scenario.before.unwrap_or((0.0, begin));
+    let before = within(before_begin, before_end);
     let during = within(begin, end);
     let after = within(end + scenario.settle, length.as_secs_f64());
     let evidence = &result.evidence;
@@ -187,14 +188,41 @@
         "goodput_ratio_before": goodput(&before),
         "goodput_ratio_during": goodput(&during),
         "goodput_ratio_after": goodput(&after),
-        "tokens_per_s_before": tokens_per_s(&before, begin),
+        "tokens_per_s_before": tokens_per_s(&before, before_end - before_begin),
         "tokens_per_s_during": tokens_per_s(&during, end - begin),
         "tokens_per_s_after": tokens_per_s(&after, length.as_secs_f64() - end - scenario.settle),
         "others_p95_before_ms": others_ms(&before),
         "others_p95_during_ms": others_ms(&during),
+        "others_p95_ratio": others_ms(&during) / others_ms(&before).max(0.001),
+        "others_goodput_during": goodput(&of_others(&during)),
+        "capacity_tokens_per_s": scenario.capacity.map(|(from, until)| {
+            tokens_per_s(&within(from, until), until - from)
+        }),
+        "goodput_ratio": scenario.capacity.map(|(from, until)| {
+            let capacity = tokens_per_s(&within(from, until), until - from);
+            tokens_per_s(&during, end - begin) / capacity.max(0.001)
+        }),
+        "recovered_s": recovered_s(&|from| within(from, from + 1.0), end, length.as_secs_f64()),
     })
 }
 
+/// Seconds from `end` until all requests of every later second are answered.
+fn recovered_s(second: &dyn Fn(f64) -> Vec<CallRecord>, end: f64, length: f64) -> f64 {
+    let mut recovered = 0.0;
+    let mut from = end;
+    while from + 1.0 <= length {
+        if goodput(&second(from)) < 1.0 {
+            recovered = from + 1.0 - end;
+        }
+        from += 1.0;
+    }
+    recovered
+}
+
+fn of_others(records: &[CallRecord]) -> Vec<CallRecord> {
+    records.iter().filter(|record| record.call.organisation != "large").cloned().collect()
+}
+
 /// Requests that may not be repeated whose outcome is unknown.
 fn unknown(records: &[CallRecord]) -> usize {
     let unknown = records.iter().filter(|r| r.report.outcome == CallOutcome::RefusedUnknown);
@@ -217,9 +245,7 @@
 }
 
 fn others_ms(records: &[CallRecord]) -> f64 {
-    let others: Vec<CallRecord> =
-        records.iter().filter(|record| record.call.organisation != "large").cloned().collect();
-    first_token_ms(&others, 0.95)
+    first_token_ms(&of_others(records), 0.95)
 }
 
 /// Share of the requests that were answered whole.
