Probe while requests wait

Cause: with requests waiting, an entry heard of a place that came free only on its own streams and with announcements, once a second. Ruled out: the retry budget (leaving it to the others changed nothing). Change: while requests of a service wait, each tick probes one server whose figure is older than 40 ms.

--- a/crates/core/src/choose.rs
+++ b/crates/core/src/choose.rs
@@ -24,8 +24,6 @@
 const BOUNDED_LOAD: f64 = 0.8;
 /// Limit assumed of a server that has not told its own.
 const ASSUMED_LIMIT: u32 = 2;
-/// Age of a load figure after which a probe is worth its cost.
-const STALE_AFTER: Duration = Duration::from_secs(1);
 /// Time for which a server that refused or failed is passed over.
 const PENALTY: Duration = Duration::from_millis(500);
 
@@ -226,11 +224,13 @@
         slot.is_some_and(takes_work)
     }
 
-    /// Returns up to `count` random servers of a service whose figure is stale.
+    /// Returns up to `count` random servers of a service whose figure is older
+    /// than `age`.
     pub fn stale(
         &self,
         now: Duration,
         service: &str,
+        age: Duration,
         count: usize,
         rng: &mut ChoiceRng,
     ) -> Vec<ServerId> {
@@ -243,7 +243,7 @@
         rotated
             .filter_map(|&index| self.slot(index))
             .filter(|slot| takes_work(slot))
-            .filter(|slot| slot.reported.is_none_or(|reported| reported + STALE_AFTER < now))
+            .filter(|slot| slot.reported.is_none_or(|reported| reported + age < now))
             .take(count)
             .map(|slot| slot.id.clone())
             .collect()
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -47,8 +47,12 @@
 const MEMBER_SILENCE: Duration = Duration::from_secs(4);
 /// Span over which the rate of placements is measured.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
-/// Load figures probed for each arrival at the most.
-const PROBES_PER_ARRIVAL: usize = 1;
+/// Load figures probed at a time.
+const PROBES_AT_ONCE: usize = 1;
+/// Age of a load figure after which an arrival is worth a probe.
+const STALE_AT_ARRIVAL: Duration = Duration::from_secs(1);
+/// Age of a load figure after which a waiting request is worth a probe.
+const STALE_WHILE_WAITING: Duration = Duration::from_millis(40);
 
 /// Fixed facts of an entry.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -315,13 +319,19 @@
             may_have_run: false,
             arrival,
         };
-        self.probe_stale(now, &state.service, actions);
+        self.probe_stale(now, &state.service, STALE_AT_ARRIVAL, actions);
         self.requests.insert(request, state);
         self.place(now, request, actions);
     }
 
-    fn probe_stale(&mut self, now: Duration, service: &str, actions: &mut Vec<EntryAction>) {
-        for server in self.routes.stale(now, service, PROBES_PER_ARRIVAL, &mut self.rng) {
+    fn probe_stale(
+        &mut self,
+        now: Duration,
+        service: &str,
+        age: Duration,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        for server in self.routes.stale(now, service, age, PROBES_AT_ONCE, &mut self.rng) {
             if let Some(address) = self.routes.address(&server) {
                 let address = address.to_string();
                 actions.push(EntryAction::Probe { server, address });
@@ -695,6 +705,7 @@
             .map(|(service, _)| service.clone())
             .collect();
         for service in services {
+            self.probe_stale(now, &service, STALE_WHILE_WAITING, actions);
             self.pump(now, &service, actions);
         }
     }
