Take one late step for what it is; probe more while requests wait

Looked into: collapses of the limit. The new test single_hiccup shows one late step, seen in every stream at once, cutting a limit of 23 to 2: two observations in a row were taken for two steps.

Conclusion: the limit no longer falls at a hiccup; the return of a cold zone still makes requests wait and is the next thing to mend.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -40,8 +40,10 @@
 const QUEUE_SHARE: f64 = 0.6;
 /// Retry-After when nothing better is known.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
-/// Load figures probed at a time.
-const PROBES_AT_ONCE: usize = 1;
+/// Load figures probed for an arrival.
+const PROBES_AT_ARRIVAL: usize = 1;
+/// Load figures probed at each tick while requests of a service wait.
+const PROBES_WHILE_WAITING: usize = 4;
 /// Age of a load figure after which an arrival is worth a probe.
 const STALE_AT_ARRIVAL: Duration = Duration::from_secs(1);
 /// Age of a load figure after which a waiting request is worth a probe.
@@ -190,7 +192,7 @@
             may_have_run: false,
             arrival,
         };
-        self.probe_stale(now, &state.service, STALE_AT_ARRIVAL, actions);
+        self.probe_stale(now, &state.service, (STALE_AT_ARRIVAL, PROBES_AT_ARRIVAL), actions);
         self.requests.insert(request, state);
         self.place(now, request, actions);
     }
@@ -199,10 +201,10 @@
         &mut self,
         now: Duration,
         service: &str,
-        age: Duration,
+        (age, count): (Duration, usize),
         actions: &mut Vec<EntryAction>,
     ) {
-        for server in self.fleet.routes.stale(now, service, age, PROBES_AT_ONCE, &mut self.rng) {
+        for server in self.fleet.routes.stale(now, service, age, count, &mut self.rng) {
             if let Some(address) = self.fleet.routes.address(&server) {
                 let address = address.to_string();
                 actions.push(EntryAction::Probe { server, address });
@@ -470,7 +472,8 @@
             .map(|(service, _)| service.clone())
             .collect();
         for service in services {
-            self.probe_stale(now, &service, STALE_WHILE_WAITING, actions);
+            let wanted = (STALE_WHILE_WAITING, PROBES_WHILE_WAITING);
+            self.probe_stale(now, &service, wanted, actions);
             self.pump(now, &service, actions);
         }
     }
--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -24,10 +24,8 @@
 const FALL_FACTOR: f64 = 0.85;
 /// Part of the difference by which the best pace is corrected upwards.
 const BEST_CORRECTION: f64 = 0.1;
-/// A pace this many times the recent one, seen twice in a row, is a collapse.
+/// A pace this many times the recent one, kept for two steps, is a collapse.
 const COLLAPSE_RATIO: f64 = 3.0;
-/// Observations in a row that make a collapse.
-const COLLAPSE_COUNT: u32 = 2;
 /// Pace below which a ratio says nothing but noise.
 const PACE_NOISE: Duration = Duration::from_millis(4);
 /// Limit of a server whose pace has never been seen.
@@ -70,7 +68,7 @@
     window_load: u64,
     last_rise: Duration,
     last_sign: Duration,
-    slow_streak: u32,
+    slow_since: Option<Duration>,
 }
 
 impl AdmissionLimit {
@@ -89,7 +87,7 @@
             window_load: 0,
             last_rise: Duration::ZERO,
             last_sign: Duration::ZERO,
-            slow_streak: 0,
+            slow_since: None,
         }
     }
 
@@ -120,7 +118,7 @@
     /// Notes the time between two tokens, or the time of a plain answer.
     pub fn observe(&mut self, now: Duration, pace: Duration) {
         self.last_sign = now;
-        if self.collapsed(pace) {
+        if self.collapsed(now, pace) {
             self.reset(now);
             return;
         }
@@ -138,7 +136,7 @@
     pub fn reset(&mut self, now: Duration) {
         self.limit = f64::from(self.settings.floor);
         self.recent = None;
-        self.slow_streak = 0;
+        self.slow_since = None;
         self.last_rise = now;
         self.open_window(now);
     }
@@ -163,13 +161,18 @@
         self.in_flight > 0 && self.last_sign + STALL_AFTER < now
     }
 
-    fn collapsed(&mut self, pace: Duration) -> bool {
+    /// Whether the pace has collapsed. One late step shows in every stream at
+    /// once, so a second one has to follow it.
+    fn collapsed(&mut self, now: Duration, pace: Duration) -> bool {
         let Some(recent) = self.recent else {
             return false;
         };
-        let slow = pace > PACE_NOISE && pace > recent.max(PACE_NOISE).mul_f64(COLLAPSE_RATIO);
-        self.slow_streak = if slow { self.slow_streak + 1 } else { 0 };
-        self.slow_streak >= COLLAPSE_COUNT
+        if pace <= recent.max(PACE_NOISE).mul_f64(COLLAPSE_RATIO) {
+            self.slow_since = None;
+            return false;
+        }
+        let since = *self.slow_since.get_or_insert(now);
+        now >= since + pace / 2
     }
 
     fn close_window(&mut self, now: Duration) {
--- a/crates/core/tests/admission_limit.rs
+++ b/crates/core/tests/admission_limit.rs
@@ -104,6 +104,19 @@
     assert_eq!(server.overruns, 0);
 }
 
+#[test]
+fn single_hiccup() {
+    let mut server = HiddenServer::new();
+    server.run(Duration::from_secs(40), 1_000, warming(Duration::ZERO, 32.0));
+    let before = server.limit.limit();
+    server.now += Duration::from_millis(200);
+    for _ in 0..server.limit.in_flight() {
+        server.limit.observe(server.now, Duration::from_millis(200));
+    }
+    let after = f64::from(server.limit.limit());
+    assert!(after > f64::from(before) * 0.7, "one late step cut {before} to {after}");
+}
+
 #[test]
 fn stalled_server() {
     let mut limit = AdmissionLimit::new(LimitSettings::default());
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -1,4 +1,7 @@
 //! Stand-in of the platform: object API, VM list and weight store.
+//!
+//! `POST /standin/vms?lag_ms=N` replaces the list of VMs after a lag; `POST
+//! /standin/fault` takes `{"kind": "outage" | "slow" | "lose", "ms" or "count"}`.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -58,7 +61,7 @@
 struct PlatformState {
     objects: BTreeMap<String, StoredObject>,
     revision: u64,
-    vms: Value,
+    vms: Vec<(Instant, Value)>,
     writes: CallBucket,
     reads: CallBucket,
     weights: CallBucket,
@@ -80,7 +83,7 @@
         let state = PlatformState {
             objects: BTreeMap::new(),
             revision: 0,
-            vms: json!([]),
+            vms: Vec::new(),
             writes: CallBucket::new(rates.writes),
             reads: CallBucket::new(rates.reads),
             weights: CallBucket::new(WEIGHT_BYTES_PER_S as f64),
@@ -115,7 +118,7 @@
         }
         match (request.method(), url.as_str()) {
             ("GET", "/v1/changes") => self.changes(request),
-            ("GET", "/v1/vms") => Response::json(&self.lock().vms),
+            ("GET", "/v1/vms") => Response::json(&self.listed_vms()),
             ("GET", "/v1/weights") => self.weights(request),
             (method, path) => match path.strip_prefix("/v1/objects/") {
                 Some(key) => self.object(method, key, request),
@@ -198,6 +201,14 @@
         }
     }
 
+    /// Newest list of VMs whose lag has passed.
+    fn listed_vms(&self) -> Value {
+        let state = self.lock();
+        let now = Instant::now();
+        let shown = state.vms.iter().rev().find(|(at, _)| *at <= now);
+        shown.map_or_else(|| json!([]), |(_, list)| list.clone())
+    }
+
     fn weights(&self, request: &Request) -> Response {
         let bytes = number_param(request, "bytes");
         let mut state = self.lock();
@@ -213,7 +224,10 @@
         let value: Value = serde_json::from_str(&body).unwrap_or_default();
         let mut state = self.lock();
         match name {
-            "vms" => state.vms = value,
+            "vms" => {
+                let lag = Duration::from_millis(number_param(request, "lag_ms"));
+                state.vms.push((Instant::now() + lag, value));
+            }
             "counters" => return Response::json(&state.counts),
             "fault" => {
                 let millis = Duration::from_millis(value["ms"].as_u64().unwrap_or(0));
