Give the state of a request a module of its own

Cause: entry.rs had 514 lines and two jobs, what a request is and what becomes of it; a check bound a value only to throw it away. Ruled out: further splits of the placement, which share the queue and the routes. Change: request.rs holds the state and what a refusal may say of it. Conclusion: no decision changed.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -30,6 +30,8 @@
 use crate::rate::PlacementRate;
 use crate::refusal::Refusal;
 use crate::refusal::RefusalKind;
+use crate::request::RequestState;
+use crate::request::not_run_or_cut;
 use crate::share::FillPercent;
 use crate::share::ShareTable;
 use crate::share::WHOLE_FILL;
@@ -49,20 +51,6 @@
 /// Age of a load figure after which a waiting request is worth a probe.
 const STALE_WHILE_WAITING: Duration = Duration::from_millis(40);
 
-#[derive(Debug, Clone)]
-struct RequestState {
-    arrival: Arrival,
-    service: ServiceName,
-    priority: u8,
-    repeatable: bool,
-    give_up: Duration,
-    deadline: Option<Duration>,
-    attempt: AttemptNumber,
-    server: Option<ServerId>,
-    excluded: Vec<ServerId>,
-    may_have_run: bool,
-}
-
 /// State of an entry's decisions.
 #[derive(Debug, Clone)]
 pub struct EntryCore {
@@ -493,22 +481,11 @@
                         "sent {request} to {server} out of force"
                     );
                 }
-                EntryAction::Refuse { request, refusal } => {
+                EntryAction::Refuse { request, .. } => {
                     assert!(!self.requests.contains_key(request), "refused {request} goes on");
-                    let _ = refusal;
                 }
                 _ => {}
             }
         }
     }
 }
-
-/// A request of which an attempt broke off can no longer be called not run.
-fn not_run_or_cut(state: &RequestState, kind: RefusalKind, retry: Option<Duration>) -> Refusal {
-    if state.may_have_run {
-        let kind =
-            if state.repeatable { RefusalKind::AnswerCut } else { RefusalKind::OutcomeUnknown };
-        return Refusal::unknown(kind);
-    }
-    Refusal::not_run(kind, retry)
-}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod rate;
 pub mod refusal;
 pub mod replay;
+mod request;
 pub mod settings;
 pub mod share;
 pub mod watcher;
