Plan expert maps from the demand of all ranks and switch to them

Change: an agent beside each rank reads its counts and report for free; one leads by a conditional write whose revision fences its orders; it plans small changes and switches by prepare, hold, arm, release, settling any order that failed under a higher fence before the held pass begins.

--- /dev/null
+++ b/crates/core/src/experts.rs
@@ -0,0 +1,334 @@
+//! Plans which ranks of a group hold which experts.
+//!
+//! All ranks run a pass together, and set by set the most loaded rank sets the
+//! pace. A plan lowers the sum of these maxima with few copies: the next best
+//! moves that are in force soon are worth more than the best map later.
+
+use crate::routing::ExpertLayout;
+
+/// Number of an expert within its set.
+pub type ExpertIndex = u16;
+/// Number of a rank within its group.
+pub type RankIndex = usize;
+/// Version of a map; grows within a group.
+pub type MapVersion = u64;
+/// Experts by set and rank.
+pub type ExpertMap = Vec<Vec<Vec<ExpertIndex>>>;
+
+/// Demand for each expert of a set, in any unit.
+pub type SetDemand = Vec<f64>;
+
+/// Bounds on a plan.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PlanSettings {
+    /// Most copies to a rank, over all sets; each takes about a tenth of a second.
+    pub copies_per_rank: usize,
+    /// Most copies to a rank in one set.
+    pub copies_per_rank_and_set: usize,
+    /// Part of a set's highest load by which each move must lower it.
+    pub move_gain: f64,
+    /// Part of the sum of highest loads by which a whole plan must lower it.
+    pub plan_gain: f64,
+}
+
+impl Default for PlanSettings {
+    /// Values that gave the highest worth on the standard days; see docs/ROUNDS.md.
+    fn default() -> PlanSettings {
+        PlanSettings {
+            copies_per_rank: 4,
+            copies_per_rank_and_set: 1,
+            move_gain: 0.04,
+            plan_gain: 0.10,
+        }
+    }
+}
+
+/// A map that is better than the one in force.
+#[derive(Debug, Clone, PartialEq)]
+pub struct MapPlan {
+    /// Experts by set and rank.
+    pub map: ExpertMap,
+    /// Sum of the sets' highest loads over their means, before.
+    pub skew_before: f64,
+    /// The same with the new map.
+    pub skew_after: f64,
+    /// Experts to copy, over all ranks.
+    pub copies: usize,
+}
+
+/// Returns the map that a group starts with: experts in turn.
+pub fn initial_map(layout: ExpertLayout, ranks: usize) -> ExpertMap {
+    let mut set = vec![Vec::new(); ranks];
+    for expert in 0..layout.experts {
+        set[expert % ranks].push(expert as ExpertIndex);
+    }
+    vec![set; layout.sets]
+}
+
+/// Returns the mean over the sets of the highest load over the mean load.
+pub fn map_skew(map: &ExpertMap, demand: &[SetDemand]) -> f64 {
+    let skews = map.iter().zip(demand).map(|(set, demand)| SetPlan::new(set, demand).skew());
+    let sum: f64 = skews.sum();
+    sum / map.len().max(1) as f64
+}
+
+/// Plans the next map; `None` when no plan gains enough.
+pub fn plan_map(
+    current: &ExpertMap,
+    demand: &[SetDemand],
+    layout: ExpertLayout,
+    settings: &PlanSettings,
+) -> Option<MapPlan> {
+    let ranks = current.first()?.len();
+    let mut copies = vec![0; ranks];
+    let mut plans: Vec<SetPlan> =
+        current.iter().zip(demand).map(|(set, demand)| SetPlan::new(set, demand)).collect();
+    let before: f64 = plans.iter().map(SetPlan::skew).sum();
+    let per_set = settings.copies_per_rank_and_set.min(layout.max_new);
+    let mut open: Vec<usize> = (0..plans.len()).collect();
+    // The set with the highest skew moves first, so that the copies that a rank
+    // may take go where they gain most.
+    while let Some(position) = worst_set(&plans, &open) {
+        let set = open[position];
+        let limits = MoveLimits {
+            places: layout.places,
+            per_set,
+            per_rank: settings.copies_per_rank,
+            gain: settings.move_gain,
+        };
+        if !plans[set].improve(&limits, &mut copies) {
+            open.remove(position);
+        }
+    }
+    let after: f64 = plans.iter().map(SetPlan::skew).sum();
+    if after > before * (1.0 - settings.plan_gain) {
+        return None;
+    }
+    let sets = plans.len() as f64;
+    Some(MapPlan {
+        map: plans.into_iter().map(|plan| plan.held).collect(),
+        skew_before: before / sets,
+        skew_after: after / sets,
+        copies: copies.iter().sum(),
+    })
+}
+
+fn worst_set(plans: &[SetPlan], open: &[usize]) -> Option<usize> {
+    (0..open.len()).max_by(|&left, &right| {
+        plans[open[left]].skew().total_cmp(&plans[open[right]].skew())
+    })
+}
+
+struct MoveLimits {
+    places: usize,
+    per_set: usize,
+    per_rank: usize,
+    gain: f64,
+}
+
+/// A change of one set that is being weighed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Move {
+    /// A further copy at `to`, in place of `dropped` where there is no free place.
+    Copy { expert: ExpertIndex, to: RankIndex, dropped: Option<ExpertIndex> },
+    /// `from` gives a copy up, others have one.
+    Drop { expert: ExpertIndex, from: RankIndex },
+    /// Two ranks exchange experts.
+    Swap { expert: ExpertIndex, from: RankIndex, other: ExpertIndex, to: RankIndex },
+}
+
+/// One set while it is planned.
+struct SetPlan<'a> {
+    demand: &'a [f64],
+    held: Vec<Vec<ExpertIndex>>,
+    base: Vec<Vec<ExpertIndex>>,
+    holders: Vec<Vec<RankIndex>>,
+    loads: Vec<f64>,
+    new: Vec<usize>,
+    mean: f64,
+}
+
+impl<'a> SetPlan<'a> {
+    fn new(set: &[Vec<ExpertIndex>], demand: &'a [f64]) -> SetPlan<'a> {
+        let mut holders = vec![Vec::new(); demand.len()];
+        for (rank, experts) in set.iter().enumerate() {
+            for &expert in experts {
+                holders[usize::from(expert)].push(rank);
+            }
+        }
+        let mut plan = SetPlan {
+            demand,
+            held: set.to_vec(),
+            base: set.to_vec(),
+            loads: vec![0.0; set.len()],
+            new: vec![0; set.len()],
+            mean: demand.iter().sum::<f64>() / set.len().max(1) as f64,
+            holders,
+        };
+        for rank in 0..set.len() {
+            plan.loads[rank] =
+                plan.held[rank].iter().map(|&expert| plan.share(expert, 0)).sum::<f64>();
+        }
+        plan
+    }
+
+    /// Load that an expert puts on each holder when it has `more` further ones.
+    fn share(&self, expert: ExpertIndex, more: isize) -> f64 {
+        let holders = self.holders[usize::from(expert)].len() as isize + more;
+        self.demand[usize::from(expert)] / holders.max(1) as f64
+    }
+
+    fn highest(&self) -> (RankIndex, f64) {
+        let loads = self.loads.iter().copied().enumerate();
+        loads.max_by(|left, right| left.1.total_cmp(&right.1)).unwrap_or((0, 0.0))
+    }
+
+    fn skew(&self) -> f64 {
+        if self.mean <= 0.0 { 1.0 } else { self.highest().1 / self.mean }
+    }
+
+    /// Makes the move that lowers the load of the most loaded rank best; false
+    /// when none gains enough.
+    fn improve(&mut self, limits: &MoveLimits, copies: &mut [usize]) -> bool {
+        let (top, highest) = self.highest();
+        let mut best: Option<(f64, f64, Move)> = None;
+        for candidate in self.candidates(top, limits, copies) {
+            let (peak, squares) = self.weigh(candidate);
+            let better = best.as_ref().is_none_or(|(known, known_squares, _)| {
+                (peak, squares) < (*known, *known_squares)
+            });
+            if better {
+                best = Some((peak, squares, candidate));
+            }
+        }
+        let Some((peak, _, chosen)) = best else {
+            return false;
+        };
+        if peak > highest * (1.0 - limits.gain) {
+            return false;
+        }
+        self.apply(chosen, copies);
+        true
+    }
+
+    fn may_copy(
+        &self,
+        expert: ExpertIndex,
+        to: RankIndex,
+        limits: &MoveLimits,
+        copies: &[usize],
+    ) -> bool {
+        self.base[to].contains(&expert)
+            || (self.new[to] < limits.per_set && copies[to] < limits.per_rank)
+    }
+
+    fn candidates(&self, top: RankIndex, limits: &MoveLimits, copies: &[usize]) -> Vec<Move> {
+        let mut moves = Vec::new();
+        for &expert in &self.held[top] {
+            if self.holders[usize::from(expert)].len() > 1 {
+                moves.push(Move::Drop { expert, from: top });
+            }
+            for to in (0..self.held.len()).filter(|&to| to != top) {
+                if self.loads[to] >= self.loads[top] || self.held[to].contains(&expert) {
+                    continue;
+                }
+                if !self.may_copy(expert, to, limits, copies) {
+                    continue;
+                }
+                if self.held[to].len() < limits.places {
+                    moves.push(Move::Copy { expert, to, dropped: None });
+                }
+                for &other in &self.held[to] {
+                    if self.holders[usize::from(other)].len() > 1
+                        && self.held[to].len() >= limits.places
+                    {
+                        moves.push(Move::Copy { expert, to, dropped: Some(other) });
+                    }
+                    let lighter = self.share(other, 0) < self.share(expert, 0);
+                    if lighter
+                        && !self.held[top].contains(&other)
+                        && self.may_copy(other, top, limits, copies)
+                    {
+                        moves.push(Move::Swap { expert, from: top, other, to });
+                    }
+                }
+            }
+        }
+        moves
+    }
+
+    /// Returns the highest load and the sum of squared loads after a move.
+    fn weigh(&self, candidate: Move) -> (f64, f64) {
+        let mut loads = self.loads.clone();
+        match candidate {
+            Move::Copy { expert, to, dropped } => {
+                let lower = self.share(expert, 1);
+                for &holder in &self.holders[usize::from(expert)] {
+                    loads[holder] += lower - self.share(expert, 0);
+                }
+                loads[to] += lower;
+                if let Some(dropped) = dropped {
+                    self.weigh_drop(&mut loads, dropped, to);
+                }
+            }
+            Move::Drop { expert, from } => self.weigh_drop(&mut loads, expert, from),
+            Move::Swap { expert, from, other, to } => {
+                let difference = self.share(expert, 0) - self.share(other, 0);
+                loads[from] -= difference;
+                loads[to] += difference;
+            }
+        }
+        let peak = loads.iter().copied().fold(0.0, f64::max);
+        (peak, loads.iter().map(|load| load * load).sum())
+    }
+
+    fn weigh_drop(&self, loads: &mut [f64], expert: ExpertIndex, from: RankIndex) {
+        let higher = self.share(expert, -1);
+        for &holder in &self.holders[usize::from(expert)] {
+            if holder == from {
+                loads[holder] -= self.share(expert, 0);
+            } else {
+                loads[holder] += higher - self.share(expert, 0);
+            }
+        }
+    }
+
+    fn apply(&mut self, chosen: Move, copies: &mut [usize]) {
+        match chosen {
+            Move::Copy { expert, to, dropped } => {
+                if let Some(dropped) = dropped {
+                    self.take_away(dropped, to, copies);
+                }
+                self.give(expert, to, copies);
+            }
+            Move::Drop { expert, from } => self.take_away(expert, from, copies),
+            Move::Swap { expert, from, other, to } => {
+                self.take_away(expert, from, copies);
+                self.take_away(other, to, copies);
+                self.give(expert, to, copies);
+                self.give(other, from, copies);
+            }
+        }
+        for rank in 0..self.held.len() {
+            self.loads[rank] = self.held[rank].iter().map(|&expert| self.share(expert, 0)).sum();
+        }
+    }
+
+    fn give(&mut self, expert: ExpertIndex, to: RankIndex, copies: &mut [usize]) {
+        self.held[to].push(expert);
+        self.holders[usize::from(expert)].push(to);
+        if !self.base[to].contains(&expert) {
+            self.new[to] += 1;
+            copies[to] += 1;
+        }
+    }
+
+    fn take_away(&mut self, expert: ExpertIndex, from: RankIndex, copies: &mut [usize]) {
+        self.held[from].retain(|&held| held != expert);
+        self.holders[usize::from(expert)].retain(|&holder| holder != from);
+        if !self.base[from].contains(&expert) {
+            self.new[from] -= 1;
+            copies[from] -= 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/switch.rs
@@ -0,0 +1,734 @@
+//! Switches a group of ranks from one expert map to the next.
+//!
+//! Ranks do not compare maps, so it is the leader's duty that within a pass all
+//! of them use the same one. A switch prepares the new map on all ranks, holds a
+//! coming pass on the leader's rank, arms all ranks for that pass and releases
+//! it only when each has confirmed. When an order fails or its answer is lost,
+//! the pass stays held until every rank has taken an order with a higher fence
+//! that disarms it: an older order that arrives later is then refused.
+//!
+//! A leader that takes over settles what the one before it left in the same way.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::experts::ExpertIndex;
+use crate::experts::ExpertMap;
+use crate::experts::MapVersion;
+use crate::experts::RankIndex;
+use crate::ids::FastMap;
+
+/// Formation of a group; a new one starts when a rank was lost.
+pub type GroupEpoch = u64;
+/// Number of a pass within an epoch.
+pub type PassNumber = u64;
+/// Fencing token of an order; ranks refuse lower ones than they have seen.
+pub type FenceNumber = u64;
+/// Term of a leader; grows with each change of leadership.
+pub type LeaderTerm = u64;
+/// Identity of an order within a leader's term.
+pub type OrderId = u64;
+
+/// Fences that a leader can use within its term.
+const FENCES_PER_TERM: u64 = 4_096;
+/// Age after which a rank's status is too old to act on; six of its reports.
+const STATUS_AGE: Duration = Duration::from_millis(300);
+/// Age up to which the next pass of a status can be held; passes take 40 ms or more.
+const FRESH_AGE: Duration = Duration::from_millis(12);
+/// Time after which an order without an answer is taken as unknown.
+const OUTCOME_TIMEOUT: Duration = Duration::from_millis(180);
+/// Pause before an order is sent again to an agent that did not answer.
+const RESEND_PAUSE: Duration = Duration::from_millis(40);
+/// Silence of an agent after which its engine is given orders directly.
+const AGENT_SILENCE: Duration = Duration::from_millis(400);
+/// Time to prepare a map, besides its copies.
+const PREPARE_TIME: Duration = Duration::from_millis(600);
+/// Time allowed for each copy to a rank; three times what one takes.
+const COPY_TIME: Duration = Duration::from_millis(300);
+/// Pause after a switch that was given up.
+const FAILED_PAUSE: Duration = Duration::from_millis(300);
+/// Time after which a release is sent again while the pass is still held.
+const RELEASE_PAUSE: Duration = Duration::from_millis(60);
+/// Holds that may be refused, since their pass had begun, before a switch is given up.
+const MAX_HOLDS: u32 = 6;
+
+/// State of a rank as its engine reports it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RankStatus {
+    /// Number of the rank.
+    pub rank: RankIndex,
+    /// Formation that it belongs to.
+    pub epoch: GroupEpoch,
+    /// Whether the group runs.
+    pub open: bool,
+    /// Last pass that was begun.
+    pub pass: PassNumber,
+    /// Map in use.
+    pub map: MapVersion,
+    /// Map whose experts are all copied.
+    pub prepared: Option<MapVersion>,
+    /// Map that it switches to.
+    pub armed: Option<MapVersion>,
+    /// Pass that it holds back.
+    pub held: Option<PassNumber>,
+    /// Orders that it has begun since its start.
+    pub orders: u64,
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Time that its work takes, relative to a sound engine.
+    pub pace: f64,
+}
+
+/// Marks that every order carries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderMark {
+    /// Fencing token.
+    pub fence: FenceNumber,
+    /// Formation that the order is meant for.
+    pub epoch: GroupEpoch,
+}
+
+/// An order to a rank.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RankOrder {
+    /// Copy the experts that a map newly gives to the rank.
+    Prepare {
+        /// Marks.
+        mark: OrderMark,
+        /// Version of the map.
+        version: MapVersion,
+        /// The map.
+        map: ExpertMap,
+    },
+    /// Use a prepared map from a pass on.
+    Arm {
+        /// Marks.
+        mark: OrderMark,
+        /// Version of the map.
+        version: MapVersion,
+        /// First pass with it.
+        pass: PassNumber,
+    },
+    /// Do not switch after all.
+    Disarm {
+        /// Marks.
+        mark: OrderMark,
+        /// Version of the map.
+        version: MapVersion,
+    },
+    /// Do not begin a pass until it is released.
+    Hold {
+        /// Marks.
+        mark: OrderMark,
+        /// The pass.
+        pass: PassNumber,
+    },
+    /// Begin a pass that was held.
+    Release {
+        /// Marks.
+        mark: OrderMark,
+        /// The pass.
+        pass: PassNumber,
+    },
+}
+
+impl RankOrder {
+    /// Marks of the order.
+    pub fn mark(&self) -> OrderMark {
+        match self {
+            RankOrder::Prepare { mark, .. }
+            | RankOrder::Arm { mark, .. }
+            | RankOrder::Disarm { mark, .. }
+            | RankOrder::Hold { mark, .. }
+            | RankOrder::Release { mark, .. } => *mark,
+        }
+    }
+
+    /// Name for the log.
+    pub fn name(&self) -> &'static str {
+        match self {
+            RankOrder::Prepare { .. } => "prepare",
+            RankOrder::Arm { .. } => "arm",
+            RankOrder::Disarm { .. } => "disarm",
+            RankOrder::Hold { .. } => "hold",
+            RankOrder::Release { .. } => "release",
+        }
+    }
+}
+
+/// How a rank took an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OrderOutcome {
+    /// It holds or was begun.
+    Done,
+    /// It does not fit the rank's state; nothing was done.
+    Refused,
+    /// The rank has seen a higher fence; nothing was done.
+    Fenced,
+    /// No answer; it may have been done or may be done later.
+    Unknown,
+    /// It never reached the rank.
+    NotSent,
+}
+
+/// What the leader asks to be done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum LeaderAction {
+    /// Give an order to a rank.
+    Order {
+        /// The rank.
+        rank: RankIndex,
+        /// Identity, under which the outcome is reported.
+        id: OrderId,
+        /// The order.
+        order: RankOrder,
+        /// Whether to go to the engine itself, since the agent is silent.
+        direct: bool,
+    },
+    /// Log a step of the protocol.
+    Note {
+        /// What happened.
+        event: &'static str,
+        /// Version of the map.
+        version: MapVersion,
+        /// Pass that it concerns.
+        pass: PassNumber,
+        /// Further detail.
+        detail: String,
+    },
+    /// Another leader has a higher fence; stop leading.
+    StepDown,
+}
+
+#[derive(Debug, Clone)]
+struct RankView {
+    status: RankStatus,
+    placed: Vec<Vec<ExpertIndex>>,
+    heard: Duration,
+}
+
+#[derive(Debug, Clone)]
+struct PendingOrder {
+    rank: RankIndex,
+    order: RankOrder,
+    first_sent: Duration,
+    last_sent: Duration,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+enum Phase {
+    /// Ranks are not all known, or the group is broken.
+    Waiting,
+    /// Each rank takes a higher fence; then what is held is released.
+    Settling { confirmed: Vec<bool>, confirmed_at: Duration },
+    /// Nothing is under way.
+    Idle { since: Duration },
+    /// The ranks copy experts.
+    Preparing { version: MapVersion, map: ExpertMap, started: Duration, limit: Duration },
+    /// The leader's rank is asked to hold a pass.
+    Holding { version: MapVersion, pass: PassNumber, tries: u32 },
+    /// All ranks are asked to switch at the held pass.
+    Arming { version: MapVersion, pass: PassNumber, armed: Vec<bool> },
+    /// The held pass is released; the ranks begin to use the map.
+    Releasing { version: MapVersion, pass: PassNumber, sent: Duration },
+}
+
+/// Leader of a group, as pure decisions.
+#[derive(Debug, Clone)]
+pub struct GroupLeader {
+    term: LeaderTerm,
+    own: RankIndex,
+    fence: u64,
+    next_order: OrderId,
+    last_version: MapVersion,
+    epoch: Option<GroupEpoch>,
+    views: Vec<Option<RankView>>,
+    pending: FastMap<OrderId, PendingOrder>,
+    phase: Phase,
+    switches: u64,
+}
+
+impl GroupLeader {
+    /// Starts to lead a group of `size` ranks from rank `own`.
+    pub fn new(term: LeaderTerm, size: usize, own: RankIndex) -> GroupLeader {
+        GroupLeader {
+            term,
+            own,
+            fence: 0,
+            next_order: 0,
+            last_version: 0,
+            epoch: None,
+            views: vec![None; size],
+            pending: FastMap::default(),
+            phase: Phase::Waiting,
+            switches: 0,
+        }
+    }
+
+    /// Term of this leader.
+    pub fn term(&self) -> LeaderTerm {
+        self.term
+    }
+
+    /// Switches that were completed.
+    pub fn switches(&self) -> u64 {
+        self.switches
+    }
+
+    /// Takes the status of a rank in, with the experts that it holds by set.
+    pub fn hear_status(
+        &mut self,
+        now: Duration,
+        status: RankStatus,
+        placed: Vec<Vec<ExpertIndex>>,
+    ) -> Vec<LeaderAction> {
+        let rank = status.rank;
+        if rank >= self.views.len() {
+            return Vec::new();
+        }
+        let versions = [Some(status.map), status.prepared, status.armed];
+        let highest = versions.into_iter().flatten().max().unwrap_or(0);
+        self.last_version = self.last_version.max(highest);
+        self.views[rank] = Some(RankView { status, placed, heard: now });
+        self.advance(now)
+    }
+
+    /// Takes the outcome of an order in.
+    pub fn hear_outcome(
+        &mut self,
+        now: Duration,
+        id: OrderId,
+        outcome: OrderOutcome,
+    ) -> Vec<LeaderAction> {
+        let Some(pending) = self.pending.remove(&id) else {
+            return Vec::new();
+        };
+        let mut actions = self.judge(now, &pending, outcome);
+        actions.extend(self.advance(now));
+        actions
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Duration) -> Vec<LeaderAction> {
+        let mut actions = Vec::new();
+        let late: Vec<OrderId> = self
+            .pending
+            .iter()
+            .filter(|(_, pending)| now >= pending.first_sent + OUTCOME_TIMEOUT)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in late {
+            actions.extend(self.hear_outcome(now, id, OrderOutcome::Unknown));
+        }
+        actions.extend(self.resend(now));
+        actions.extend(self.advance(now));
+        actions
+    }
+
+    /// Returns the map in force if a switch could begin now.
+    pub fn switchable_map(&self, now: Duration) -> Option<ExpertMap> {
+        let Phase::Idle { since } = self.phase else {
+            return None;
+        };
+        if now < since || !self.all_fresh(now) {
+            return None;
+        }
+        let first = self.views.first()?.as_ref()?;
+        let sets = first.placed.len();
+        let same = self.views.iter().flatten().all(|view| {
+            view.status.map == first.status.map && view.placed.len() == sets
+        });
+        if !same || sets == 0 {
+            return None;
+        }
+        let by_set = (0..sets).map(|set| {
+            self.views.iter().flatten().map(|view| view.placed[set].clone()).collect()
+        });
+        Some(by_set.collect())
+    }
+
+    /// Begins to switch to a map; `copies` is the most that a rank has to copy.
+    pub fn begin_switch(
+        &mut self,
+        now: Duration,
+        map: ExpertMap,
+        copies: usize,
+    ) -> Vec<LeaderAction> {
+        if !matches!(self.phase, Phase::Idle { .. }) {
+            return Vec::new();
+        }
+        let version = self.last_version + 1;
+        self.last_version = version;
+        let limit = PREPARE_TIME + COPY_TIME * copies as u32;
+        let mut actions = vec![note("map-prepared", version, 0, format!("copies {copies}"))];
+        for rank in 0..self.views.len() {
+            let order = RankOrder::Prepare { mark: self.mark(), version, map: map.clone() };
+            actions.push(self.send(now, rank, order));
+        }
+        self.phase = Phase::Preparing { version, map, started: now, limit };
+        actions
+    }
+
+    /// Whether the group runs and nothing is left over from before.
+    pub fn settled(&self) -> bool {
+        !matches!(self.phase, Phase::Waiting | Phase::Settling { .. })
+    }
+
+    /// Requests that run in the group.
+    pub fn running(&self) -> u32 {
+        self.views.iter().flatten().map(|view| view.status.running).sum()
+    }
+
+    /// Ranks of which nothing has been heard for a while.
+    pub fn silent_ranks(&self, now: Duration) -> usize {
+        self.views
+            .iter()
+            .filter(|view| view.as_ref().is_none_or(|view| now >= view.heard + AGENT_SILENCE))
+            .count()
+    }
+
+    fn mark(&self) -> OrderMark {
+        let fence = self.term * FENCES_PER_TERM + self.fence.min(FENCES_PER_TERM - 1);
+        OrderMark { fence, epoch: self.epoch.unwrap_or(0) }
+    }
+
+    fn send(&mut self, now: Duration, rank: RankIndex, order: RankOrder) -> LeaderAction {
+        let id = self.next_order;
+        self.next_order += 1;
+        let pending =
+            PendingOrder { rank, order: order.clone(), first_sent: now, last_sent: now };
+        self.pending.insert(id, pending);
+        LeaderAction::Order { rank, id, order, direct: self.agent_silent(now, rank) }
+    }
+
+    /// Sends orders again whose datagram or answer may be lost; agents carry
+    /// each id out once.
+    fn resend(&mut self, now: Duration) -> Vec<LeaderAction> {
+        let mut actions = Vec::new();
+        let views = &self.views;
+        for (id, pending) in &mut self.pending {
+            if now < pending.last_sent + RESEND_PAUSE {
+                continue;
+            }
+            if agent_silent(views, now, pending.rank) {
+                continue;
+            }
+            pending.last_sent = now;
+            actions.push(LeaderAction::Order {
+                rank: pending.rank,
+                id: *id,
+                order: pending.order.clone(),
+                direct: false,
+            });
+        }
+        actions
+    }
+
+    fn agent_silent(&self, now: Duration, rank: RankIndex) -> bool {
+        agent_silent(&self.views, now, rank)
+    }
+
+    fn all_fresh(&self, now: Duration) -> bool {
+        self.views
+            .iter()
+            .all(|view| view.as_ref().is_some_and(|view| now < view.heard + STATUS_AGE))
+    }
+
+    /// Whether all ranks are known in one open formation.
+    fn formed(&self) -> Option<GroupEpoch> {
+        let first = self.views.first()?.as_ref()?.status.epoch;
+        let formed = self.views.iter().all(|view| {
+            view.as_ref().is_some_and(|view| view.status.epoch == first && view.status.open)
+        });
+        formed.then_some(first)
+    }
+
+    /// Moves on as far as what is known allows.
+    fn advance(&mut self, now: Duration) -> Vec<LeaderAction> {
+        let formed = self.formed();
+        if formed.is_none() || formed != self.epoch {
+            return self.reform(now, formed);
+        }
+        match self.phase.clone() {
+            Phase::Waiting | Phase::Holding { .. } | Phase::Arming { .. } => Vec::new(),
+            Phase::Idle { since } if self.held_after(since) => {
+                self.begin_settling(now, "a pass is held that nobody asked to hold")
+            }
+            Phase::Preparing { started, .. } if self.held_after(started) => {
+                self.begin_settling(now, "a pass is held that nobody asked to hold")
+            }
+            Phase::Idle { .. } => Vec::new(),
+            Phase::Settling { confirmed, confirmed_at } => {
+                self.settle(now, &confirmed, confirmed_at)
+            }
+            Phase::Preparing { version, started, limit, .. } => {
+                self.check_prepared(now, version, started, limit)
+            }
+            Phase::Releasing { version, pass, sent } => {
+                self.check_released(now, version, pass, sent)
+            }
+        }
+    }
+
+    /// Follows a change of the group's formation.
+    fn reform(&mut self, now: Duration, formed: Option<GroupEpoch>) -> Vec<LeaderAction> {
+        let Some(epoch) = formed else {
+            if self.phase == Phase::Waiting {
+                return Vec::new();
+            }
+            // A rank that is only silent may still hold a pass: the formation
+            // is given up only when a rank says so.
+            let broken = self.views.iter().flatten().any(|view| {
+                Some(view.status.epoch) != self.epoch || !view.status.open
+            });
+            if !broken {
+                return Vec::new();
+            }
+            self.pending.clear();
+            self.phase = Phase::Waiting;
+            self.epoch = None;
+            return vec![note("group-broken", 0, 0, String::new())];
+        };
+        self.epoch = Some(epoch);
+        self.pending.clear();
+        let mut actions = vec![note("group-formed", 0, 0, format!("epoch {epoch}"))];
+        actions.extend(self.begin_settling(now, "a new formation or leader"));
+        actions
+    }
+
+    /// Raises the fence and has every rank take it.
+    fn begin_settling(&mut self, now: Duration, reason: &str) -> Vec<LeaderAction> {
+        self.fence += 1;
+        // The disarming orders name a version that is never armed, so that one
+        // that is carried out late undoes no later switch.
+        self.last_version += 1;
+        self.pending.clear();
+        let size = self.views.len();
+        self.phase =
+            Phase::Settling { confirmed: vec![false; size], confirmed_at: Duration::ZERO };
+        let mut actions = vec![note("settling", self.last_version, 0, reason.to_string())];
+        for rank in 0..size {
+            actions.push(self.send_disarm(now, rank));
+        }
+        actions
+    }
+
+    fn send_disarm(&mut self, now: Duration, rank: RankIndex) -> LeaderAction {
+        let armed = self.views[rank].as_ref().and_then(|view| view.status.armed);
+        let version = armed.unwrap_or(self.last_version);
+        let order = RankOrder::Disarm { mark: self.mark(), version };
+        self.send(now, rank, order)
+    }
+
+    /// Releases what is held once every rank has taken the fence and was heard since.
+    fn settle(
+        &mut self,
+        now: Duration,
+        confirmed: &[bool],
+        confirmed_at: Duration,
+    ) -> Vec<LeaderAction> {
+        if !confirmed.iter().all(|done| *done) {
+            return Vec::new();
+        }
+        let heard_since = self.views.iter().flatten().all(|view| view.heard > confirmed_at);
+        if !heard_since {
+            return Vec::new();
+        }
+        let armed = self.views.iter().flatten().any(|view| view.status.armed.is_some());
+        if armed {
+            return self.begin_settling(now, "a rank is still armed");
+        }
+        let held: Vec<(RankIndex, PassNumber)> = self
+            .views
+            .iter()
+            .flatten()
+            .filter_map(|view| Some((view.status.rank, view.status.held?)))
+            .collect();
+        if held.is_empty() {
+            self.phase = Phase::Idle { since: now };
+            return vec![note("settled", self.last_version, 0, String::new())];
+        }
+        let mut actions = Vec::new();
+        for (rank, pass) in held {
+            let waiting = self.pending.values().any(|pending| pending.rank == rank);
+            if !waiting {
+                let order = RankOrder::Release { mark: self.mark(), pass };
+                actions.push(self.send(now, rank, order));
+            }
+        }
+        actions
+    }
+
+    fn check_prepared(
+        &mut self,
+        now: Duration,
+        version: MapVersion,
+        started: Duration,
+        limit: Duration,
+    ) -> Vec<LeaderAction> {
+        let prepared =
+            self.views.iter().flatten().all(|view| view.status.prepared == Some(version));
+        if prepared {
+            return self.begin_holding(now, version, 0);
+        }
+        if now >= started + limit {
+            return self.give_up(now, version, "preparing takes too long");
+        }
+        Vec::new()
+    }
+
+    /// Whether a rank still holds a pass some time after `since`.
+    fn held_after(&self, since: Duration) -> bool {
+        self.views.iter().flatten().any(|view| {
+            view.status.held.is_some() && view.heard > since + RELEASE_PAUSE
+        })
+    }
+
+    fn give_up(&mut self, now: Duration, version: MapVersion, reason: &str) -> Vec<LeaderAction> {
+        self.pending.clear();
+        self.phase = Phase::Idle { since: now + FAILED_PAUSE };
+        vec![note("switch-given-up", version, 0, reason.to_string())]
+    }
+
+    fn begin_holding(&mut self, now: Duration, version: MapVersion, tries: u32) -> Vec<LeaderAction> {
+        let Some(view) = &self.views[self.own] else {
+            return self.give_up(now, version, "the leader's own rank is not known");
+        };
+        let ahead = if now < view.heard + FRESH_AGE { 1 } else { 2 };
+        let pass = view.status.pass + ahead + u64::from(tries);
+        self.phase = Phase::Holding { version, pass, tries };
+        let order = RankOrder::Hold { mark: self.mark(), pass };
+        vec![self.send(now, self.own, order)]
+    }
+
+    fn begin_arming(
+        &mut self,
+        now: Duration,
+        version: MapVersion,
+        pass: PassNumber,
+    ) -> Vec<LeaderAction> {
+        let size = self.views.len();
+        self.phase = Phase::Arming { version, pass, armed: vec![false; size] };
+        let mut actions = Vec::new();
+        for rank in 0..size {
+            let order = RankOrder::Arm { mark: self.mark(), version, pass };
+            actions.push(self.send(now, rank, order));
+        }
+        actions
+    }
+
+    fn release(&mut self, now: Duration, version: MapVersion, pass: PassNumber) -> Vec<LeaderAction> {
+        self.phase = Phase::Releasing { version, pass, sent: now };
+        let order = RankOrder::Release { mark: self.mark(), pass };
+        vec![self.send(now, self.own, order)]
+    }
+
+    fn check_released(
+        &mut self,
+        now: Duration,
+        version: MapVersion,
+        pass: PassNumber,
+        sent: Duration,
+    ) -> Vec<LeaderAction> {
+        if self.views.iter().flatten().all(|view| view.status.map == version) {
+            self.switches += 1;
+            self.phase = Phase::Idle { since: now };
+            return vec![note("map-in-force", version, pass, String::new())];
+        }
+        let held = self.views[self.own].as_ref().is_some_and(|view| {
+            view.status.held == Some(pass) && view.heard > sent
+        });
+        if held && now >= sent + RELEASE_PAUSE {
+            return self.release(now, version, pass);
+        }
+        Vec::new()
+    }
+
+    /// Takes the outcome of an order in, by the phase that it belongs to.
+    fn judge(
+        &mut self,
+        now: Duration,
+        pending: &PendingOrder,
+        outcome: OrderOutcome,
+    ) -> Vec<LeaderAction> {
+        if outcome == OrderOutcome::Fenced {
+            return vec![LeaderAction::StepDown];
+        }
+        let done = outcome == OrderOutcome::Done;
+        match (&mut self.phase, &pending.order) {
+            (Phase::Settling { confirmed, confirmed_at }, RankOrder::Disarm { .. }) => {
+                // A refusal shows that the rank has taken the fence as well.
+                if done || outcome == OrderOutcome::Refused {
+                    confirmed[pending.rank] = true;
+                    *confirmed_at = now;
+                    return Vec::new();
+                }
+                vec![self.send_disarm(now, pending.rank)]
+            }
+            (Phase::Preparing { version, map, .. }, RankOrder::Prepare { version: asked, .. })
+                if version == asked =>
+            {
+                if done {
+                    return Vec::new();
+                }
+                let (version, map) = (*version, map.clone());
+                if outcome == OrderOutcome::Refused {
+                    let rank = pending.rank;
+                    let taken = self.views[rank].as_ref().is_some_and(|view| {
+                        view.status.prepared == Some(version)
+                    });
+                    if taken {
+                        return Vec::new();
+                    }
+                    return self.give_up(now, version, &format!("rank {rank} refused to prepare"));
+                }
+                let order = RankOrder::Prepare { mark: self.mark(), version, map };
+                vec![self.send(now, pending.rank, order)]
+            }
+            (Phase::Holding { version, pass, tries }, RankOrder::Hold { .. }) => {
+                let (version, pass, tries) = (*version, *pass, *tries);
+                match outcome {
+                    OrderOutcome::Done => self.begin_arming(now, version, pass),
+                    OrderOutcome::Refused if tries < MAX_HOLDS => {
+                        self.begin_holding(now, version, tries + 1)
+                    }
+                    OrderOutcome::Refused => self.give_up(now, version, "no pass could be held"),
+                    _ => self.begin_settling(now, "a hold without an answer"),
+                }
+            }
+            (Phase::Arming { version, pass, armed }, RankOrder::Arm { .. }) => {
+                if !done {
+                    let rank = pending.rank;
+                    let reason = format!("rank {rank} did not confirm: {outcome:?}");
+                    return self.begin_settling(now, &reason);
+                }
+                armed[pending.rank] = true;
+                if !armed.iter().all(|armed| *armed) {
+                    return Vec::new();
+                }
+                let (version, pass) = (*version, *pass);
+                self.release(now, version, pass)
+            }
+            (Phase::Releasing { version, pass, .. }, RankOrder::Release { .. }) => {
+                let (version, pass) = (*version, *pass);
+                if done || outcome == OrderOutcome::Refused {
+                    return Vec::new();
+                }
+                self.release(now, version, pass)
+            }
+            _ => Vec::new(),
+        }
+    }
+}
+
+fn agent_silent(views: &[Option<RankView>], now: Duration, rank: RankIndex) -> bool {
+    views[rank].as_ref().is_some_and(|view| now >= view.heard + AGENT_SILENCE)
+}
+
+fn note(event: &'static str, version: MapVersion, pass: PassNumber, detail: String) -> LeaderAction {
+    LeaderAction::Note { event, version, pass, detail }
+}
--- /dev/null
+++ b/crates/rank-agent/src/lead.rs
@@ -0,0 +1,346 @@
+//! Carries out what the leader of a group decides.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use cuminpick::demand::DemandMeter;
+use cuminpick::experts::RankIndex;
+use cuminpick::experts::map_skew;
+use cuminpick::experts::plan_map;
+use cuminpick::ids::FastMap;
+use cuminpick::routing::ExpertLayout;
+use cuminpick::switch::GroupLeader;
+use cuminpick::switch::LeaderAction;
+use cuminpick::switch::LeaderTerm;
+use cuminpick::switch::OrderId;
+use cuminpick::switch::OrderOutcome;
+use cuminpick::switch::RankOrder;
+use cuminpick_platform::engine::EngineClient;
+use cuminpick_platform::records::CONFIG_NAME;
+use cuminpick_platform::records::decode_config;
+use cuminpick_platform::records::decode_server;
+use cuminpick_platform::store::CONFIG_KIND;
+use cuminpick_platform::store::ReadMode;
+use cuminpick_platform::store::SERVER_KIND;
+use cuminpick_platform::store::StoreClient;
+use slog::o;
+
+use crate::daemon::agent_port;
+use crate::messages::AgentMessage;
+use crate::messages::RankNews;
+use crate::observe::take_order;
+use crate::state::Agent;
+
+/// Interval of the leader's decisions.
+const TICK: Duration = Duration::from_millis(10);
+/// Interval of beacons to the other agents.
+const BEACON_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval at which the agents' addresses are read anew.
+const LIST_INTERVAL: Duration = Duration::from_secs(5);
+/// The same while ranks are not heard.
+const LIST_INTERVAL_MISSING: Duration = Duration::from_millis(700);
+/// Least counts on which a plan rests; a pass of one request makes some hundred.
+const LEAST_COUNTS: f64 = 2_000.0;
+
+/// What an agent holds while it leads.
+pub struct Leadership {
+    /// The decisions.
+    pub leader: GroupLeader,
+    demand: Option<DemandMeter>,
+    layout: Option<ExpertLayout>,
+    /// Engines of the service.
+    engines: Vec<SocketAddr>,
+    /// Addresses of the ranks' agents, learnt from their news.
+    agents: FastMap<RankIndex, SocketAddr>,
+}
+
+impl Leadership {
+    /// Begins to lead.
+    pub fn new(leader: GroupLeader) -> Leadership {
+        Leadership {
+            leader,
+            demand: None,
+            layout: None,
+            engines: Vec::new(),
+            agents: FastMap::default(),
+        }
+    }
+}
+
+/// Leads for as long as the process runs and is the leader.
+pub async fn lead_group(agent: Rc<Agent>) {
+    let mut next_beacon = Duration::ZERO;
+    loop {
+        tokio::time::sleep(TICK).await;
+        let now = agent.now();
+        if agent.state.borrow().leadership.is_none() {
+            continue;
+        }
+        if now >= next_beacon {
+            next_beacon = now + BEACON_INTERVAL;
+            send_beacons(&agent).await;
+        }
+        let actions = {
+            let mut state = agent.state.borrow_mut();
+            let Some(leadership) = &mut state.leadership else {
+                continue;
+            };
+            let mut actions = leadership.leader.tick(now);
+            actions.extend(plan(&agent, leadership, now));
+            actions
+        };
+        carry_out(&agent, actions).await;
+    }
+}
+
+/// Plans the next map if the group is ready for one.
+fn plan(agent: &Agent, leadership: &mut Leadership, now: Duration) -> Vec<LeaderAction> {
+    let (Some(layout), Some(demand)) = (leadership.layout, &leadership.demand) else {
+        return Vec::new();
+    };
+    if demand.weight() < LEAST_COUNTS {
+        return Vec::new();
+    }
+    let Some(current) = leadership.leader.switchable_map(now) else {
+        return Vec::new();
+    };
+    let Some(sets) = demand.sets() else {
+        return Vec::new();
+    };
+    let Some(plan) = plan_map(&current, &sets, layout, &agent.tuning.plan) else {
+        return Vec::new();
+    };
+    agent.journal.note(
+        "map-planned",
+        None,
+        o!("skew_before" => plan.skew_before, "skew_after" => plan.skew_after,
+           "copies" => plan.copies, "counts" => demand.weight() as u64,
+           "skew_now" => map_skew(&current, &sets)),
+    );
+    leadership.leader.begin_switch(now, plan.map, agent.tuning.plan.copies_per_rank)
+}
+
+async fn send_beacons(agent: &Rc<Agent>) {
+    let (targets, message) = {
+        let state = agent.state.borrow();
+        let (Some(leadership), Some(rank)) = (&state.leadership, &state.rank) else {
+            return;
+        };
+        let message =
+            AgentMessage::Beacon { group: rank.group.clone(), term: leadership.leader.term() };
+        (leadership.engines.clone(), message)
+    };
+    for engine in targets {
+        if engine.ip() != agent.settings.ip {
+            agent.tell(SocketAddr::new(engine.ip(), agent_port(&agent.settings)), &message).await;
+        }
+    }
+}
+
+/// Takes news of a rank in, if this agent leads.
+pub async fn hear_news(agent: &Rc<Agent>, news: RankNews) {
+    hear_news_from(agent, news, None).await;
+}
+
+/// Takes news of a rank in from the agent at an address.
+pub async fn hear_news_from(agent: &Rc<Agent>, news: RankNews, from: Option<SocketAddr>) {
+    let now = agent.now();
+    let actions = {
+        let mut state = agent.state.borrow_mut();
+        let Some(leadership) = &mut state.leadership else {
+            return;
+        };
+        if let Some(from) = from {
+            leadership.agents.insert(news.status.rank, from);
+        }
+        if let Some(demand) = &mut leadership.demand {
+            demand.add(now, &news.counts);
+        }
+        leadership.leader.hear_status(now, news.status, news.placed)
+    };
+    carry_out(agent, actions).await;
+}
+
+/// Takes the outcome of an order in, if this agent gave it.
+pub async fn hear_outcome(
+    agent: &Rc<Agent>,
+    term: LeaderTerm,
+    id: OrderId,
+    outcome: OrderOutcome,
+) {
+    let now = agent.now();
+    let actions = {
+        let mut state = agent.state.borrow_mut();
+        let Some(leadership) = &mut state.leadership else {
+            return;
+        };
+        if leadership.leader.term() != term {
+            return;
+        }
+        leadership.leader.hear_outcome(now, id, outcome)
+    };
+    carry_out(agent, actions).await;
+}
+
+async fn carry_out(agent: &Rc<Agent>, actions: Vec<LeaderAction>) {
+    for action in actions {
+        match action {
+            LeaderAction::Order { rank, id, order, direct } => {
+                pass_order(agent, rank, id, order, direct).await;
+            }
+            LeaderAction::Note { event, version, pass, detail } => agent.journal.note(
+                event,
+                None,
+                o!("version" => version, "pass" => pass, "detail" => detail),
+            ),
+            LeaderAction::StepDown => step_down(agent, "a higher fence was seen"),
+        }
+    }
+}
+
+/// Stops leading.
+pub fn step_down(agent: &Agent, reason: &str) {
+    let mut state = agent.state.borrow_mut();
+    if let Some(leadership) = state.leadership.take() {
+        let term = leadership.leader.term();
+        agent.journal.note(
+            "leadership-ended",
+            None,
+            o!("term" => term, "reason" => reason.to_string(),
+               "switches" => leadership.leader.switches()),
+        );
+    }
+}
+
+async fn pass_order(
+    agent: &Rc<Agent>,
+    rank: RankIndex,
+    id: OrderId,
+    order: RankOrder,
+    direct: bool,
+) {
+    let (term, group, own, address) = {
+        let state = agent.state.borrow();
+        let (Some(leadership), Some(own)) = (&state.leadership, &state.rank) else {
+            return;
+        };
+        let address = leadership.agents.get(&rank).copied();
+        (leadership.leader.term(), own.group.clone(), own.rank, address)
+    };
+    if rank == own {
+        let from = SocketAddr::new(agent.settings.ip, agent_port(&agent.settings));
+        tokio::task::spawn_local(take_order(Rc::clone(agent), term, id, order, from));
+        return;
+    }
+    match address {
+        Some(address) if direct => {
+            tokio::task::spawn_local(order_directly(Rc::clone(agent), address, term, id, order));
+        }
+        Some(address) => {
+            agent.tell(address, &AgentMessage::Order { group, term, id, order }).await;
+        }
+        // A rank that was never heard gets its order when it is sent again.
+        None => {}
+    }
+}
+
+/// Gives an order to the engine of a rank whose agent is silent.
+async fn order_directly(
+    agent: Rc<Agent>,
+    agent_address: SocketAddr,
+    term: LeaderTerm,
+    id: OrderId,
+    order: RankOrder,
+) {
+    let engine = {
+        let state = agent.state.borrow();
+        let engines = state.leadership.as_ref().map(|leadership| leadership.engines.clone());
+        engines.into_iter().flatten().find(|engine| engine.ip() == agent_address.ip())
+    };
+    let Some(engine) = engine else {
+        return;
+    };
+    let outcome = EngineClient::new(engine).order(&order).await;
+    agent.journal.note(
+        "order-given-directly",
+        None,
+        o!("order" => order.name(), "engine" => engine.to_string(),
+           "outcome" => format!("{outcome:?}")),
+    );
+    hear_outcome(&agent, term, id, outcome).await;
+}
+
+/// Reads the layout of experts and the addresses of the engines while leading.
+pub async fn follow_group(agent: Rc<Agent>) {
+    let store = StoreClient::new(agent.settings.store);
+    loop {
+        let missing = {
+            let state = agent.state.borrow();
+            match &state.leadership {
+                None => None,
+                Some(leadership) => {
+                    let silent = leadership.leader.silent_ranks(agent.now());
+                    Some(silent > 0 || leadership.layout.is_none())
+                }
+            }
+        };
+        let Some(missing) = missing else {
+            tokio::time::sleep(BEACON_INTERVAL).await;
+            continue;
+        };
+        refresh_group(&agent, &store).await;
+        let pause = if missing { LIST_INTERVAL_MISSING } else { LIST_INTERVAL };
+        tokio::time::sleep(pause).await;
+    }
+}
+
+async fn refresh_group(agent: &Rc<Agent>, store: &StoreClient) {
+    let service = agent.settings.local_service.clone().unwrap_or_default();
+    match store.list(SERVER_KIND, ReadMode::Stale).await {
+        Ok(listing) => {
+            let records = listing.objects.iter().filter_map(|object| decode_server(object).ok());
+            let engines: Vec<SocketAddr> = records
+                .filter(|record| record.service == service)
+                .map(|record| record.address)
+                .collect();
+            if let Some(leadership) = &mut agent.state.borrow_mut().leadership {
+                leadership.engines = engines;
+            }
+        }
+        Err(error) => {
+            let detail = error.to_string();
+            agent.journal.warn("engines-unknown", o!("error" => detail));
+        }
+    }
+    let layout_known = {
+        let state = agent.state.borrow();
+        state.leadership.as_ref().is_none_or(|leadership| leadership.layout.is_some())
+    };
+    if layout_known {
+        return;
+    }
+    let layout = match store.get(CONFIG_KIND, CONFIG_NAME, ReadMode::Stale).await {
+        Ok(Some(object)) => match decode_config(&object) {
+            Ok(table) => table
+                .service(&service)
+                .and_then(|spec| spec.engine.as_ref())
+                .and_then(|engine| engine.experts),
+            Err(error) => {
+                let detail = error.to_string();
+                agent.journal.warn("config-ignored", o!("error" => detail));
+                None
+            }
+        },
+        Ok(None) => None,
+        Err(error) => {
+            let detail = error.to_string();
+            agent.journal.warn("config-unknown", o!("error" => detail));
+            None
+        }
+    };
+    if let (Some(layout), Some(leadership)) = (layout, &mut agent.state.borrow_mut().leadership) {
+        leadership.layout = Some(layout);
+        leadership.demand = Some(DemandMeter::new(layout, agent.tuning.demand));
+    }
+}
--- /dev/null
+++ b/crates/rank-agent/src/messages.rs
@@ -0,0 +1,90 @@
+//! What agents tell each other.
+//!
+//! Every message may be lost, doubled or late: statuses and beacons repeat, and
+//! an order is carried out once for its id however often it comes.
+
+use cuminpick::experts::ExpertIndex;
+use cuminpick::switch::LeaderTerm;
+use cuminpick::switch::OrderId;
+use cuminpick::switch::OrderOutcome;
+use cuminpick::switch::RankOrder;
+use cuminpick::switch::RankStatus;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Name of a group of ranks.
+pub type GroupName = String;
+
+/// State of a rank as its agent reports it to the leader.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RankNews {
+    /// What the engine reports.
+    pub status: RankStatus,
+    /// Experts that the rank holds, by set.
+    pub placed: Vec<Vec<ExpertIndex>>,
+    /// How often each expert was chosen since the last report, set after set.
+    pub counts: Vec<u32>,
+}
+
+/// A message between two agents.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum AgentMessage {
+    /// The sender leads the group.
+    Beacon {
+        /// Group.
+        group: GroupName,
+        /// Term of the leader.
+        term: LeaderTerm,
+    },
+    /// State of the sender's rank.
+    News {
+        /// Group.
+        group: GroupName,
+        /// The state.
+        news: RankNews,
+    },
+    /// An order for the receiver's engine.
+    Order {
+        /// Group.
+        group: GroupName,
+        /// Term of the leader.
+        term: LeaderTerm,
+        /// Identity within the term.
+        id: OrderId,
+        /// The order.
+        order: RankOrder,
+    },
+    /// How an order was taken.
+    Outcome {
+        /// Group.
+        group: GroupName,
+        /// Term of the leader that gave the order.
+        term: LeaderTerm,
+        /// Identity within the term.
+        id: OrderId,
+        /// The outcome.
+        outcome: OrderOutcome,
+    },
+}
+
+impl AgentMessage {
+    /// Group that the message concerns.
+    pub fn group(&self) -> &str {
+        match self {
+            AgentMessage::Beacon { group, .. }
+            | AgentMessage::News { group, .. }
+            | AgentMessage::Order { group, .. }
+            | AgentMessage::Outcome { group, .. } => group,
+        }
+    }
+
+    /// Name for metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            AgentMessage::Beacon { .. } => "beacon",
+            AgentMessage::News { .. } => "rank-news",
+            AgentMessage::Order { .. } => "order",
+            AgentMessage::Outcome { .. } => "outcome",
+        }
+    }
+}
