List a kind anew after a watch that failed

Change: a watch that was cut or turned away leads to a new listing. Besides, an agent that finds a claim it had not seen gives its holder time to be heard; before, all twelve claimed in turn at the start. Conclusion: a watch is trusted only while it is unbroken.

--- a/crates/gateway/src/feeds.rs
+++ b/crates/gateway/src/feeds.rs
@@ -1,8 +1,8 @@
 //! Follows configuration, servers and take-outs in the platform's store.
 //!
-//! Each kind is listed once and then watched. A watch that is cut or turned
-//! away is continued from the same revision; only lost history leads to a new
-//! listing.
+//! Each kind is listed and then watched. After a watch that was cut, turned away
+//! or has lost its history the kind is listed anew: a store that drops its
+//! history may accept a watch from before and tell nothing of what was dropped.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -76,25 +76,26 @@
         }
     }
 
-    /// Waits for changes; `None` when the history is gone.
+    /// Waits for changes; `None` when the kind has to be listed anew.
     async fn watch(&mut self, revision: StoreRevision) -> Option<StoreRevision> {
-        loop {
-            match self.store.watch(self.kind, revision, WATCH_WAIT).await {
-                Ok(changes) => {
-                    self.note_contact();
-                    for event in changes.events {
-                        self.apply_event(event);
-                    }
-                    return Some(changes.revision);
+        match self.store.watch(self.kind, revision, WATCH_WAIT).await {
+            Ok(changes) => {
+                self.note_contact();
+                for event in changes.events {
+                    self.apply_event(event);
                 }
-                Err(StoreError::HistoryGone) => {
-                    self.gateway.journal.warn(
-                        "history-lost",
-                        o!("kind" => self.kind, "revision" => revision),
-                    );
-                    return None;
-                }
-                Err(error) => self.pause(&error).await,
+                Some(changes.revision)
+            }
+            Err(StoreError::HistoryGone) => {
+                let kind = self.kind;
+                self.gateway
+                    .journal
+                    .warn("history-lost", o!("kind" => kind, "revision" => revision));
+                None
+            }
+            Err(error) => {
+                self.pause(&error).await;
+                None
             }
         }
     }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -148,6 +148,11 @@
     };
     let path = request.uri().path().to_string();
     let Some(route) = table.find(&head.host, &path) else {
+        gateway.journal.note(
+            "route-unknown",
+            Some(&log.request),
+            o!("host" => head.host, "path" => path, "config" => table.version()),
+        );
         return Err(Refusal::not_run(RefusalKind::UnknownRoute, None));
     };
     log.class = route.name.clone();
--- a/crates/rank-agent/src/elect.rs
+++ b/crates/rank-agent/src/elect.rs
@@ -14,6 +14,7 @@
 use cuminpick_platform::store::StoreClient;
 use cuminpick_platform::store::StoreError;
 use cuminpick_platform::store::StoreObject;
+use cuminpick_platform::store::StoreRevision;
 use slog::o;
 
 use crate::lead::Leadership;
@@ -35,6 +36,7 @@
     let store = StoreClient::new(agent.settings.store);
     let mut silent_since = agent.now();
     let mut wait = agent.jitter(CLAIM_SPREAD);
+    let mut seen = None;
     loop {
         tokio::time::sleep(WATCH_INTERVAL).await;
         let now = agent.now();
@@ -54,7 +56,7 @@
         if now < silent_since + patience {
             continue;
         }
-        if let Err(error) = claim(&agent, &store, &rank).await {
+        if let Err(error) = claim(&agent, &store, &rank, &mut seen).await {
             let detail = error.to_string();
             agent.journal.note("claim-failed", None, o!("error" => detail));
         }
@@ -63,7 +65,14 @@
     }
 }
 
-async fn claim(agent: &Rc<Agent>, store: &StoreClient, rank: &OwnRank) -> Result<(), StoreError> {
+/// Claims unless another claim was made since the last look, whose holder has
+/// to be given time to be heard.
+async fn claim(
+    agent: &Rc<Agent>,
+    store: &StoreClient,
+    rank: &OwnRank,
+    seen: &mut Option<StoreRevision>,
+) -> Result<(), StoreError> {
     let record = LeaderRecord {
         holder: agent.settings.node.clone(),
         incarnation: agent.incarnation,
@@ -73,7 +82,10 @@
     let heard_since = agent.state.borrow().leader.is_some_and(|leader| {
         agent.now() < leader.heard + LEADER_SILENCE
     });
-    if heard_since {
+    let revision = before.as_ref().map(|object| object.revision);
+    let newly_claimed = revision.is_some() && revision != *seen;
+    *seen = revision;
+    if heard_since || newly_claimed && revision > Some(known) {
         return Ok(());
     }
     let written = write_claim(store, rank, &record, before).await?;
