Hold streams back that would make passes too slow; ask silent ranks again

Once passes take over 120 ms all streams are late, and the group does not come back by itself for ten seconds. Change: the same order to hold or to arm is given again while the pass is held, which does no harm when it is carried out late; streams wait at a gate whose limit follows from the pass model and the measured pause; 2.8 s after SIGTERM a gateway refuses what cannot end in time.

--- /dev/null
+++ b/crates/core/src/admission.rs
@@ -0,0 +1,227 @@
+//! Keeps the passes of a group of ranks within the pause that callers accept.
+//!
+//! All ranks run a pass together and each stream gets one event from it, so the
+//! pause between events is the time of a pass. It grows with the streams that
+//! run, and beyond a point faster than streams end: the group then stays slow
+//! although no more arrives than it could serve. Streams that would push a pass
+//! over the target therefore wait; those that can still begin on time go first.
+
+use std::time::Duration;
+
+use crate::ids::RequestId;
+use crate::queue::FairQueue;
+use crate::queue::WaitingRequest;
+use crate::rate::PlacementRate;
+use crate::routing::EngineModel;
+
+/// Part of the longest accepted pause that a pass may take by the model; the
+/// rest is for prompts that are read and for demand that shifts.
+const PAUSE_SHARE: f64 = 0.85;
+/// Fewest streams for each rank that are let in whatever the pause says, so that
+/// a stall does not close the gate.
+const LEAST_PER_RANK: f64 = 3.0;
+/// Age after which a measured pause says nothing of the next pass.
+const PAUSE_AGE: Duration = Duration::from_secs(1);
+/// Streams that may wait at one gateway; more than end within a deadline.
+const QUEUE_CAPACITY: usize = 512;
+/// Weight of a new pause in the smoothed one; a pass brings one pause of each of
+/// some dozen streams.
+const PAUSE_WEIGHT: f64 = 1.0 / 32.0;
+
+/// Smoothed pause between the events of a service's streams.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct PauseMeter {
+    mean: Option<Duration>,
+    noted: Duration,
+}
+
+impl PauseMeter {
+    /// Takes a pause in.
+    pub fn note(&mut self, now: Duration, pause: Duration) {
+        let fresh = self.mean.filter(|_| now < self.noted + PAUSE_AGE);
+        let mean = fresh.map_or(pause, |mean| {
+            mean.mul_f64(1.0 - PAUSE_WEIGHT) + pause.mul_f64(PAUSE_WEIGHT)
+        });
+        self.mean = Some(mean);
+        self.noted = now;
+    }
+
+    /// Returns the smoothed pause, unless it is old.
+    pub fn mean(&self, now: Duration) -> Option<Duration> {
+        self.mean.filter(|_| now < self.noted + PAUSE_AGE)
+    }
+}
+
+/// Load of a group as a gateway knows it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct GroupLoad {
+    /// Ranks that take requests.
+    pub ranks: usize,
+    /// Streams that run, over all gateways.
+    pub streams: u32,
+    /// Smoothed pause between events, if known.
+    pub pause: Option<Duration>,
+}
+
+/// Returns how many streams keep a pass within `target`.
+///
+/// The measured pause over the one that the cost model gives for evenly loaded
+/// ranks tells how uneven they are; the limit follows from the model.
+pub fn stream_limit(model: &EngineModel, load: &GroupLoad, target: Duration) -> Option<u32> {
+    let pause = load.pause?.as_secs_f64();
+    let step = model.step_time.as_secs_f64();
+    let each = model.time_per_request.as_secs_f64();
+    let ranks = load.ranks as f64;
+    if ranks <= 0.0 || each <= 0.0 || step <= 0.0 {
+        return None;
+    }
+    let per_rank = f64::from(load.streams) / ranks;
+    let steps = f64::from(model.steps_per_pass);
+    let unevenness = pause / (steps * (step + each * per_rank));
+    let allowed = target.as_secs_f64() * PAUSE_SHARE / (steps * unevenness);
+    let most_per_rank = ((allowed - step) / each).max(LEAST_PER_RANK);
+    Some((most_per_rank * ranks) as u32)
+}
+
+/// A stream that asks to be let in.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct GateRequest {
+    /// Identity.
+    pub request: RequestId,
+    /// Rank of the work; 0 is the most urgent.
+    pub priority: u8,
+    /// Organisation; empty where there is none.
+    pub organisation: String,
+    /// Until when it can begin and still be on time.
+    pub fresh_until: Duration,
+    /// Until when it can begin and still end.
+    pub latest_start: Duration,
+}
+
+/// What the gate decides on a stream that waits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum GateVerdict {
+    /// It may be sent.
+    Admit(RequestId),
+    /// It cannot be served; the time says when to come back.
+    Refuse(RequestId, Duration),
+}
+
+/// Streams of one service that wait to be let in.
+#[derive(Debug, Clone)]
+pub struct StreamGate {
+    fresh: FairQueue,
+    overdue: FairQueue,
+    details: Vec<GateRequest>,
+    rate: PlacementRate,
+}
+
+impl Default for StreamGate {
+    fn default() -> StreamGate {
+        StreamGate {
+            fresh: FairQueue::new(QUEUE_CAPACITY),
+            overdue: FairQueue::new(QUEUE_CAPACITY),
+            details: Vec::new(),
+            rate: PlacementRate::default(),
+        }
+    }
+}
+
+impl StreamGate {
+    /// Streams that wait.
+    pub fn waiting(&self) -> usize {
+        self.details.len()
+    }
+
+    /// Takes a stream in that asks to be let in; the next [`StreamGate::pump`]
+    /// decides on it. False when too many wait already.
+    pub fn ask(&mut self, asking: GateRequest) -> bool {
+        let waiting = WaitingRequest { request: asking.request, give_up: asking.fresh_until };
+        let taken = self.fresh.push(level(asking.priority), &asking.organisation, waiting);
+        if taken {
+            self.details.push(asking);
+        }
+        taken
+    }
+
+    /// Time after which a refused stream is told to come back.
+    pub fn retry_after(&self) -> Duration {
+        let waiting = self.fresh.len() + self.overdue.len();
+        self.rate.expected_wait(waiting).unwrap_or(SHORTEST_RETRY).max(SHORTEST_RETRY)
+    }
+
+    /// Forgets a stream whose caller has left.
+    pub fn forget(&mut self, request: RequestId) {
+        if !self.fresh.remove(request) {
+            self.overdue.remove(request);
+        }
+        self.details.retain(|known| known.request != request);
+    }
+
+    /// Lets in up to `room` streams, and refuses those that cannot end in time.
+    pub fn pump(&mut self, now: Duration, room: u32) -> Vec<GateVerdict> {
+        self.rate.roll(now);
+        let mut verdicts = Vec::new();
+        for request in self.fresh.take_expired(now) {
+            self.move_overdue(request);
+        }
+        for request in self.overdue.take_expired(now) {
+            self.drop_details(request);
+            verdicts.push(GateVerdict::Refuse(request, self.retry_after()));
+        }
+        for _ in 0..room {
+            let next = self.fresh.pop().or_else(|| self.overdue.pop());
+            let Some((request, _)) = next else {
+                break;
+            };
+            self.drop_details(request);
+            self.rate.count_one(now);
+            verdicts.push(GateVerdict::Admit(request));
+        }
+        verdicts.extend(self.refuse_hopeless(now));
+        verdicts
+    }
+
+    fn move_overdue(&mut self, request: RequestId) {
+        let Some(known) = self.details.iter().find(|known| known.request == request) else {
+            return;
+        };
+        let waiting = WaitingRequest { request, give_up: known.latest_start };
+        self.overdue.push(level(known.priority), &known.organisation, waiting);
+    }
+
+    /// Refuses overdue streams that the others before them leave no time for.
+    fn refuse_hopeless(&mut self, now: Duration) -> Vec<GateVerdict> {
+        let retry = self.retry_after();
+        let mut refused = Vec::new();
+        loop {
+            let waiting = self.fresh.len() + self.overdue.len();
+            let Some(wait) = self.rate.expected_wait(waiting) else {
+                break;
+            };
+            let last = self.details.iter().filter(|known| known.fresh_until <= now);
+            let Some(worst) = last.min_by_key(|known| known.latest_start) else {
+                break;
+            };
+            if now + wait <= worst.latest_start {
+                break;
+            }
+            let request = worst.request;
+            self.forget(request);
+            refused.push(GateVerdict::Refuse(request, retry));
+        }
+        refused
+    }
+
+    fn drop_details(&mut self, request: RequestId) {
+        self.details.retain(|known| known.request != request);
+    }
+}
+
+/// Shortest time after which a refused stream is told to come back; some passes.
+const SHORTEST_RETRY: Duration = Duration::from_millis(400);
+
+/// The queue serves higher levels first.
+fn level(priority: u8) -> u8 {
+    u8::MAX - priority
+}
--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -230,7 +230,7 @@
         let in_force: Vec<&Backend> = self
             .backends
             .values()
-            .filter(|backend| backend.record.service == query.service && self.in_force(backend))
+            .filter(|backend| backend.record.service == query.service && self.takes_work(backend))
             .collect();
         if in_force.is_empty() {
             return Err(NoServer::Unknown);
@@ -269,13 +269,19 @@
         let mut slots = 0;
         for backend in backends {
             load += backend.in_flight + self.others(&backend.record.id);
-            if self.in_force(backend) {
+            if self.takes_work(backend) {
                 slots += backend.record.slots;
             }
         }
         (load, slots)
     }
 
+    /// Number of servers of a service that are in force.
+    pub fn in_force(&self, service: &str) -> usize {
+        let backends = self.backends.values().filter(|known| known.record.service == service);
+        backends.filter(|backend| self.takes_work(backend)).count()
+    }
+
     /// Notes that a request is sent to a server.
     pub fn begin(&mut self, now: Duration, id: &str) {
         if let Some(backend) = self.backends.get_mut(id) {
@@ -301,7 +307,7 @@
         }
     }
 
-    fn in_force(&self, backend: &Backend) -> bool {
+    fn takes_work(&self, backend: &Backend) -> bool {
         backend.record.state == ServerState::Ready && !self.zones_out.contains(&backend.record.zone)
     }
 
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -3,8 +3,6 @@
 //! Only whole events are passed on, so that a stream that breaks off inside an
 //! event can be continued by another server after the last whole one.
 
-use std::time::Duration;
-
 /// Number that a server gives to an event; grows within a stream.
 pub type EventNumber = u64;
 
@@ -118,27 +116,3 @@
         EventVerdict::Next
     }
 }
-
-/// Smoothed pause between the events of a service's streams.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct PauseMeter {
-    mean: Option<Duration>,
-}
-
-/// Weight of a new pause; about the last eight count.
-const PAUSE_WEIGHT: f64 = 0.125;
-
-impl PauseMeter {
-    /// Takes a pause in.
-    pub fn note(&mut self, pause: Duration) {
-        let mean = self.mean.map_or(pause, |mean| {
-            mean.mul_f64(1.0 - PAUSE_WEIGHT) + pause.mul_f64(PAUSE_WEIGHT)
-        });
-        self.mean = Some(mean);
-    }
-
-    /// Returns the smoothed pause, once there was one.
-    pub fn mean(&self) -> Option<Duration> {
-        self.mean
-    }
-}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -30,6 +30,7 @@
 //! assert_eq!(limit.in_flight(), 0);
 //! ```
 
+pub mod admission;
 pub mod agent;
 pub mod answer;
 pub mod balance;
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -147,6 +147,7 @@
     services: FastMap<ServiceName, ServiceSpec>,
     limits: CallerLimits,
     keys: Option<FastMap<ApiKey, OrganisationRule>>,
+    gaps: FastMap<ServiceName, Duration>,
 }
 
 /// Why a caller's key was not accepted.
@@ -174,7 +175,17 @@
         for indices in by_host.values_mut() {
             indices.sort_by_key(|&index| std::cmp::Reverse(routes[index].prefix.len()));
         }
-        RoutingTable { version, routes, by_host, services, limits, keys }
+        let mut gaps: FastMap<ServiceName, Duration> = FastMap::default();
+        for route in &routes {
+            let Some(gap) = route.max_gap else {
+                continue;
+            };
+            for target in &route.targets {
+                let known = gaps.entry(target.service.clone()).or_insert(gap);
+                *known = gap.min(*known);
+            }
+        }
+        RoutingTable { version, routes, by_host, services, limits, keys, gaps }
     }
 
     /// Version of the configuration.
@@ -204,6 +215,11 @@
         self.services.iter()
     }
 
+    /// Shortest pause between events that a route to a service asks for.
+    pub fn shortest_gap(&self, service: &str) -> Option<Duration> {
+        self.gaps.get(service).copied()
+    }
+
     /// Number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.len()
--- a/crates/core/src/switch.rs
+++ b/crates/core/src/switch.rs
@@ -38,9 +38,9 @@
 /// Age up to which the next pass of a status can be held; passes take 40 ms or more.
 const FRESH_AGE: Duration = Duration::from_millis(12);
 /// Time after which an order without an answer is taken as unknown.
-const OUTCOME_TIMEOUT: Duration = Duration::from_millis(180);
+const OUTCOME_TIMEOUT: Duration = Duration::from_millis(110);
 /// Pause before an order is sent again to an agent that did not answer.
-const RESEND_PAUSE: Duration = Duration::from_millis(40);
+const RESEND_PAUSE: Duration = Duration::from_millis(30);
 /// Silence of an agent after which its engine is given orders directly.
 const AGENT_SILENCE: Duration = Duration::from_millis(400);
 /// Time to prepare a map, besides its copies.
@@ -51,6 +51,12 @@
 const FAILED_PAUSE: Duration = Duration::from_millis(300);
 /// Time after which a release is sent again while the pass is still held.
 const RELEASE_PAUSE: Duration = Duration::from_millis(60);
+/// Times that a hold is given again after no answer. The same order twice does no
+/// harm: carried out late, its pass has begun or it holds already.
+const MAX_REPEATS: u32 = 6;
+/// Time for which ranks that do not answer are asked again to arm; callers give a
+/// stream up after a pause of two seconds.
+const ARMING_TIME: Duration = Duration::from_millis(500);
 /// Holds that may be refused, since their pass had begun, before a switch is given up.
 const MAX_HOLDS: u32 = 6;
 
@@ -230,9 +236,9 @@
     /// The ranks copy experts.
     Preparing { version: MapVersion, map: ExpertMap, started: Duration, limit: Duration },
     /// The leader's rank is asked to hold a pass.
-    Holding { version: MapVersion, pass: PassNumber, tries: u32 },
+    Holding { version: MapVersion, pass: PassNumber, tries: u32, repeats: u32 },
     /// All ranks are asked to switch at the held pass.
-    Arming { version: MapVersion, pass: PassNumber, armed: Vec<bool> },
+    Arming { version: MapVersion, pass: PassNumber, armed: Vec<bool>, started: Duration },
     /// The held pass is released; the ranks begin to use the map.
     Releasing { version: MapVersion, pass: PassNumber, sent: Duration },
 }
@@ -600,7 +606,7 @@
         };
         let ahead = if now < view.heard + FRESH_AGE { 1 } else { 2 };
         let pass = view.status.pass + ahead + u64::from(tries);
-        self.phase = Phase::Holding { version, pass, tries };
+        self.phase = Phase::Holding { version, pass, tries, repeats: 0 };
         let order = RankOrder::Hold { mark: self.mark(), pass };
         vec![self.send(now, self.own, order)]
     }
@@ -612,7 +618,7 @@
         pass: PassNumber,
     ) -> Vec<LeaderAction> {
         let size = self.views.len();
-        self.phase = Phase::Arming { version, pass, armed: vec![false; size] };
+        self.phase = Phase::Arming { version, pass, armed: vec![false; size], started: now };
         let mut actions = Vec::new();
         for rank in 0..size {
             let order = RankOrder::Arm { mark: self.mark(), version, pass };
@@ -689,18 +695,29 @@
                 let order = RankOrder::Prepare { mark: self.mark(), version, map };
                 vec![self.send(now, pending.rank, order)]
             }
-            (Phase::Holding { version, pass, tries }, RankOrder::Hold { .. }) => {
+            (Phase::Holding { version, pass, tries, repeats }, RankOrder::Hold { .. }) => {
                 let (version, pass, tries) = (*version, *pass, *tries);
+                let held = self.views[self.own]
+                    .as_ref()
+                    .is_some_and(|view| view.status.held == Some(pass));
                 match outcome {
-                    OrderOutcome::Done => self.begin_arming(now, version, pass),
+                    _ if done || held => self.begin_arming(now, version, pass),
                     OrderOutcome::Refused if tries < MAX_HOLDS => {
                         self.begin_holding(now, version, tries + 1)
                     }
                     OrderOutcome::Refused => self.give_up(now, version, "no pass could be held"),
+                    _ if *repeats < MAX_REPEATS => {
+                        *repeats += 1;
+                        vec![self.send(now, pending.rank, pending.order.clone())]
+                    }
                     _ => self.begin_settling(now, "a hold without an answer"),
                 }
             }
-            (Phase::Arming { version, pass, armed }, RankOrder::Arm { .. }) => {
+            (Phase::Arming { version, pass, armed, started }, RankOrder::Arm { .. }) => {
+                let unanswered = matches!(outcome, OrderOutcome::Unknown | OrderOutcome::NotSent);
+                if unanswered && now < *started + ARMING_TIME {
+                    return vec![self.send(now, pending.rank, pending.order.clone())];
+                }
                 if !done {
                     let rank = pending.rank;
                     let reason = format!("rank {rank} did not confirm: {outcome:?}");
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -28,17 +28,15 @@
 use tokio::task::LocalSet;
 
 use crate::feeds::start_feeds;
+use crate::gate::pump_gates;
 use crate::listen::bind;
 use crate::listen::listen_for_callers;
 use crate::listen::listen_for_readiness;
 use crate::peers::start_peers;
+use crate::state::GRACE_SHARE;
 use crate::state::Gateway;
+use crate::state::LINGER;
 
-/// Time for which a leaving gateway takes connections: the platform notices
-/// after two questions, a second apart.
-const LINGER: Duration = Duration::from_millis(3_000);
-/// Part of the time until SIGKILL that a leaving gateway uses for open requests.
-const GRACE_SHARE: f64 = 0.95;
 /// Pause between two looks whether open requests have ended.
 const LEAVE_LOOK: Duration = Duration::from_millis(20);
 
@@ -77,9 +75,10 @@
         balance: RefCell::new(BalanceTable::default()),
         budget: RefCell::new(RepeatBudget::new(bounds)),
         pauses: RefCell::new(FastMap::default()),
+        gates: RefCell::new(FastMap::default()),
         rng: RefCell::new(ChoiceRng::new(seed)),
         servers_known: Cell::new(false),
-        leaving: Cell::new(false),
+        leaving: Cell::new(None),
         open: Cell::new(0),
         room: Notify::new(),
     })
@@ -95,6 +94,7 @@
     let ready_listener = bind(readiness).wrap_err_with(|| format!("cannot listen on {readiness}"))?;
     start_peers(&gateway).await.wrap_err("cannot open the socket for other gateways")?;
     start_feeds(&gateway);
+    tokio::task::spawn_local(pump_gates(Rc::clone(&gateway)));
     tokio::task::spawn_local(listen_for_readiness(Rc::clone(&gateway), ready_listener));
     tokio::task::spawn_local(listen_for_callers(Rc::clone(&gateway), caller_listener));
     gateway.journal.note(
@@ -133,7 +133,7 @@
 }
 
 async fn leave(gateway: &Rc<Gateway>) {
-    gateway.leaving.set(true);
+    gateway.leaving.set(Some(gateway.now()));
     gateway.journal.note("leaving", None, o!("open" => gateway.open.get()));
     let started = gateway.now();
     let latest = gateway.settings.bounds.grace.mul_f64(GRACE_SHARE);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,12 +10,14 @@
 //! - [`peers`] tells the other gateways what is in flight here.
 //! - [`serve`] takes a request from its head to its answer, [`attempt`] sends it
 //!   to a server, and [`relay`] carries a stream.
+//! - [`gate`] holds streams back that would make passes too slow.
 //! - [`answer`] makes the answers that the gateway gives by itself.
 
 pub mod answer;
 pub mod attempt;
 pub mod daemon;
 pub mod feeds;
+pub mod gate;
 pub mod listen;
 pub mod peers;
 pub mod relay;
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -79,7 +79,7 @@
             let gateway = Rc::clone(&gateway);
             async move {
                 let mut response = serve_request(Rc::clone(&gateway), request).await;
-                if gateway.leaving.get() {
+                if gateway.leaving.get().is_some() {
                     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
                 Ok::<_, Infallible>(response)
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -149,7 +149,7 @@
         }
         let news = GatewayNews {
             from: gateway.settings.node.clone(),
-            leaving: gateway.leaving.get(),
+            leaving: gateway.leaving.get().is_some(),
             in_flight: gateway.balance.borrow().own_counts(),
         };
         let Ok(bytes) = postcard::to_stdvec(&news) else {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -127,8 +127,9 @@
         if let Some(last) = self.last_event_at.replace(now) {
             let pause = now - last;
             self.longest_pause = self.longest_pause.max(pause);
+            let since_start = self.exchange.gateway.now();
             let mut pauses = self.exchange.gateway.pauses.borrow_mut();
-            pauses.entry(self.exchange.service.clone()).or_default().note(pause);
+            pauses.entry(self.exchange.service.clone()).or_default().note(since_start, pause);
         }
     }
 
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cuminpick::admission::GateRequest;
 use cuminpick::balance::BalanceChoice;
 use cuminpick::balance::BalanceQuery;
 use cuminpick::balance::NoServer;
@@ -46,6 +47,7 @@
 use crate::attempt::OpenAnswer;
 use crate::attempt::send_attempt;
 use crate::attempt::within;
+use crate::gate::wait_at_gate;
 use crate::relay::start_relay;
 use crate::state::Gateway;
 use crate::state::OpenRequest;
@@ -55,8 +57,16 @@
 const RETRY_WHEN_UNKNOWN: Duration = Duration::from_millis(500);
 /// Time until a server that refused has room; some passes of its batch.
 const RETRY_WHEN_FULL: Duration = Duration::from_millis(150);
+/// Time until a request is worth sending again to another gateway.
+const RETRY_ELSEWHERE: Duration = Duration::from_millis(20);
 /// Part of the target time that a request may wait for a server with room.
 const WAIT_SHARE: f64 = 0.6;
+/// Part of the target time after which a stream that waits can no longer begin
+/// on time: its prompt is read and its first event made in about half of it.
+const FRESH_SHARE: f64 = 0.45;
+/// Part of the time left after which a stream that waits is refused; the rest is
+/// for the stream itself.
+const START_SHARE: f64 = 0.6;
 /// Pause between two looks for a server with room.
 const ROOM_LOOK: Duration = Duration::from_millis(10);
 /// Multiple of the target time after which an idempotent request is sent again;
@@ -160,6 +170,10 @@
         Ok(organisation) => organisation.map(|rule| rule.name.clone()),
         Err(_) => return Err(Refusal::not_run(RefusalKind::KeyRefused, None)),
     };
+    let needed = head.time_left.map_or(route.timeout, |left| left.min(route.timeout));
+    if !gateway.can_finish(needed) {
+        return Err(Refusal::not_run(RefusalKind::Leaving, Some(RETRY_ELSEWHERE)));
+    }
     let message = read_message(request, &head, &table).await?;
     let service = route.pick_target(gateway.roll()).cloned().unwrap_or_default();
     let now = gateway.now();
@@ -274,7 +288,13 @@
     async fn run(mut self, mut log: RequestLog) -> Response<AnswerBody> {
         let give_up = self.give_up;
         let after = self.caller_has;
-        let answer = match tokio::time::timeout_at(give_up, self.next_sound(after)).await {
+        let answering = async {
+            if self.route.streaming {
+                self.pass_gate().await?;
+            }
+            self.next_sound(after).await
+        };
+        let answer = match tokio::time::timeout_at(give_up, answering).await {
             Ok(answer) => answer,
             Err(_) => Err(self.timed_out()),
         };
@@ -300,6 +320,22 @@
         }
     }
 
+    /// Waits until the group of the service has room for a further stream.
+    async fn pass_gate(&self) -> Result<(), Refusal> {
+        let now = self.gateway.now();
+        let asking = GateRequest {
+            request: self.gateway.roll(),
+            priority: self.route.priority,
+            organisation: self.organisation.clone().unwrap_or_default(),
+            fresh_until: now + self.route.target.mul_f64(FRESH_SHARE),
+            latest_start: now + self.time_left(self.give_up).mul_f64(START_SHARE),
+        };
+        match wait_at_gate(&self.gateway, &self.service, asking).await {
+            None => Ok(()),
+            Some(retry) => Err(Refusal::not_run(RefusalKind::Overloaded, Some(retry))),
+        }
+    }
+
     /// Refusal of a request whose time is up.
     fn timed_out(&self) -> Refusal {
         if self.sent || self.state.may_have_run {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,9 +6,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cuminpick::admission::PauseMeter;
 use cuminpick::balance::BalanceTable;
 use cuminpick::clock::Clock;
-use cuminpick::events::PauseMeter;
 use cuminpick::ids::ChoiceRng;
 use cuminpick::ids::FastMap;
 use cuminpick::ids::ServerId;
@@ -20,6 +20,14 @@
 use cuminpick_platform::settings::NodeSettings;
 use tokio::sync::Notify;
 
+use crate::gate::ServiceGate;
+
+/// Time for which a leaving gateway takes all requests: the platform notices
+/// after two questions, a second apart.
+pub const LINGER: Duration = Duration::from_millis(2_800);
+/// Part of the time until SIGKILL that a leaving gateway uses for open requests.
+pub const GRACE_SHARE: f64 = 0.95;
+
 /// State and outlets of a gateway.
 pub struct Gateway {
     /// Settings of the process.
@@ -38,12 +46,14 @@
     pub budget: RefCell<RepeatBudget>,
     /// Pauses between events, by service.
     pub pauses: RefCell<FastMap<ServiceName, PauseMeter>>,
+    /// Streams that wait to be let in, by service.
+    pub gates: RefCell<FastMap<ServiceName, ServiceGate>>,
     /// Random choices.
     pub rng: RefCell<ChoiceRng>,
     /// Whether servers were listed at least once.
     pub servers_known: Cell<bool>,
-    /// Whether the process is leaving.
-    pub leaving: Cell<bool>,
+    /// When the process was told to leave.
+    pub leaving: Cell<Option<Duration>>,
     /// Requests that have not ended.
     pub open: Cell<usize>,
     /// Woken when a request ends or servers change.
@@ -58,7 +68,17 @@
 
     /// Whether new connections are welcome.
     pub fn ready(&self) -> bool {
-        !self.leaving.get() && self.servers_known.get() && self.routing.borrow().is_some()
+        self.leaving.get().is_none() && self.servers_known.get() && self.routing.borrow().is_some()
+    }
+
+    /// Whether a request that arrives now can still be served to its end: for
+    /// [`LINGER`] all are taken, from then on those that end before SIGKILL.
+    pub fn can_finish(&self, needed: Duration) -> bool {
+        let Some(leaving) = self.leaving.get() else {
+            return true;
+        };
+        let passed = self.now().saturating_sub(leaving);
+        passed < LINGER || passed + needed < self.settings.bounds.grace.mul_f64(GRACE_SHARE)
     }
 
     /// Configuration in force.
