--- a/crates/core/src/demand.rs
+++ b/crates/core/src/demand.rs
@@ -24,7 +24,7 @@
     /// Values that gave the highest worth on the standard days; see docs/ROUNDS.md.
     fn default() -> DemandSettings {
         DemandSettings {
-            recent: Duration::from_millis(150),
+            recent: Duration::from_millis(180),
             long_run: Duration::from_secs(10),
             long_share: 0.15,
         }
--- a/crates/core/src/experts.rs
+++ b/crates/core/src/experts.rs
@@ -18,6 +18,11 @@
 /// Demand for each expert of a set, in any unit.
 pub type SetDemand = Vec<f64>;
 
+/// Ranks from which a move may take load.
+const BUSIEST_RANKS: usize = 2;
+/// Power of the mean that stands for the highest load.
+const PEAK_POWER: i32 = 12;
+
 /// Bounds on a plan.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PlanSettings {
@@ -35,10 +40,10 @@
     /// Values that gave the highest worth on the standard days; see docs/ROUNDS.md.
     fn default() -> PlanSettings {
         PlanSettings {
-            copies_per_rank: 4,
+            copies_per_rank: 2,
             copies_per_rank_and_set: 1,
-            move_gain: 0.04,
-            plan_gain: 0.10,
+            move_gain: 0.02,
+            plan_gain: 0.15,
         }
     }
 }
@@ -187,30 +192,45 @@
         if self.mean <= 0.0 { 1.0 } else { self.highest().1 / self.mean }
     }
 
-    /// Makes the move that lowers the load of the most loaded rank best; false
-    /// when none gains enough.
+    /// Makes the move that lowers the peak of the loads best; false when none
+    /// gains enough.
     fn improve(&mut self, limits: &MoveLimits, copies: &mut [usize]) -> bool {
-        let (top, highest) = self.highest();
-        let mut best: Option<(f64, f64, Move)> = None;
-        for candidate in self.candidates(top, limits, copies) {
-            let (peak, squares) = self.weigh(candidate);
-            let better = best.as_ref().is_none_or(|(known, known_squares, _)| {
-                (peak, squares) < (*known, *known_squares)
-            });
-            if better {
-                best = Some((peak, squares, candidate));
+        let before = self.peak(&self.loads);
+        let mut best: Option<(f64, Move)> = None;
+        for rank in self.busiest() {
+            for candidate in self.candidates(rank, limits, copies) {
+                let after = self.weigh(candidate);
+                if best.as_ref().is_none_or(|(known, _)| after < *known) {
+                    best = Some((after, candidate));
+                }
             }
         }
-        let Some((peak, _, chosen)) = best else {
+        let Some((after, chosen)) = best else {
             return false;
         };
-        if peak > highest * (1.0 - limits.gain) {
+        if after > before * (1.0 - limits.gain) {
             return false;
         }
         self.apply(chosen, copies);
         true
     }
 
+    /// Returns the most loaded ranks, from which experts are moved.
+    fn busiest(&self) -> Vec<RankIndex> {
+        let mut ranks: Vec<RankIndex> = (0..self.loads.len()).collect();
+        ranks.sort_by(|&left, &right| self.loads[right].total_cmp(&self.loads[left]));
+        ranks.truncate(BUSIEST_RANKS);
+        ranks
+    }
+
+    /// Smooth form of the highest load: it also falls when one of several ranks
+    /// with nearly the highest load is relieved.
+    fn peak(&self, loads: &[f64]) -> f64 {
+        let scale = self.mean.max(f64::MIN_POSITIVE);
+        let sum: f64 = loads.iter().map(|load| (load / scale).powi(PEAK_POWER)).sum();
+        sum.powf(1.0 / f64::from(PEAK_POWER)) * scale
+    }
+
     fn may_copy(
         &self,
         expert: ExpertIndex,
@@ -257,8 +277,8 @@
         moves
     }
 
-    /// Returns the highest load and the sum of squared loads after a move.
-    fn weigh(&self, candidate: Move) -> (f64, f64) {
+    /// Returns the peak of the loads after a move.
+    fn weigh(&self, candidate: Move) -> f64 {
         let mut loads = self.loads.clone();
         match candidate {
             Move::Copy { expert, to, dropped } => {
@@ -278,8 +298,7 @@
                 loads[to] += difference;
             }
         }
-        let peak = loads.iter().copied().fold(0.0, f64::max);
-        (peak, loads.iter().map(|load| load * load).sum())
+        self.peak(&loads)
     }
 
     fn weigh_drop(&self, loads: &mut [f64], expert: ExpertIndex, from: RankIndex) {
--- a/crates/core/src/switch.rs
+++ b/crates/core/src/switch.rs
@@ -3,11 +3,13 @@
 //! Ranks do not compare maps, so it is the leader's duty that within a pass all
 //! of them use the same one. A switch prepares the new map on all ranks, holds a
 //! coming pass on the leader's rank, arms all ranks for that pass and releases
-//! it only when each has confirmed. When an order fails or its answer is lost,
-//! the pass stays held until every rank has taken an order with a higher fence
-//! that disarms it: an older order that arrives later is then refused.
+//! it only when each has confirmed.
 //!
-//! A leader that takes over settles what the one before it left in the same way.
+//! A leader that takes over, or whose switch went wrong, settles what is left.
+//! First every rank takes an order with a higher fence that changes nothing: from
+//! then on no older order can. Only then are armed ranks disarmed, and only
+//! while a pass is held; armed ranks without a held pass were released together
+//! and are left to switch. What is held is released last.
 
 use std::time::Duration;
 
@@ -49,6 +51,12 @@
 const COPY_TIME: Duration = Duration::from_millis(300);
 /// Pause after a switch that was given up.
 const FAILED_PAUSE: Duration = Duration::from_millis(300);
+/// Pause before a rank is given the neutral order again.
+const SETTLE_PAUSE: Duration = Duration::from_millis(30);
+/// Pause between two readings of a rank whose agent is silent.
+const LOOK_PAUSE: Duration = Duration::from_millis(100);
+/// Time after which ranks that do not use a released map are settled.
+const SWITCH_TIME: Duration = Duration::from_secs(2);
 /// Time after which a release is sent again while the pass is still held.
 const RELEASE_PAUSE: Duration = Duration::from_millis(60);
 /// Times that a hold is given again after no answer. The same order twice does no
@@ -195,6 +203,11 @@
         /// Whether to go to the engine itself, since the agent is silent.
         direct: bool,
     },
+    /// Read the status of a rank from its engine, since the agent is silent.
+    Look {
+        /// The rank.
+        rank: RankIndex,
+    },
     /// Log a step of the protocol.
     Note {
         /// What happened.
@@ -215,6 +228,8 @@
     status: RankStatus,
     placed: Vec<Vec<ExpertIndex>>,
     heard: Duration,
+    /// Last order that was carried out before the status was read.
+    after: Option<OrderId>,
 }
 
 #[derive(Debug, Clone)]
@@ -229,8 +244,11 @@
 enum Phase {
     /// Ranks are not all known, or the group is broken.
     Waiting,
-    /// Each rank takes a higher fence; then what is held is released.
-    Settling { confirmed: Vec<bool>, confirmed_at: Duration },
+    /// Each rank takes a higher fence.
+    Settling { confirmed: Vec<Option<OrderId>> },
+    /// What earlier switches left is undone; statuses must be read after the
+    /// orders in `needed`.
+    Clearing { needed: Vec<OrderId> },
     /// Nothing is under way.
     Idle { since: Duration },
     /// The ranks copy experts.
@@ -240,7 +258,7 @@
     /// All ranks are asked to switch at the held pass.
     Arming { version: MapVersion, pass: PassNumber, armed: Vec<bool>, started: Duration },
     /// The held pass is released; the ranks begin to use the map.
-    Releasing { version: MapVersion, pass: PassNumber, sent: Duration },
+    Releasing { version: MapVersion, pass: PassNumber, started: Duration, sent: Duration },
 }
 
 /// Leader of a group, as pure decisions.
@@ -255,6 +273,8 @@
     views: Vec<Option<RankView>>,
     pending: FastMap<OrderId, PendingOrder>,
     phase: Phase,
+    looked: Duration,
+    settled_at: Duration,
     switches: u64,
 }
 
@@ -271,6 +291,8 @@
             views: vec![None; size],
             pending: FastMap::default(),
             phase: Phase::Waiting,
+            looked: Duration::ZERO,
+            settled_at: Duration::ZERO,
             switches: 0,
         }
     }
@@ -285,12 +307,14 @@
         self.switches
     }
 
-    /// Takes the status of a rank in, with the experts that it holds by set.
+    /// Takes the status of a rank in, with the experts that it holds by set and
+    /// the last order of this leader that was carried out before it was read.
     pub fn hear_status(
         &mut self,
         now: Duration,
         status: RankStatus,
         placed: Vec<Vec<ExpertIndex>>,
+        after: Option<OrderId>,
     ) -> Vec<LeaderAction> {
         let rank = status.rank;
         if rank >= self.views.len() {
@@ -299,7 +323,22 @@
         let versions = [Some(status.map), status.prepared, status.armed];
         let highest = versions.into_iter().flatten().max().unwrap_or(0);
         self.last_version = self.last_version.max(highest);
-        self.views[rank] = Some(RankView { status, placed, heard: now });
+        self.views[rank] = Some(RankView { status, placed, heard: now, after });
+        self.advance(now)
+    }
+
+    /// Takes the status of a rank in that was read from its engine, since the
+    /// agent is silent.
+    pub fn hear_look(
+        &mut self,
+        now: Duration,
+        status: RankStatus,
+        after: Option<OrderId>,
+    ) -> Vec<LeaderAction> {
+        if let Some(Some(view)) = self.views.get_mut(status.rank) {
+            view.status = status;
+            view.after = after;
+        }
         self.advance(now)
     }
 
@@ -313,7 +352,7 @@
         let Some(pending) = self.pending.remove(&id) else {
             return Vec::new();
         };
-        let mut actions = self.judge(now, &pending, outcome);
+        let mut actions = self.judge(now, id, &pending, outcome);
         actions.extend(self.advance(now));
         actions
     }
@@ -331,10 +370,22 @@
             actions.extend(self.hear_outcome(now, id, OrderOutcome::Unknown));
         }
         actions.extend(self.resend(now));
+        actions.extend(self.look_at_silent(now));
         actions.extend(self.advance(now));
         actions
     }
 
+    /// Reads the status of ranks whose agents are silent while it is needed.
+    fn look_at_silent(&mut self, now: Duration) -> Vec<LeaderAction> {
+        let needed = matches!(self.phase, Phase::Settling { .. } | Phase::Clearing { .. });
+        if !needed || now < self.looked + LOOK_PAUSE {
+            return Vec::new();
+        }
+        self.looked = now;
+        let silent = (0..self.views.len()).filter(|&rank| self.agent_silent(now, rank));
+        silent.map(|rank| LeaderAction::Look { rank }).collect()
+    }
+
     /// Returns the map in force if a switch could begin now.
     pub fn switchable_map(&self, now: Duration) -> Option<ExpertMap> {
         let Phase::Idle { since } = self.phase else {
@@ -381,7 +432,7 @@
 
     /// Whether the group runs and nothing is left over from before.
     pub fn settled(&self) -> bool {
-        !matches!(self.phase, Phase::Waiting | Phase::Settling { .. })
+        !matches!(self.phase, Phase::Waiting | Phase::Settling { .. } | Phase::Clearing { .. })
     }
 
     /// Requests that run in the group.
@@ -468,14 +519,13 @@
                 self.begin_settling(now, "a pass is held that nobody asked to hold")
             }
             Phase::Idle { .. } => Vec::new(),
-            Phase::Settling { confirmed, confirmed_at } => {
-                self.settle(now, &confirmed, confirmed_at)
-            }
+            Phase::Settling { confirmed } => self.check_settled(now, confirmed),
+            Phase::Clearing { needed } => self.clear(now, &needed),
             Phase::Preparing { version, started, limit, .. } => {
                 self.check_prepared(now, version, started, limit)
             }
-            Phase::Releasing { version, pass, sent } => {
-                self.check_released(now, version, pass, sent)
+            Phase::Releasing { version, pass, started, sent } => {
+                self.check_released(now, version, pass, started, sent)
             }
         }
     }
@@ -509,62 +559,95 @@
     /// Raises the fence and has every rank take it.
     fn begin_settling(&mut self, now: Duration, reason: &str) -> Vec<LeaderAction> {
         self.fence += 1;
-        // The disarming orders name a version that is never armed, so that one
+        // The neutral order disarms a version that is never armed, so that one
         // that is carried out late undoes no later switch.
         self.last_version += 1;
         self.pending.clear();
         let size = self.views.len();
-        self.phase =
-            Phase::Settling { confirmed: vec![false; size], confirmed_at: Duration::ZERO };
+        self.phase = Phase::Settling { confirmed: vec![None; size] };
         let mut actions = vec![note("settling", self.last_version, 0, reason.to_string())];
+        self.settled_at = now;
         for rank in 0..size {
-            actions.push(self.send_disarm(now, rank));
+            actions.push(self.send_neutral(now, rank));
         }
         actions
     }
 
-    fn send_disarm(&mut self, now: Duration, rank: RankIndex) -> LeaderAction {
-        let armed = self.views[rank].as_ref().and_then(|view| view.status.armed);
-        let version = armed.unwrap_or(self.last_version);
-        let order = RankOrder::Disarm { mark: self.mark(), version };
+    /// Sends an order that changes nothing but the fence.
+    fn send_neutral(&mut self, now: Duration, rank: RankIndex) -> LeaderAction {
+        let order = RankOrder::Disarm { mark: self.mark(), version: self.last_version };
         self.send(now, rank, order)
     }
 
-    /// Releases what is held once every rank has taken the fence and was heard since.
-    fn settle(
+    /// Begins to clear once every rank has taken the fence.
+    fn check_settled(
         &mut self,
         now: Duration,
-        confirmed: &[bool],
-        confirmed_at: Duration,
+        confirmed: Vec<Option<OrderId>>,
     ) -> Vec<LeaderAction> {
-        if !confirmed.iter().all(|done| *done) {
-            return Vec::new();
+        let needed: Vec<OrderId> = confirmed.iter().copied().flatten().collect();
+        if needed.len() < confirmed.len() {
+            return self.ask_unconfirmed(now, &confirmed);
         }
-        let heard_since = self.views.iter().flatten().all(|view| view.heard > confirmed_at);
-        if !heard_since {
+        self.phase = Phase::Clearing { needed: needed.clone() };
+        self.clear(now, &needed)
+    }
+
+    /// Gives the neutral order again to ranks that have not confirmed it.
+    fn ask_unconfirmed(
+        &mut self,
+        now: Duration,
+        confirmed: &[Option<OrderId>],
+    ) -> Vec<LeaderAction> {
+        if now < self.settled_at + SETTLE_PAUSE {
             return Vec::new();
         }
-        let armed = self.views.iter().flatten().any(|view| view.status.armed.is_some());
-        if armed {
-            return self.begin_settling(now, "a rank is still armed");
+        self.settled_at = now;
+        let mut actions = Vec::new();
+        for (rank, confirmed) in confirmed.iter().enumerate() {
+            let waiting = self.pending.values().any(|pending| pending.rank == rank);
+            if confirmed.is_none() && !waiting {
+                actions.push(self.send_neutral(now, rank));
+            }
         }
-        let held: Vec<(RankIndex, PassNumber)> = self
-            .views
-            .iter()
-            .flatten()
-            .filter_map(|view| Some((view.status.rank, view.status.held?)))
-            .collect();
-        if held.is_empty() {
+        actions
+    }
+
+    /// Undoes what is left once each rank was read after the orders in `needed`.
+    fn clear(&mut self, now: Duration, needed: &[OrderId]) -> Vec<LeaderAction> {
+        let current = self.views.iter().zip(needed).all(|(view, needed)| {
+            view.as_ref().is_some_and(|view| view.after.is_some_and(|after| after >= *needed))
+        });
+        if !current || !self.pending.is_empty() {
+            return Vec::new();
+        }
+        let statuses: Vec<RankStatus> =
+            self.views.iter().flatten().map(|view| view.status.clone()).collect();
+        let armed: Vec<(RankIndex, MapVersion)> =
+            statuses.iter().filter_map(|status| Some((status.rank, status.armed?))).collect();
+        let held: Vec<(RankIndex, PassNumber)> =
+            statuses.iter().filter_map(|status| Some((status.rank, status.held?))).collect();
+        if held.is_empty() && armed.is_empty() {
             self.phase = Phase::Idle { since: now };
             return vec![note("settled", self.last_version, 0, String::new())];
         }
+        if held.is_empty() {
+            // The ranks were released together and switch at the next pass.
+            return Vec::new();
+        }
+        let complete = armed.len() == statuses.len()
+            && armed.iter().all(|(_, version)| *version == armed[0].1);
         let mut actions = Vec::new();
-        for (rank, pass) in held {
-            let waiting = self.pending.values().any(|pending| pending.rank == rank);
-            if !waiting {
+        if armed.is_empty() || complete {
+            for (rank, pass) in held {
                 let order = RankOrder::Release { mark: self.mark(), pass };
                 actions.push(self.send(now, rank, order));
             }
+        } else {
+            for (rank, version) in armed {
+                let order = RankOrder::Disarm { mark: self.mark(), version };
+                actions.push(self.send(now, rank, order));
+            }
         }
         actions
     }
@@ -628,7 +711,11 @@
     }
 
     fn release(&mut self, now: Duration, version: MapVersion, pass: PassNumber) -> Vec<LeaderAction> {
-        self.phase = Phase::Releasing { version, pass, sent: now };
+        let started = match self.phase {
+            Phase::Releasing { started, .. } => started,
+            _ => now,
+        };
+        self.phase = Phase::Releasing { version, pass, started, sent: now };
         let order = RankOrder::Release { mark: self.mark(), pass };
         vec![self.send(now, self.own, order)]
     }
@@ -638,6 +725,7 @@
         now: Duration,
         version: MapVersion,
         pass: PassNumber,
+        started: Duration,
         sent: Duration,
     ) -> Vec<LeaderAction> {
         if self.views.iter().flatten().all(|view| view.status.map == version) {
@@ -651,6 +739,9 @@
         if held && now >= sent + RELEASE_PAUSE {
             return self.release(now, version, pass);
         }
+        if now >= started + SWITCH_TIME {
+            return self.begin_settling(now, "the ranks do not use a released map");
+        }
         Vec::new()
     }
 
@@ -658,6 +749,7 @@
     fn judge(
         &mut self,
         now: Duration,
+        id: OrderId,
         pending: &PendingOrder,
         outcome: OrderOutcome,
     ) -> Vec<LeaderAction> {
@@ -666,14 +758,16 @@
         }
         let done = outcome == OrderOutcome::Done;
         match (&mut self.phase, &pending.order) {
-            (Phase::Settling { confirmed, confirmed_at }, RankOrder::Disarm { .. }) => {
-                // A refusal shows that the rank has taken the fence as well.
-                if done || outcome == OrderOutcome::Refused {
-                    confirmed[pending.rank] = true;
-                    *confirmed_at = now;
-                    return Vec::new();
+            (Phase::Settling { confirmed }, RankOrder::Disarm { .. }) => {
+                if done {
+                    confirmed[pending.rank] = Some(id);
                 }
-                vec![self.send_disarm(now, pending.rank)]
+                Vec::new()
+            }
+            (Phase::Clearing { needed }, _) => {
+                // The statuses that follow decide whether more is to be done.
+                needed[pending.rank] = needed[pending.rank].max(id);
+                Vec::new()
             }
             (Phase::Preparing { version, map, .. }, RankOrder::Prepare { version: asked, .. })
                 if version == asked =>
@@ -682,7 +776,7 @@
                     return Vec::new();
                 }
                 let (version, map) = (*version, map.clone());
-                if outcome == OrderOutcome::Refused {
+                if outcome != OrderOutcome::Unknown {
                     let rank = pending.rank;
                     let taken = self.views[rank].as_ref().is_some_and(|view| {
                         view.status.prepared == Some(version)
@@ -714,8 +808,7 @@
                 }
             }
             (Phase::Arming { version, pass, armed, started }, RankOrder::Arm { .. }) => {
-                let unanswered = matches!(outcome, OrderOutcome::Unknown | OrderOutcome::NotSent);
-                if unanswered && now < *started + ARMING_TIME {
+                if outcome == OrderOutcome::Unknown && now < *started + ARMING_TIME {
                     return vec![self.send(now, pending.rank, pending.order.clone())];
                 }
                 if !done {
@@ -732,7 +825,7 @@
             }
             (Phase::Releasing { version, pass, .. }, RankOrder::Release { .. }) => {
                 let (version, pass) = (*version, *pass);
-                if done || outcome == OrderOutcome::Refused {
+                if outcome != OrderOutcome::Unknown {
                     return Vec::new();
                 }
                 self.release(now, version, pass)
--- /dev/null
+++ b/crates/core/tests/balance_choice.rs
@@ -0,0 +1,175 @@
+//! Choice of a backend server: load, failures, take-outs, lapsed records, cold servers.
+
+use std::time::Duration;
+
+use cuminpick::balance::BalanceQuery;
+use cuminpick::balance::BalanceTable;
+use cuminpick::balance::NoServer;
+use cuminpick::ids::ChoiceRng;
+use cuminpick::ids::ServerId;
+use cuminpick::routing::ServerRecord;
+use cuminpick::routing::ServerState;
+
+const START: Duration = Duration::from_secs(100);
+
+fn record(id: &str, zone: &str) -> ServerRecord {
+    ServerRecord {
+        id: id.to_string(),
+        service: "model".to_string(),
+        address: "127.0.0.1:9000".parse().unwrap(),
+        zone: zone.to_string(),
+        slots: 4,
+        state: ServerState::Ready,
+        cold_for: Duration::ZERO,
+        born_ms: 1,
+    }
+}
+
+fn table(ids: &[&str]) -> BalanceTable {
+    let mut table = BalanceTable::default();
+    table.replace_all(START, ids.iter().map(|id| record(id, "bole")).collect());
+    table
+}
+
+fn query<'a>(excluded: &'a [ServerId], cold: f64) -> BalanceQuery<'a> {
+    BalanceQuery { service: "model", zone: "bole", excluded, cold_per_second: cold }
+}
+
+fn chosen(table: &BalanceTable, now: Duration) -> Result<String, NoServer> {
+    let mut rng = ChoiceRng::new(7);
+    table.choose(now, &query(&[], 0.0), &mut rng).map(|choice| choice.server)
+}
+
+#[test]
+fn least_loaded() {
+    let mut table = table(&["a", "b"]);
+    table.begin(START, "a");
+    assert_eq!(chosen(&table, START), Ok("b".to_string()));
+    table.hear_peer(START, "other", vec![("b".to_string(), 3)]);
+    assert_eq!(chosen(&table, START), Ok("a".to_string()));
+}
+
+#[test]
+fn peer_counts_expire() {
+    let mut table = table(&["a", "b"]);
+    table.begin(START, "a");
+    table.hear_peer(START, "other", vec![("b".to_string(), 3)]);
+    table.expire_counts(START + Duration::from_millis(500));
+    assert_eq!(chosen(&table, START), Ok("b".to_string()));
+}
+
+#[test]
+fn spreads_evenly() {
+    let mut table = table(&["a", "b", "c"]);
+    let mut rng = ChoiceRng::new(3);
+    for _ in 0..12 {
+        let choice = table.choose(START, &query(&[], 0.0), &mut rng).unwrap();
+        table.begin(START, &choice.server);
+    }
+    assert!(table.own_counts().iter().all(|(_, count)| *count == 4));
+}
+
+#[test]
+fn failed_server_avoided() {
+    let mut table = table(&["a", "b"]);
+    table.begin(START, "b");
+    table.avoid(START, "a");
+    assert_eq!(chosen(&table, START), Ok("b".to_string()));
+    assert_eq!(chosen(&table, START + Duration::from_secs(1)), Ok("a".to_string()));
+}
+
+#[test]
+fn avoided_when_alone() {
+    let mut table = table(&["a"]);
+    table.avoid(START, "a");
+    assert_eq!(chosen(&table, START), Ok("a".to_string()));
+}
+
+#[test]
+fn draining_server_left() {
+    let mut table = table(&["a", "b"]);
+    table.put(START, ServerRecord { state: ServerState::Draining, ..record("a", "bole") });
+    table.begin(START, "b");
+    assert_eq!(chosen(&table, START), Ok("b".to_string()));
+}
+
+#[test]
+fn zone_taken_out() {
+    let mut table = table(&["a"]);
+    table.put(START, record("b", "merkato"));
+    table.set_zone_out("bole", true);
+    assert_eq!(chosen(&table, START), Ok("b".to_string()));
+    table.set_zone_out("merkato", true);
+    assert_eq!(chosen(&table, START), Err(NoServer::Unknown));
+    table.set_zone_out("bole", false);
+    assert_eq!(chosen(&table, START), Ok("a".to_string()));
+}
+
+#[test]
+fn excluded_server_passed() {
+    let table = table(&["a", "b"]);
+    let mut rng = ChoiceRng::new(1);
+    let excluded = ["a".to_string()];
+    let choice = table.choose(START, &query(&excluded, 0.0), &mut rng).unwrap();
+    assert_eq!(choice.server, "b");
+    let both = ["a".to_string(), "b".to_string()];
+    let none = table.choose(START, &query(&both, 0.0), &mut rng);
+    assert_eq!(none, Err(NoServer::Tried));
+}
+
+#[test]
+fn lapsed_record_held() {
+    let mut table = table(&["a", "b"]);
+    table.regain_contact(START);
+    table.replace_all(START, vec![record("a", "bole")]);
+    table.begin(START, "a");
+    assert_eq!(chosen(&table, START), Ok("b".to_string()));
+    let later = START + Duration::from_millis(2_100);
+    table.sweep(later);
+    assert_eq!(table.len(), 1);
+}
+
+#[test]
+fn lapsed_record_back() {
+    let mut table = table(&["a", "b"]);
+    table.regain_contact(START);
+    table.remove(START, "b");
+    table.put(START + Duration::from_secs(1), record("b", "bole"));
+    table.sweep(START + Duration::from_secs(3));
+    assert_eq!(table.len(), 2);
+}
+
+#[test]
+fn removal_in_contact() {
+    let mut table = table(&["a", "b"]);
+    table.remove(START, "b");
+    assert_eq!(table.len(), 1);
+}
+
+/// A cold server bears a rate; the gateways share it.
+#[test]
+fn cold_server_spared() {
+    let mut table = BalanceTable::default();
+    table.put(START, ServerRecord { cold_for: Duration::from_secs(3), slots: 100, ..record("a", "bole") });
+    table.hear_peer(START, "other", Vec::new());
+    let mut rng = ChoiceRng::new(1);
+    let mut sent = 0;
+    while let Ok(choice) = table.choose(START, &query(&[], 10.0), &mut rng) {
+        table.begin(START, &choice.server);
+        sent += 1;
+    }
+    assert!(sent <= 5, "{sent} requests to a server that bears 10 from two gateways");
+    let later = START + Duration::from_millis(1_100);
+    assert!(table.choose(later, &query(&[], 10.0), &mut rng).is_ok());
+}
+
+#[test]
+fn full_servers_refuse() {
+    let mut table = table(&["a"]);
+    for _ in 0..12 {
+        table.begin(START, "a");
+    }
+    assert_eq!(chosen(&table, START), Err(NoServer::Full));
+    table.end("a");
+    assert_eq!(chosen(&table, START), Ok("a".to_string()));
+}
--- /dev/null
+++ b/crates/core/tests/expert_plans.rs
@@ -0,0 +1,140 @@
+//! Plans of expert maps: always valid, better by what they claim, and quick to
+//! follow demand that shifts.
+
+use std::time::Duration;
+
+use bolero::check;
+use cuminpick::demand::DemandMeter;
+use cuminpick::demand::DemandSettings;
+use cuminpick::experts::ExpertMap;
+use cuminpick::experts::PlanSettings;
+use cuminpick::experts::SetDemand;
+use cuminpick::experts::initial_map;
+use cuminpick::experts::map_skew;
+use cuminpick::experts::plan_map;
+use cuminpick::ids::ChoiceRng;
+use cuminpick::routing::ExpertLayout;
+
+const LAYOUT: ExpertLayout = ExpertLayout { sets: 4, experts: 72, places: 8, max_new: 3 };
+const RANKS: usize = 12;
+
+fn assert_valid(map: &ExpertMap, before: &ExpertMap, layout: ExpertLayout, settings: &PlanSettings) {
+    for (set, ranks) in map.iter().enumerate() {
+        for expert in 0..layout.experts {
+            let held = ranks.iter().any(|rank| rank.contains(&(expert as u16)));
+            assert!(held, "expert {expert} of set {set} is on no rank");
+        }
+    }
+    for rank in 0..map[0].len() {
+        let mut copies = 0;
+        for set in 0..layout.sets {
+            let held = &map[set][rank];
+            assert!(held.len() <= layout.places);
+            let mut unique = held.clone();
+            unique.sort_unstable();
+            unique.dedup();
+            assert_eq!(unique.len(), held.len(), "an expert twice on rank {rank}");
+            let new = held.iter().filter(|expert| !before[set][rank].contains(expert)).count();
+            assert!(new <= layout.max_new && new <= settings.copies_per_rank_and_set);
+            copies += new;
+        }
+        assert!(copies <= settings.copies_per_rank);
+    }
+}
+
+/// Zipf demand whose order is drawn anew for each set.
+fn skewed_demand(rng: &mut ChoiceRng) -> Vec<SetDemand> {
+    let draw = |rng: &mut ChoiceRng| {
+        let mut demand: SetDemand =
+            (0..LAYOUT.experts).map(|rank| 1.0 / (rank as f64 + 1.0).powf(1.0)).collect();
+        for index in (1..demand.len()).rev() {
+            demand.swap(index, rng.below(index + 1));
+        }
+        demand
+    };
+    (0..LAYOUT.sets).map(|_| draw(rng)).collect()
+}
+
+#[test]
+fn any_demand() {
+    let settings = PlanSettings { plan_gain: 0.0, ..PlanSettings::default() };
+    check!().with_type::<(Vec<u8>, u64)>().for_each(|(weights, seed)| {
+        let mut rng = ChoiceRng::new(*seed);
+        let mut map = initial_map(LAYOUT, RANKS);
+        for _ in 0..3 {
+            let demand: Vec<SetDemand> = (0..LAYOUT.sets)
+                .map(|set| {
+                    let weight = |expert: usize| {
+                        weights.get(expert * (set + 1)).copied().unwrap_or(1)
+                    };
+                    (0..LAYOUT.experts)
+                        .map(|expert| f64::from(weight(expert)) + rng.below(3) as f64)
+                        .collect()
+                })
+                .collect();
+            let Some(plan) = plan_map(&map, &demand, LAYOUT, &settings) else {
+                continue;
+            };
+            assert_valid(&plan.map, &map, LAYOUT, &settings);
+            assert!(plan.skew_after <= plan.skew_before + 1e-9);
+            assert!((map_skew(&plan.map, &demand) - plan.skew_after).abs() < 1e-6);
+            map = plan.map;
+        }
+    });
+}
+
+/// Pattern: what is liked is drawn anew; a few small switches bring the skew
+/// from three or more to under one and a half.
+#[test]
+fn shifted_demand() {
+    let settings = PlanSettings::default();
+    let mut rng = ChoiceRng::new(5);
+    let mut map = initial_map(LAYOUT, RANKS);
+    for _ in 0..10 {
+        let demand = skewed_demand(&mut rng);
+        for _ in 0..8 {
+            if let Some(plan) = plan_map(&map, &demand, LAYOUT, &settings) {
+                assert_valid(&plan.map, &map, LAYOUT, &settings);
+                map = plan.map;
+            }
+        }
+        let skew = map_skew(&map, &demand);
+        assert!(skew < 1.5, "skew {skew} after eight switches");
+    }
+}
+
+#[test]
+fn even_demand_kept() {
+    let map = initial_map(LAYOUT, RANKS);
+    let demand = vec![vec![1.0; LAYOUT.experts]; LAYOUT.sets];
+    assert_eq!(plan_map(&map, &demand, LAYOUT, &PlanSettings::default()), None);
+}
+
+#[test]
+fn recent_demand_counts() {
+    let layout = ExpertLayout { sets: 1, experts: 2, places: 2, max_new: 1 };
+    let mut meter = DemandMeter::new(layout, DemandSettings::default());
+    assert_eq!(meter.sets(), None);
+    meter.add(Duration::ZERO, &[1_000, 0]);
+    meter.add(Duration::from_secs(3), &[0, 1_000]);
+    let sets = meter.sets().unwrap();
+    assert!(sets[0][1] > 0.85, "{sets:?}");
+    assert!(sets[0][0] > 0.02, "the long run is forgotten: {sets:?}");
+}
+
+/// Pattern: 63 ranks with 252 experts in 8 sets; a plan must not hold the
+/// agent's thread for long.
+#[test]
+fn large_group_bounded() {
+    let layout = ExpertLayout { sets: 8, experts: 252, places: 5, max_new: 3 };
+    let mut rng = ChoiceRng::new(9);
+    let map = initial_map(layout, 63);
+    let demand: Vec<SetDemand> = (0..layout.sets)
+        .map(|_| (0..layout.experts).map(|_| (rng.below(1_000) as f64).powi(3)).collect())
+        .collect();
+    let started = std::time::Instant::now();
+    let plan = plan_map(&map, &demand, layout, &PlanSettings::default()).unwrap();
+    assert_valid(&plan.map, &map, layout, &PlanSettings::default());
+    let took = started.elapsed();
+    assert!(took < Duration::from_secs(2), "a plan took {took:?}");
+}
--- /dev/null
+++ b/crates/core/tests/route_lookup.rs
@@ -0,0 +1,84 @@
+//! Routes are found by host and longest prefix, organisations by key.
+
+use std::time::Duration;
+
+use cuminpick::ids::FastMap;
+use cuminpick::routing::CallerLimits;
+use cuminpick::routing::KeyError;
+use cuminpick::routing::OrganisationRule;
+use cuminpick::routing::RepeatRule;
+use cuminpick::routing::RouteRule;
+use cuminpick::routing::RouteTarget;
+use cuminpick::routing::RoutingTable;
+
+fn route(name: &str, host: &str, prefix: &str) -> RouteRule {
+    RouteRule {
+        name: name.to_string(),
+        host: host.to_string(),
+        prefix: prefix.to_string(),
+        targets: vec![RouteTarget { service: "model".to_string(), weight: 1 }],
+        repeat: RepeatRule::Idempotent,
+        streaming: false,
+        timeout: Duration::from_secs(1),
+        target: Duration::from_millis(100),
+        max_gap: Some(Duration::from_millis(120)),
+        priority: 1,
+        max_attempts: 2,
+        public: name == "public",
+    }
+}
+
+fn table() -> RoutingTable {
+    let routes = vec![
+        route("short", "a.example", "/x/"),
+        route("long", "a.example", "/x/y/"),
+        route("public", "b.example", "/"),
+        RouteRule { max_gap: Some(Duration::from_millis(80)), ..route("tight", "c.example", "/") },
+    ];
+    let mut keys = FastMap::default();
+    let rule = OrganisationRule { name: "org".to_string(), priority: None };
+    keys.insert("key".to_string(), rule);
+    RoutingTable::new(3, routes, FastMap::default(), CallerLimits::default(), Some(keys))
+}
+
+fn name(host: &str, path: &str) -> Option<String> {
+    table().find(host, path).map(|route| route.name.clone())
+}
+
+#[test]
+fn longest_prefix() {
+    assert_eq!(name("a.example", "/x/y/1").as_deref(), Some("long"));
+    assert_eq!(name("a.example", "/x/z").as_deref(), Some("short"));
+    assert_eq!(name("a.example", "/x"), None);
+    assert_eq!(name("b.example", "/anything").as_deref(), Some("public"));
+    assert_eq!(name("d.example", "/x/"), None);
+}
+
+#[test]
+fn keys_checked() {
+    let table = table();
+    let private = table.find("a.example", "/x/").unwrap();
+    let public = table.find("b.example", "/").unwrap();
+    assert_eq!(table.organisation(private, None), Err(KeyError::Missing));
+    assert_eq!(table.organisation(private, Some("other")), Err(KeyError::Unknown));
+    assert_eq!(table.organisation(private, Some("key")).unwrap().unwrap().name, "org");
+    assert_eq!(table.organisation(public, Some("other")), Ok(None));
+    assert_eq!(table.organisation(public, Some("key")).unwrap().unwrap().name, "org");
+}
+
+#[test]
+fn weighted_targets() {
+    let mut split = route("split", "a.example", "/");
+    split.targets = vec![
+        RouteTarget { service: "most".to_string(), weight: 90 },
+        RouteTarget { service: "some".to_string(), weight: 10 },
+    ];
+    let most = (0..1_000).filter(|roll| split.pick_target(*roll).unwrap() == "most").count();
+    assert_eq!(most, 900);
+}
+
+#[test]
+fn shortest_gap() {
+    assert_eq!(table().shortest_gap("model"), Some(Duration::from_millis(80)));
+    assert_eq!(table().shortest_gap("other"), None);
+}
--- /dev/null
+++ b/crates/core/tests/whole_events.rs
@@ -0,0 +1,60 @@
+//! Streams are split into whole events, whatever the pieces in which they come.
+
+use bolero::check;
+use cuminpick::events::EventOrder;
+use cuminpick::events::EventSplitter;
+use cuminpick::events::EventVerdict;
+
+const STREAM: &[u8] = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\ndata: c\n\nid: 4\r\ndata: d\r\n\r\nid: 5\ndata";
+
+fn split(pieces: &[&[u8]]) -> (Vec<Vec<u8>>, Vec<u8>) {
+    let mut splitter = EventSplitter::default();
+    let mut events = Vec::new();
+    for piece in pieces {
+        events.extend(splitter.push(piece).unwrap().into_iter().map(|event| event.bytes));
+    }
+    (events, splitter.partial().to_vec())
+}
+
+#[test]
+fn any_pieces() {
+    let whole = split(&[STREAM]);
+    assert_eq!(whole.0.len(), 4);
+    assert_eq!(whole.1, b"id: 5\ndata");
+    check!().with_type::<Vec<u8>>().for_each(|cuts| {
+        let mut places: Vec<usize> =
+            cuts.iter().map(|cut| usize::from(*cut) % STREAM.len()).collect();
+        places.push(0);
+        places.push(STREAM.len());
+        places.sort_unstable();
+        let pieces: Vec<&[u8]> =
+            places.windows(2).map(|pair| &STREAM[pair[0]..pair[1]]).collect();
+        assert_eq!(split(&pieces), whole);
+    });
+}
+
+#[test]
+fn numbers_read() {
+    let mut splitter = EventSplitter::default();
+    let events = splitter.push(STREAM).unwrap();
+    let numbers: Vec<Option<u64>> = events.iter().map(|event| event.number).collect();
+    assert_eq!(numbers, [Some(1), Some(2), None, Some(4)]);
+}
+
+#[test]
+fn huge_event() {
+    let mut splitter = EventSplitter::default();
+    let piece = vec![b'x'; 700_000];
+    assert!(splitter.push(&piece).is_ok());
+    assert!(splitter.push(&piece).is_err());
+}
+
+#[test]
+fn resumed_order() {
+    let mut order = EventOrder::after(Some(3));
+    assert_eq!(order.judge(Some(3)), EventVerdict::Repeated);
+    assert_eq!(order.judge(Some(4)), EventVerdict::Next);
+    assert_eq!(order.judge(Some(6)), EventVerdict::Gap);
+    assert_eq!(order.judge(Some(5)), EventVerdict::Next);
+    assert_eq!(order.last(), Some(5));
+}
--- a/crates/rank-agent/src/lead.rs
+++ b/crates/rank-agent/src/lead.rs
@@ -51,6 +51,8 @@
     layout: Option<ExpertLayout>,
     /// Engines of the service.
     engines: Vec<SocketAddr>,
+    /// Last order that was given to an engine directly.
+    direct: FastMap<SocketAddr, OrderId>,
     /// Addresses of the ranks' agents, learnt from their news.
     agents: FastMap<RankIndex, SocketAddr>,
 }
@@ -63,6 +65,7 @@
             demand: None,
             layout: None,
             engines: Vec::new(),
+            direct: FastMap::default(),
             agents: FastMap::default(),
         }
     }
@@ -157,7 +160,9 @@
         if let Some(demand) = &mut leadership.demand {
             demand.add(now, &news.counts);
         }
-        leadership.leader.hear_status(now, news.status, news.placed)
+        let term = leadership.leader.term();
+        let after = news.after.filter(|(known, _)| *known == term).map(|(_, id)| id);
+        leadership.leader.hear_status(now, news.status, news.placed, after)
     };
     carry_out(agent, actions).await;
 }
@@ -194,6 +199,9 @@
                 None,
                 o!("version" => version, "pass" => pass, "detail" => detail),
             ),
+            LeaderAction::Look { rank } => {
+                tokio::task::spawn_local(look_directly(Rc::clone(agent), rank));
+            }
             LeaderAction::StepDown => step_down(agent, "a higher fence was seen"),
         }
     }
@@ -253,12 +261,7 @@
     id: OrderId,
     order: RankOrder,
 ) {
-    let engine = {
-        let state = agent.state.borrow();
-        let engines = state.leadership.as_ref().map(|leadership| leadership.engines.clone());
-        engines.into_iter().flatten().find(|engine| engine.ip() == agent_address.ip())
-    };
-    let Some(engine) = engine else {
+    let Some(engine) = engine_beside(&agent, agent_address) else {
         return;
     };
     let outcome = EngineClient::new(engine).order(&order).await;
@@ -268,9 +271,54 @@
         o!("order" => order.name(), "engine" => engine.to_string(),
            "outcome" => format!("{outcome:?}")),
     );
+    if let Some(leadership) = &mut agent.state.borrow_mut().leadership {
+        leadership.direct.insert(engine, id);
+    }
     hear_outcome(&agent, term, id, outcome).await;
 }
 
+/// Returns the engine on the VM of an agent.
+fn engine_beside(agent: &Agent, agent_address: SocketAddr) -> Option<SocketAddr> {
+    let state = agent.state.borrow();
+    let leadership = state.leadership.as_ref()?;
+    let mut engines = leadership.engines.iter().copied();
+    engines.find(|engine| engine.ip() == agent_address.ip())
+}
+
+/// Reads the status of a rank whose agent is silent from its engine.
+async fn look_directly(agent: Rc<Agent>, rank: RankIndex) {
+    let address = {
+        let state = agent.state.borrow();
+        state.leadership.as_ref().and_then(|leadership| leadership.agents.get(&rank).copied())
+    };
+    let Some(engine) = address.and_then(|address| engine_beside(&agent, address)) else {
+        return;
+    };
+    let after = {
+        let state = agent.state.borrow();
+        state.leadership.as_ref().and_then(|leadership| leadership.direct.get(&engine).copied())
+    };
+    let mut client = EngineClient::new(engine);
+    match client.report().await {
+        Ok(Some(report)) => {
+            let actions = {
+                let now = agent.now();
+                let mut state = agent.state.borrow_mut();
+                let Some(leadership) = &mut state.leadership else {
+                    return;
+                };
+                leadership.leader.hear_look(now, report.status, after)
+            };
+            carry_out(&agent, actions).await;
+        }
+        Ok(None) => {}
+        Err(error) => {
+            let detail = error.to_string();
+            agent.journal.warn("engine-unread", o!("rank" => rank, "error" => detail));
+        }
+    }
+}
+
 /// Reads the layout of experts and the addresses of the engines while leading.
 pub async fn follow_group(agent: Rc<Agent>) {
     let store = StoreClient::new(agent.settings.store);
--- a/crates/rank-agent/src/messages.rs
+++ b/crates/rank-agent/src/messages.rs
@@ -24,6 +24,8 @@
     pub placed: Vec<Vec<ExpertIndex>>,
     /// How often each expert was chosen since the last report, set after set.
     pub counts: Vec<u32>,
+    /// Leader's term and last order that was carried out before the engine was read.
+    pub after: Option<(LeaderTerm, OrderId)>,
 }
 
 /// A message between two agents.
--- a/crates/rank-agent/src/observe.rs
+++ b/crates/rank-agent/src/observe.rs
@@ -64,6 +64,7 @@
 
 impl Observer {
     async fn look(&mut self) -> Result<(), EngineError> {
+        let after = self.agent.state.borrow().finished;
         let Some(report) = self.client.report().await? else {
             return Ok(());
         };
@@ -84,7 +85,7 @@
             _ => Vec::new(),
         };
         let rank = OwnRank { group: report.group, size: report.size, rank: status.rank };
-        let news = RankNews { status, placed, counts };
+        let news = RankNews { status, placed, counts, after };
         self.report(rank, news).await;
         Ok(())
     }
@@ -118,7 +119,6 @@
                 );
                 state.rank = Some(rank);
             }
-            state.latest = Some(news.clone());
             if state.leadership.is_some() { None } else { state.leader.map(|leader| leader.address) }
         };
         match target {
@@ -164,6 +164,7 @@
             let mut state = agent.state.borrow_mut();
             if state.leader.is_some_and(|leader| leader.term == term) {
                 state.outcomes.insert(id, Some(outcome));
+                state.finished = state.finished.max(Some((term, id)));
             }
             outcome
         }
--- a/crates/rank-agent/src/state.rs
+++ b/crates/rank-agent/src/state.rs
@@ -24,7 +24,6 @@
 use crate::lead::Leadership;
 use crate::messages::AgentMessage;
 use crate::messages::GroupName;
-use crate::messages::RankNews;
 
 /// Settings of the planner, for trials.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
@@ -68,8 +67,8 @@
     pub leadership: Option<Leadership>,
     /// Outcomes of the current leader's orders; `None` while one is carried out.
     pub outcomes: FastMap<OrderId, Option<OrderOutcome>>,
-    /// Latest state of the own rank.
-    pub latest: Option<RankNews>,
+    /// Leader's term and last order that was carried out.
+    pub finished: Option<(LeaderTerm, OrderId)>,
 }
 
 /// State and outlets of an agent.
