--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -39,9 +39,8 @@
     /// Takes a pause in.
     pub fn note(&mut self, now: Duration, pause: Duration) {
         let fresh = self.mean.filter(|_| now < self.noted + PAUSE_AGE);
-        let mean = fresh.map_or(pause, |mean| {
-            mean.mul_f64(1.0 - PAUSE_WEIGHT) + pause.mul_f64(PAUSE_WEIGHT)
-        });
+        let mean = fresh
+            .map_or(pause, |mean| mean.mul_f64(1.0 - PAUSE_WEIGHT) + pause.mul_f64(PAUSE_WEIGHT));
         self.mean = Some(mean);
         self.noted = now;
     }
--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -150,8 +150,7 @@
 
     /// Takes the removal of a record in.
     pub fn remove(&mut self, now: Duration, id: &str) {
-        let lapsed =
-            self.contact_regained.is_some_and(|regained| now < regained + LAPSE_GRACE);
+        let lapsed = self.contact_regained.is_some_and(|regained| now < regained + LAPSE_GRACE);
         if !lapsed {
             self.backends.remove(id);
             return;
@@ -344,4 +343,3 @@
         }
     }
 }
-
--- a/crates/core/src/experts.rs
+++ b/crates/core/src/experts.rs
@@ -4,6 +4,9 @@
 //! pace. A plan lowers the sum of these maxima with few copies: the next best
 //! moves that are in force soon are worth more than the best map later.
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::routing::ExpertLayout;
 
 /// Number of an expert within its set.
@@ -18,11 +21,48 @@
 /// Demand for each expert of a set, in any unit.
 pub type SetDemand = Vec<f64>;
 
+/// Most moves in one plan; bounds the time that a plan takes.
+const MAX_MOVES: usize = 160;
 /// Ranks from which a move may take load.
 const BUSIEST_RANKS: usize = 2;
 /// Power of the mean that stands for the highest load.
 const PEAK_POWER: i32 = 12;
 
+/// Experts that a rank holds in a set by a new map, where they change.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MapChange {
+    /// The set.
+    pub set: u16,
+    /// The rank.
+    pub rank: u16,
+    /// All experts of the rank in the set.
+    pub experts: Vec<ExpertIndex>,
+}
+
+/// Lists what differs between two maps of the same shape.
+pub fn map_changes(before: &ExpertMap, after: &ExpertMap) -> Vec<MapChange> {
+    let mut changes = Vec::new();
+    for (set, (old_set, new_set)) in before.iter().zip(after).enumerate() {
+        for (rank, (old, new)) in old_set.iter().zip(new_set).enumerate() {
+            if old != new {
+                let experts = new.clone();
+                changes.push(MapChange { set: set as u16, rank: rank as u16, experts });
+            }
+        }
+    }
+    changes
+}
+
+/// Makes a map from another and what differs; `None` if it does not fit.
+pub fn apply_changes(before: &ExpertMap, changes: &[MapChange]) -> Option<ExpertMap> {
+    let mut map = before.clone();
+    for change in changes {
+        let set = map.get_mut(usize::from(change.set))?;
+        *set.get_mut(usize::from(change.rank))? = change.experts.clone();
+    }
+    Some(map)
+}
+
 /// Bounds on a plan.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PlanSettings {
@@ -93,7 +133,10 @@
     let mut open: Vec<usize> = (0..plans.len()).collect();
     // The set with the highest skew moves first, so that the copies that a rank
     // may take go where they gain most.
-    while let Some(position) = worst_set(&plans, &open) {
+    for _ in 0..MAX_MOVES {
+        let Some(position) = worst_set(&plans, &open) else {
+            break;
+        };
         let set = open[position];
         let limits = MoveLimits {
             places: layout.places,
@@ -119,9 +162,8 @@
 }
 
 fn worst_set(plans: &[SetPlan], open: &[usize]) -> Option<usize> {
-    (0..open.len()).max_by(|&left, &right| {
-        plans[open[left]].skew().total_cmp(&plans[open[right]].skew())
-    })
+    (0..open.len())
+        .max_by(|&left, &right| plans[open[left]].skew().total_cmp(&plans[open[right]].skew()))
 }
 
 struct MoveLimits {
@@ -142,6 +184,35 @@
     Swap { expert: ExpertIndex, from: RankIndex, other: ExpertIndex, to: RankIndex },
 }
 
+/// Most ranks whose loads one move changes that are followed; an expert with more
+/// holders puts little load on each.
+const MAX_CHANGES: usize = 32;
+
+/// Changes of the ranks' loads by a move that is being weighed.
+struct LoadChanges<'a> {
+    plan: &'a SetPlan<'a>,
+    ranks: [(RankIndex, f64); MAX_CHANGES],
+    count: usize,
+}
+
+impl LoadChanges<'_> {
+    fn add(&mut self, rank: RankIndex, change: f64) {
+        if let Some(known) = self.ranks[..self.count].iter_mut().find(|known| known.0 == rank) {
+            known.1 += change;
+        } else if self.count < MAX_CHANGES {
+            self.ranks[self.count] = (rank, change);
+            self.count += 1;
+        }
+    }
+
+    fn power_sum(&self, before: f64) -> f64 {
+        self.ranks[..self.count].iter().fold(before, |sum, &(rank, change)| {
+            let load = self.plan.loads[rank];
+            sum - self.plan.power(load) + self.plan.power((load + change).max(0.0))
+        })
+    }
+}
+
 /// One set while it is planned.
 struct SetPlan<'a> {
     demand: &'a [f64],
@@ -195,11 +266,11 @@
     /// Makes the move that lowers the peak of the loads best; false when none
     /// gains enough.
     fn improve(&mut self, limits: &MoveLimits, copies: &mut [usize]) -> bool {
-        let before = self.peak(&self.loads);
+        let before = self.power_sum();
         let mut best: Option<(f64, Move)> = None;
         for rank in self.busiest() {
             for candidate in self.candidates(rank, limits, copies) {
-                let after = self.weigh(candidate);
+                let after = self.weigh(candidate, before);
                 if best.as_ref().is_none_or(|(known, _)| after < *known) {
                     best = Some((after, candidate));
                 }
@@ -208,7 +279,7 @@
         let Some((after, chosen)) = best else {
             return false;
         };
-        if after > before * (1.0 - limits.gain) {
+        if after > before * (1.0 - limits.gain).powi(PEAK_POWER) {
             return false;
         }
         self.apply(chosen, copies);
@@ -223,12 +294,15 @@
         ranks
     }
 
-    /// Smooth form of the highest load: it also falls when one of several ranks
-    /// with nearly the highest load is relieved.
-    fn peak(&self, loads: &[f64]) -> f64 {
-        let scale = self.mean.max(f64::MIN_POSITIVE);
-        let sum: f64 = loads.iter().map(|load| (load / scale).powi(PEAK_POWER)).sum();
-        sum.powf(1.0 / f64::from(PEAK_POWER)) * scale
+    /// Sum of the loads' powers, relative to the mean load. Its root is a smooth
+    /// form of the highest load: it also falls when one of several ranks with
+    /// nearly the highest load is relieved.
+    fn power_sum(&self) -> f64 {
+        self.loads.iter().map(|load| self.power(*load)).sum()
+    }
+
+    fn power(&self, load: f64) -> f64 {
+        (load / self.mean.max(f64::MIN_POSITIVE)).powi(PEAK_POWER)
     }
 
     fn may_copy(
@@ -277,37 +351,37 @@
         moves
     }
 
-    /// Returns the peak of the loads after a move.
-    fn weigh(&self, candidate: Move) -> f64 {
-        let mut loads = self.loads.clone();
+    /// Returns the sum of the loads' powers after a move; `sum` is the one before.
+    fn weigh(&self, candidate: Move, sum: f64) -> f64 {
+        let mut changes = LoadChanges { plan: self, ranks: [(0, 0.0); MAX_CHANGES], count: 0 };
         match candidate {
             Move::Copy { expert, to, dropped } => {
                 let lower = self.share(expert, 1);
                 for &holder in &self.holders[usize::from(expert)] {
-                    loads[holder] += lower - self.share(expert, 0);
+                    changes.add(holder, lower - self.share(expert, 0));
                 }
-                loads[to] += lower;
+                changes.add(to, lower);
                 if let Some(dropped) = dropped {
-                    self.weigh_drop(&mut loads, dropped, to);
+                    self.weigh_drop(&mut changes, dropped, to);
                 }
             }
-            Move::Drop { expert, from } => self.weigh_drop(&mut loads, expert, from),
+            Move::Drop { expert, from } => self.weigh_drop(&mut changes, expert, from),
             Move::Swap { expert, from, other, to } => {
                 let difference = self.share(expert, 0) - self.share(other, 0);
-                loads[from] -= difference;
-                loads[to] += difference;
+                changes.add(from, -difference);
+                changes.add(to, difference);
             }
         }
-        self.peak(&loads)
+        changes.power_sum(sum)
     }
 
-    fn weigh_drop(&self, loads: &mut [f64], expert: ExpertIndex, from: RankIndex) {
+    fn weigh_drop(&self, changes: &mut LoadChanges<'_>, expert: ExpertIndex, from: RankIndex) {
         let higher = self.share(expert, -1);
         for &holder in &self.holders[usize::from(expert)] {
             if holder == from {
-                loads[holder] -= self.share(expert, 0);
+                changes.add(holder, -self.share(expert, 0));
             } else {
-                loads[holder] += higher - self.share(expert, 0);
+                changes.add(holder, higher - self.share(expert, 0));
             }
         }
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod choose;
 pub mod clock;
 pub mod config;
+pub mod counts;
 pub mod demand;
 pub mod entry;
 pub mod event;
--- a/crates/core/src/repeat.rs
+++ b/crates/core/src/repeat.rs
@@ -60,9 +60,10 @@
         let bounds = self.bounds;
         self.part(now, service);
         let parts = self.services.get(service);
-        let (firsts, repeats) = parts.into_iter().flatten().fold((0, 0), |sums, part| {
-            (sums.0 + part.firsts, sums.1 + part.repeats)
-        });
+        let (firsts, repeats) = parts
+            .into_iter()
+            .flatten()
+            .fold((0, 0), |sums, part| (sums.0 + part.firsts, sums.1 + part.repeats));
         let slack = bounds.slack / gateways.max(1) as f64;
         let allowed = (bounds.ratio * f64::from(firsts) + slack) * USED_SHARE;
         if f64::from(repeats + 1) > allowed {
--- a/crates/core/src/switch.rs
+++ b/crates/core/src/switch.rs
@@ -41,12 +41,14 @@
 const FRESH_AGE: Duration = Duration::from_millis(12);
 /// Time after which an order without an answer is taken as unknown.
 const OUTCOME_TIMEOUT: Duration = Duration::from_millis(110);
-/// Pause before an order is sent again to an agent that did not answer.
-const RESEND_PAUSE: Duration = Duration::from_millis(30);
+/// The same for an order that carries a map, which takes longer on a slow link.
+const MAP_TIMEOUT: Duration = Duration::from_millis(600);
+/// Times that an order is sent while its outcome is awaited.
+const RESENDS: u32 = 4;
 /// Silence of an agent after which its engine is given orders directly.
 const AGENT_SILENCE: Duration = Duration::from_millis(400);
 /// Time to prepare a map, besides its copies.
-const PREPARE_TIME: Duration = Duration::from_millis(600);
+const PREPARE_TIME: Duration = Duration::from_millis(900);
 /// Time allowed for each copy to a rank; three times what one takes.
 const COPY_TIME: Duration = Duration::from_millis(300);
 /// Pause after a switch that was given up.
@@ -162,6 +164,14 @@
         }
     }
 
+    /// Time after which its outcome is taken as unknown.
+    fn patience(&self) -> Duration {
+        match self {
+            RankOrder::Prepare { .. } => MAP_TIMEOUT,
+            _ => OUTCOME_TIMEOUT,
+        }
+    }
+
     /// Name for the log.
     pub fn name(&self) -> &'static str {
         match self {
@@ -363,7 +373,7 @@
         let late: Vec<OrderId> = self
             .pending
             .iter()
-            .filter(|(_, pending)| now >= pending.first_sent + OUTCOME_TIMEOUT)
+            .filter(|(_, pending)| now >= pending.first_sent + pending.order.patience())
             .map(|(id, _)| *id)
             .collect();
         for id in late {
@@ -386,6 +396,21 @@
         silent.map(|rank| LeaderAction::Look { rank }).collect()
     }
 
+    /// Returns an order that waits for its outcome, with its rank.
+    pub fn pending_order(&self, id: OrderId) -> Option<(RankIndex, &RankOrder)> {
+        self.pending.get(&id).map(|pending| (pending.rank, &pending.order))
+    }
+
+    /// Version of the map in force, as the first rank reports it.
+    pub fn map_version(&self) -> Option<MapVersion> {
+        self.views.first()?.as_ref().map(|view| view.status.map)
+    }
+
+    /// Formation that the leader acts in.
+    pub fn epoch(&self) -> Option<GroupEpoch> {
+        self.epoch
+    }
+
     /// Returns the map in force if a switch could begin now.
     pub fn switchable_map(&self, now: Duration) -> Option<ExpertMap> {
         let Phase::Idle { since } = self.phase else {
@@ -396,15 +421,16 @@
         }
         let first = self.views.first()?.as_ref()?;
         let sets = first.placed.len();
-        let same = self.views.iter().flatten().all(|view| {
-            view.status.map == first.status.map && view.placed.len() == sets
-        });
+        let same = self
+            .views
+            .iter()
+            .flatten()
+            .all(|view| view.status.map == first.status.map && view.placed.len() == sets);
         if !same || sets == 0 {
             return None;
         }
-        let by_set = (0..sets).map(|set| {
-            self.views.iter().flatten().map(|view| view.placed[set].clone()).collect()
-        });
+        let by_set = (0..sets)
+            .map(|set| self.views.iter().flatten().map(|view| view.placed[set].clone()).collect());
         Some(by_set.collect())
     }
 
@@ -456,8 +482,7 @@
     fn send(&mut self, now: Duration, rank: RankIndex, order: RankOrder) -> LeaderAction {
         let id = self.next_order;
         self.next_order += 1;
-        let pending =
-            PendingOrder { rank, order: order.clone(), first_sent: now, last_sent: now };
+        let pending = PendingOrder { rank, order: order.clone(), first_sent: now, last_sent: now };
         self.pending.insert(id, pending);
         LeaderAction::Order { rank, id, order, direct: self.agent_silent(now, rank) }
     }
@@ -468,7 +493,7 @@
         let mut actions = Vec::new();
         let views = &self.views;
         for (id, pending) in &mut self.pending {
-            if now < pending.last_sent + RESEND_PAUSE {
+            if now < pending.last_sent + pending.order.patience() / RESENDS {
                 continue;
             }
             if agent_silent(views, now, pending.rank) {
@@ -538,9 +563,11 @@
             }
             // A rank that is only silent may still hold a pass: the formation
             // is given up only when a rank says so.
-            let broken = self.views.iter().flatten().any(|view| {
-                Some(view.status.epoch) != self.epoch || !view.status.open
-            });
+            let broken = self
+                .views
+                .iter()
+                .flatten()
+                .any(|view| Some(view.status.epoch) != self.epoch || !view.status.open);
             if !broken {
                 return Vec::new();
             }
@@ -672,9 +699,10 @@
 
     /// Whether a rank still holds a pass some time after `since`.
     fn held_after(&self, since: Duration) -> bool {
-        self.views.iter().flatten().any(|view| {
-            view.status.held.is_some() && view.heard > since + RELEASE_PAUSE
-        })
+        self.views
+            .iter()
+            .flatten()
+            .any(|view| view.status.held.is_some() && view.heard > since + RELEASE_PAUSE)
     }
 
     fn give_up(&mut self, now: Duration, version: MapVersion, reason: &str) -> Vec<LeaderAction> {
@@ -683,7 +711,12 @@
         vec![note("switch-given-up", version, 0, reason.to_string())]
     }
 
-    fn begin_holding(&mut self, now: Duration, version: MapVersion, tries: u32) -> Vec<LeaderAction> {
+    fn begin_holding(
+        &mut self,
+        now: Duration,
+        version: MapVersion,
+        tries: u32,
+    ) -> Vec<LeaderAction> {
         let Some(view) = &self.views[self.own] else {
             return self.give_up(now, version, "the leader's own rank is not known");
         };
@@ -710,7 +743,12 @@
         actions
     }
 
-    fn release(&mut self, now: Duration, version: MapVersion, pass: PassNumber) -> Vec<LeaderAction> {
+    fn release(
+        &mut self,
+        now: Duration,
+        version: MapVersion,
+        pass: PassNumber,
+    ) -> Vec<LeaderAction> {
         let started = match self.phase {
             Phase::Releasing { started, .. } => started,
             _ => now,
@@ -733,9 +771,9 @@
             self.phase = Phase::Idle { since: now };
             return vec![note("map-in-force", version, pass, String::new())];
         }
-        let held = self.views[self.own].as_ref().is_some_and(|view| {
-            view.status.held == Some(pass) && view.heard > sent
-        });
+        let held = self.views[self.own]
+            .as_ref()
+            .is_some_and(|view| view.status.held == Some(pass) && view.heard > sent);
         if held && now >= sent + RELEASE_PAUSE {
             return self.release(now, version, pass);
         }
@@ -778,9 +816,9 @@
                 let (version, map) = (*version, map.clone());
                 if outcome != OrderOutcome::Unknown {
                     let rank = pending.rank;
-                    let taken = self.views[rank].as_ref().is_some_and(|view| {
-                        view.status.prepared == Some(version)
-                    });
+                    let taken = self.views[rank]
+                        .as_ref()
+                        .is_some_and(|view| view.status.prepared == Some(version));
                     if taken {
                         return Vec::new();
                     }
@@ -839,6 +877,11 @@
     views[rank].as_ref().is_some_and(|view| now >= view.heard + AGENT_SILENCE)
 }
 
-fn note(event: &'static str, version: MapVersion, pass: PassNumber, detail: String) -> LeaderAction {
+fn note(
+    event: &'static str,
+    version: MapVersion,
+    pass: PassNumber,
+    detail: String,
+) -> LeaderAction {
     LeaderAction::Note { event, version, pass, detail }
 }
--- a/crates/core/tests/balance_choice.rs
+++ b/crates/core/tests/balance_choice.rs
@@ -150,7 +150,10 @@
 #[test]
 fn cold_server_spared() {
     let mut table = BalanceTable::default();
-    table.put(START, ServerRecord { cold_for: Duration::from_secs(3), slots: 100, ..record("a", "bole") });
+    table.put(
+        START,
+        ServerRecord { cold_for: Duration::from_secs(3), slots: 100, ..record("a", "bole") },
+    );
     table.hear_peer(START, "other", Vec::new());
     let mut rng = ChoiceRng::new(1);
     let mut sent = 0;
--- a/crates/core/tests/expert_plans.rs
+++ b/crates/core/tests/expert_plans.rs
@@ -18,7 +18,12 @@
 const LAYOUT: ExpertLayout = ExpertLayout { sets: 4, experts: 72, places: 8, max_new: 3 };
 const RANKS: usize = 12;
 
-fn assert_valid(map: &ExpertMap, before: &ExpertMap, layout: ExpertLayout, settings: &PlanSettings) {
+fn assert_valid(
+    map: &ExpertMap,
+    before: &ExpertMap,
+    layout: ExpertLayout,
+    settings: &PlanSettings,
+) {
     for (set, ranks) in map.iter().enumerate() {
         for expert in 0..layout.experts {
             let held = ranks.iter().any(|rank| rank.contains(&(expert as u16)));
@@ -64,9 +69,8 @@
         for _ in 0..3 {
             let demand: Vec<SetDemand> = (0..LAYOUT.sets)
                 .map(|set| {
-                    let weight = |expert: usize| {
-                        weights.get(expert * (set + 1)).copied().unwrap_or(1)
-                    };
+                    let weight =
+                        |expert: usize| weights.get(expert * (set + 1)).copied().unwrap_or(1);
                     (0..LAYOUT.experts)
                         .map(|expert| f64::from(weight(expert)) + rng.below(3) as f64)
                         .collect()
--- a/crates/core/tests/map_switch.rs
+++ b/crates/core/tests/map_switch.rs
@@ -162,7 +162,8 @@
                 ));
             }
         }
-        let heard: Vec<_> = self.answers.iter().filter(|answer| answer.0 <= step).copied().collect();
+        let heard: Vec<_> =
+            self.answers.iter().filter(|answer| answer.0 <= step).copied().collect();
         self.answers.retain(|answer| answer.0 > step);
         for (_, leader, id, outcome) in heard {
             let now = self.now();
@@ -356,7 +357,14 @@
 }
 
 fn fates() -> Vec<Fate> {
-    vec![Fate::Unanswered, Fate::Lost, Fate::Late(12), Fate::Late(50), Fate::Late(90), Fate::Late(400)]
+    vec![
+        Fate::Unanswered,
+        Fate::Lost,
+        Fate::Late(12),
+        Fate::Late(50),
+        Fate::Late(90),
+        Fate::Late(400),
+    ]
 }
 
 /// Runs a world, and checks that it still switches after the faults.
--- a/crates/core/tests/stream_gate.rs
+++ b/crates/core/tests/stream_gate.rs
@@ -129,7 +129,8 @@
     let mut request = 0;
     let (mut late, mut passes) = (0, 0);
     while now < Duration::from_secs(20) {
-        let uneven = if now > Duration::from_secs(3) && now < Duration::from_secs(7) { 3.0 } else { 1.65 };
+        let uneven =
+            if now > Duration::from_secs(3) && now < Duration::from_secs(7) { 3.0 } else { 1.65 };
         let pass = pass_time(running.len() as u32, uneven);
         now += pass;
         for _ in 0..running.len() {
--- a/crates/core/tests/whole_events.rs
+++ b/crates/core/tests/whole_events.rs
@@ -5,7 +5,8 @@
 use cuminpick::events::EventSplitter;
 use cuminpick::events::EventVerdict;
 
-const STREAM: &[u8] = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\ndata: c\n\nid: 4\r\ndata: d\r\n\r\nid: 5\ndata";
+const STREAM: &[u8] =
+    b"id: 1\ndata: a\n\nid: 2\ndata: b\n\ndata: c\n\nid: 4\r\ndata: d\r\n\r\nid: 5\ndata";
 
 fn split(pieces: &[&[u8]]) -> (Vec<Vec<u8>>, Vec<u8>) {
     let mut splitter = EventSplitter::default();
@@ -27,8 +28,7 @@
         places.push(0);
         places.push(STREAM.len());
         places.sort_unstable();
-        let pieces: Vec<&[u8]> =
-            places.windows(2).map(|pair| &STREAM[pair[0]..pair[1]]).collect();
+        let pieces: Vec<&[u8]> = places.windows(2).map(|pair| &STREAM[pair[0]..pair[1]]).collect();
         assert_eq!(split(&pieces), whole);
     });
 }
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -8,12 +8,12 @@
 use cuminpick::config::ConfigObject;
 use cuminpick::event::EntryEvent;
 use cuminpick::ids::ObjectVersion;
-use cuminpick_operators::journal::Journal;
 use cuminpick_objects::CONFIG_PREFIX;
 use cuminpick_objects::ObjectChanges;
 use cuminpick_objects::ObjectStore;
 use cuminpick_objects::PlatformError;
 use cuminpick_objects::listed_record;
+use cuminpick_operators::journal::Journal;
 use slog::o;
 
 use crate::decide::Decider;
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -42,9 +42,9 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, StreamCut>>> {
         match &mut *self {
-            AnswerBody::Whole(bytes) => {
-                Poll::Ready(bytes.take().filter(|bytes| !bytes.is_empty()).map(|bytes| Ok(Frame::data(bytes))))
-            }
+            AnswerBody::Whole(bytes) => Poll::Ready(
+                bytes.take().filter(|bytes| !bytes.is_empty()).map(|bytes| Ok(Frame::data(bytes))),
+            ),
             AnswerBody::Events(events) => {
                 events.poll_recv(context).map(|event| event.map(|event| event.map(Frame::data)))
             }
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -91,7 +91,8 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut reload = signal(SignalKind::hangup())?;
     let caller_listener = bind(callers).wrap_err_with(|| format!("cannot listen on {callers}"))?;
-    let ready_listener = bind(readiness).wrap_err_with(|| format!("cannot listen on {readiness}"))?;
+    let ready_listener =
+        bind(readiness).wrap_err_with(|| format!("cannot listen on {readiness}"))?;
     start_peers(&gateway).await.wrap_err("cannot open the socket for other gateways")?;
     start_feeds(&gateway);
     tokio::task::spawn_local(pump_gates(Rc::clone(&gateway)));
@@ -114,7 +115,9 @@
 
 fn required(address: Option<SocketAddr>, field: &str) -> eyre::Result<SocketAddr> {
     address.ok_or_else(|| {
-        eyre::eyre!("the settings have no `listen.{field}`; run the gateway on VMs that take callers")
+        eyre::eyre!(
+            "the settings have no `listen.{field}`; run the gateway on VMs that take callers"
+        )
     })
 }
 
--- a/crates/gateway/src/feeds.rs
+++ b/crates/gateway/src/feeds.rs
@@ -114,7 +114,11 @@
     fn note_contact(&mut self) {
         if self.failures > 0 {
             let failures = self.failures;
-            self.gateway.journal.note("store-back", None, o!("kind" => self.kind, "failures" => failures));
+            self.gateway.journal.note(
+                "store-back",
+                None,
+                o!("kind" => self.kind, "failures" => failures),
+            );
             if self.kind == SERVER_KIND {
                 self.gateway.balance.borrow_mut().regain_contact(self.gateway.now());
             }
@@ -181,7 +185,9 @@
             Ok(record) => Some(record),
             Err(error) => {
                 let detail = error.to_string();
-                self.gateway.journal.warn("record-ignored", o!("kind" => self.kind, "error" => detail));
+                self.gateway
+                    .journal
+                    .warn("record-ignored", o!("kind" => self.kind, "error" => detail));
                 // A server whose record cannot be read is not one to use.
                 self.gateway.balance.borrow_mut().remove(self.gateway.now(), &object.name);
                 None
@@ -204,10 +210,9 @@
         let in_force = self.gateway.table().map_or(0, |table| table.version());
         if table.version() < in_force {
             let version = table.version();
-            self.gateway.journal.warn(
-                "config-older",
-                o!("version" => version, "in_force" => in_force),
-            );
+            self.gateway
+                .journal
+                .warn("config-older", o!("version" => version, "in_force" => in_force));
             return;
         }
         self.gateway.journal.note(
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -108,8 +108,7 @@
                 let answer = readiness_answer(&gateway, request.uri().path());
                 async move { Ok::<_, Infallible>(answer) }
             });
-            let connection =
-                http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
             let _ = connection.await;
         });
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -51,11 +51,7 @@
     let socket = Rc::new(UdpSocket::bind(address).await?);
     let addresses: PeerAddresses = Rc::default();
     tokio::task::spawn_local(register(Rc::clone(gateway), address, Rc::clone(&addresses)));
-    tokio::task::spawn_local(hear(
-        Rc::clone(gateway),
-        Rc::clone(&socket),
-        Rc::clone(&addresses),
-    ));
+    tokio::task::spawn_local(hear(Rc::clone(gateway), Rc::clone(&socket), Rc::clone(&addresses)));
     tokio::task::spawn_local(tell(Rc::clone(gateway), socket, addresses));
     Ok(())
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -183,8 +183,5 @@
 }
 
 fn broken(detail: &str) -> RelayEnd {
-    RelayEnd::Broken(FailedAttempt {
-        failure: AttemptFailure::Broken,
-        detail: detail.to_string(),
-    })
+    RelayEnd::Broken(FailedAttempt { failure: AttemptFailure::Broken, detail: detail.to_string() })
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -346,10 +346,7 @@
     }
 
     /// Tries servers until one gives a sound answer or none may be tried.
-    pub async fn next_sound(
-        &mut self,
-        after: Option<EventNumber>,
-    ) -> Result<SoundAnswer, Refusal> {
+    pub async fn next_sound(&mut self, after: Option<EventNumber>) -> Result<SoundAnswer, Refusal> {
         loop {
             let choice = self.choose().await?;
             if !self.pay_for_repeat() {
--- a/crates/rank-agent/src/daemon.rs
+++ b/crates/rank-agent/src/daemon.rs
@@ -27,10 +27,11 @@
 use crate::lead::hear_news_from;
 use crate::lead::hear_outcome;
 use crate::lead::lead_group;
+use crate::lead::send_whole;
 use crate::lead::step_down;
 use crate::messages::AgentMessage;
 use crate::observe::observe_engine;
-use crate::observe::take_order;
+use crate::observe::take_sent_order;
 use crate::state::Agent;
 use crate::state::AgentState;
 use crate::state::AgentTuning;
@@ -134,9 +135,10 @@
         AgentMessage::News { news, .. } => hear_news_from(agent, news, Some(from)).await,
         AgentMessage::Order { term, id, order, .. } => {
             if follow_leader(agent, from, term) {
-                tokio::task::spawn_local(take_order(Rc::clone(agent), term, id, order, from));
+                tokio::task::spawn_local(take_sent_order(Rc::clone(agent), term, id, order, from));
             }
         }
+        AgentMessage::MapUnknown { term, id, .. } => send_whole(agent, from, term, id).await,
         AgentMessage::Outcome { term, id, outcome, .. } => {
             hear_outcome(agent, term, id, outcome).await;
         }
--- a/crates/rank-agent/src/elect.rs
+++ b/crates/rank-agent/src/elect.rs
@@ -42,7 +42,11 @@
         let now = agent.now();
         let (rank, heard, leading) = {
             let state = agent.state.borrow();
-            (state.rank.clone(), state.leader.map(|leader| leader.heard), state.leadership.is_some())
+            (
+                state.rank.clone(),
+                state.leader.map(|leader| leader.heard),
+                state.leadership.is_some(),
+            )
         };
         if leading {
             silent_since = now;
@@ -73,15 +77,15 @@
     rank: &OwnRank,
     seen: &mut Option<StoreRevision>,
 ) -> Result<(), StoreError> {
-    let record = LeaderRecord {
-        holder: agent.settings.node.clone(),
-        incarnation: agent.incarnation,
-    };
+    let record =
+        LeaderRecord { holder: agent.settings.node.clone(), incarnation: agent.incarnation };
     let before = store.get(LEADER_KIND, &rank.group, ReadMode::Linear).await?;
     let known = agent.state.borrow().leader.map_or(0, |leader| leader.term);
-    let heard_since = agent.state.borrow().leader.is_some_and(|leader| {
-        agent.now() < leader.heard + LEADER_SILENCE
-    });
+    let heard_since = agent
+        .state
+        .borrow()
+        .leader
+        .is_some_and(|leader| agent.now() < leader.heard + LEADER_SILENCE);
     let revision = before.as_ref().map(|object| object.revision);
     let newly_claimed = revision.is_some() && revision != *seen;
     *seen = revision;
@@ -96,10 +100,8 @@
     );
     let mut state = agent.state.borrow_mut();
     state.outcomes.clear();
-    let address = std::net::SocketAddr::new(
-        agent.settings.ip,
-        crate::daemon::agent_port(&agent.settings),
-    );
+    let address =
+        std::net::SocketAddr::new(agent.settings.ip, crate::daemon::agent_port(&agent.settings));
     state.leader = Some(KnownLeader { term: written.revision, address, heard: agent.now() });
     let leader = GroupLeader::new(written.revision, rank.size, rank.rank);
     state.leadership = Some(Leadership::new(leader));
--- a/crates/rank-agent/src/lead.rs
+++ b/crates/rank-agent/src/lead.rs
@@ -4,8 +4,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use cuminpick::counts::unpack_counts;
 use cuminpick::demand::DemandMeter;
+use cuminpick::experts::ExpertMap;
+use cuminpick::experts::MapVersion;
 use cuminpick::experts::RankIndex;
+use cuminpick::experts::map_changes;
 use cuminpick::experts::map_skew;
 use cuminpick::experts::plan_map;
 use cuminpick::ids::FastMap;
@@ -29,6 +33,7 @@
 use crate::daemon::agent_port;
 use crate::messages::AgentMessage;
 use crate::messages::RankNews;
+use crate::messages::SentOrder;
 use crate::observe::take_order;
 use crate::state::Agent;
 
@@ -49,6 +54,8 @@
     pub leader: GroupLeader,
     demand: Option<DemandMeter>,
     layout: Option<ExpertLayout>,
+    /// Map in force when the last switch began, with its version.
+    base: Option<(MapVersion, ExpertMap)>,
     /// Engines of the service.
     engines: Vec<SocketAddr>,
     /// Last order that was given to an engine directly.
@@ -64,6 +71,7 @@
             leader,
             demand: None,
             layout: None,
+            base: None,
             engines: Vec::new(),
             direct: FastMap::default(),
             agents: FastMap::default(),
@@ -121,6 +129,7 @@
            "copies" => plan.copies, "counts" => demand.weight() as u64,
            "skew_now" => map_skew(&current, &sets)),
     );
+    leadership.base = leadership.leader.map_version().map(|version| (version, current));
     leadership.leader.begin_switch(now, plan.map, agent.tuning.plan.copies_per_rank)
 }
 
@@ -158,7 +167,7 @@
             leadership.agents.insert(news.status.rank, from);
         }
         if let Some(demand) = &mut leadership.demand {
-            demand.add(now, &news.counts);
+            demand.add(now, &unpack_counts(&news.counts));
         }
         let term = leadership.leader.term();
         let after = news.after.filter(|(known, _)| *known == term).map(|(_, id)| id);
@@ -168,12 +177,7 @@
 }
 
 /// Takes the outcome of an order in, if this agent gave it.
-pub async fn hear_outcome(
-    agent: &Rc<Agent>,
-    term: LeaderTerm,
-    id: OrderId,
-    outcome: OrderOutcome,
-) {
+pub async fn hear_outcome(agent: &Rc<Agent>, term: LeaderTerm, id: OrderId, outcome: OrderOutcome) {
     let now = agent.now();
     let actions = {
         let mut state = agent.state.borrow_mut();
@@ -246,6 +250,7 @@
             tokio::task::spawn_local(order_directly(Rc::clone(agent), address, term, id, order));
         }
         Some(address) => {
+            let order = shortened(agent, order);
             agent.tell(address, &AgentMessage::Order { group, term, id, order }).await;
         }
         // A rank that was never heard gets its order when it is sent again.
@@ -253,6 +258,45 @@
     }
 }
 
+/// Returns an order with its map as what differs from the one in force.
+fn shortened(agent: &Agent, order: RankOrder) -> SentOrder {
+    let state = agent.state.borrow();
+    let leadership = state.leadership.as_ref();
+    let base = leadership.and_then(|leadership| leadership.base.as_ref());
+    let layout = leadership.and_then(|leadership| leadership.layout);
+    match (order, base, layout) {
+        (RankOrder::Prepare { mark, version, map }, Some((base, before)), Some(layout)) => {
+            SentOrder::PrepareChanges {
+                mark,
+                version,
+                base: *base,
+                shape: (layout.sets as u16, layout.experts as u16),
+                changes: map_changes(before, &map),
+            }
+        }
+        (order, _, _) => SentOrder::Whole(order),
+    }
+}
+
+/// Sends an order again with its whole map to an agent that lacks the base.
+pub async fn send_whole(agent: &Rc<Agent>, to: SocketAddr, term: LeaderTerm, id: OrderId) {
+    let (order, group) = {
+        let state = agent.state.borrow();
+        let (Some(leadership), Some(rank)) = (&state.leadership, &state.rank) else {
+            return;
+        };
+        if leadership.leader.term() != term {
+            return;
+        }
+        let order = leadership.leader.pending_order(id).map(|(_, order)| order.clone());
+        (order, rank.group.clone())
+    };
+    if let Some(order) = order {
+        let order = SentOrder::Whole(order);
+        agent.tell(to, &AgentMessage::Order { group, term, id, order }).await;
+    }
+}
+
 /// Gives an order to the engine of a rank whose agent is silent.
 async fn order_directly(
     agent: Rc<Agent>,
--- a/crates/rank-agent/src/messages.rs
+++ b/crates/rank-agent/src/messages.rs
@@ -3,9 +3,13 @@
 //! Every message may be lost, doubled or late: statuses and beacons repeat, and
 //! an order is carried out once for its id however often it comes.
 
+use cuminpick::counts::PackedCounts;
 use cuminpick::experts::ExpertIndex;
+use cuminpick::experts::MapChange;
+use cuminpick::experts::MapVersion;
 use cuminpick::switch::LeaderTerm;
 use cuminpick::switch::OrderId;
+use cuminpick::switch::OrderMark;
 use cuminpick::switch::OrderOutcome;
 use cuminpick::switch::RankOrder;
 use cuminpick::switch::RankStatus;
@@ -22,12 +26,32 @@
     pub status: RankStatus,
     /// Experts that the rank holds, by set.
     pub placed: Vec<Vec<ExpertIndex>>,
-    /// How often each expert was chosen since the last report, set after set.
-    pub counts: Vec<u32>,
+    /// How often each expert was chosen since the last counts, set after set.
+    pub counts: PackedCounts,
     /// Leader's term and last order that was carried out before the engine was read.
     pub after: Option<(LeaderTerm, OrderId)>,
 }
 
+/// An order as it is sent; maps go as what differs from the one in force.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum SentOrder {
+    /// As it is given.
+    Whole(RankOrder),
+    /// Prepare a map.
+    PrepareChanges {
+        /// Marks.
+        mark: OrderMark,
+        /// Version of the map.
+        version: MapVersion,
+        /// Version on which it is based.
+        base: MapVersion,
+        /// Sets and experts of the first map of a formation.
+        shape: (u16, u16),
+        /// What differs from the base.
+        changes: Vec<MapChange>,
+    },
+}
+
 /// A message between two agents.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum AgentMessage {
@@ -54,7 +78,16 @@
         /// Identity within the term.
         id: OrderId,
         /// The order.
-        order: RankOrder,
+        order: SentOrder,
+    },
+    /// The sender lacks the map on which an order is based.
+    MapUnknown {
+        /// Group.
+        group: GroupName,
+        /// Term of the leader that gave the order.
+        term: LeaderTerm,
+        /// Identity within the term.
+        id: OrderId,
     },
     /// How an order was taken.
     Outcome {
@@ -76,6 +109,7 @@
             AgentMessage::Beacon { group, .. }
             | AgentMessage::News { group, .. }
             | AgentMessage::Order { group, .. }
+            | AgentMessage::MapUnknown { group, .. }
             | AgentMessage::Outcome { group, .. } => group,
         }
     }
@@ -86,6 +120,7 @@
             AgentMessage::Beacon { .. } => "beacon",
             AgentMessage::News { .. } => "rank-news",
             AgentMessage::Order { .. } => "order",
+            AgentMessage::MapUnknown { .. } => "map-unknown",
             AgentMessage::Outcome { .. } => "outcome",
         }
     }
--- a/crates/rank-agent/src/observe.rs
+++ b/crates/rank-agent/src/observe.rs
@@ -3,8 +3,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use cuminpick::counts::PackedCounts;
+use cuminpick::counts::pack_counts;
 use cuminpick::experts::ExpertIndex;
+use cuminpick::experts::ExpertMap;
 use cuminpick::experts::MapVersion;
+use cuminpick::experts::apply_changes;
+use cuminpick::experts::initial_map;
+use cuminpick::routing::ExpertLayout;
 use cuminpick::switch::GroupEpoch;
 use cuminpick::switch::LeaderTerm;
 use cuminpick::switch::OrderId;
@@ -18,13 +24,20 @@
 use crate::lead::hear_outcome;
 use crate::messages::AgentMessage;
 use crate::messages::RankNews;
+use crate::messages::SentOrder;
 use crate::state::Agent;
 use crate::state::OwnRank;
 
-/// Interval at which the engine is read; a pass takes 40 ms or more.
+/// Least interval at which the engine is read; a pass takes 40 ms or more.
 const LOOK_INTERVAL: Duration = Duration::from_millis(30);
-/// Looks for each reading of the counts.
-const LOOKS_PER_COUNT: u32 = 2;
+/// Interval for each rank of a group, so that a large one's leader can hear all.
+const LOOK_PER_RANK: Duration = Duration::from_millis(1);
+/// Least interval at which the counts are read.
+const COUNT_INTERVAL: Duration = Duration::from_millis(60);
+/// Part of a VM's link that counts from all ranks may take at the leader.
+const COUNT_LINK_SHARE: f64 = 0.4;
+/// Maps that are kept as bases of later ones.
+const KEPT_MAPS: usize = 4;
 /// Pause after the engine could not be read.
 const FAILED_PAUSE: Duration = Duration::from_millis(100);
 /// Outcomes that are remembered before all are forgotten.
@@ -37,12 +50,13 @@
         agent,
         counts: None,
         placed: None,
-        looks: 0,
+        counted_at: Duration::ZERO,
+        count_interval: COUNT_INTERVAL,
         failing: false,
     };
     loop {
         let pause = match observer.look().await {
-            Ok(()) => LOOK_INTERVAL,
+            Ok(ranks) => LOOK_INTERVAL.max(LOOK_PER_RANK * ranks),
             Err(error) => {
                 observer.note_failure(&error);
                 FAILED_PAUSE
@@ -58,23 +72,24 @@
     client: EngineClient,
     counts: Option<(GroupEpoch, Vec<u64>)>,
     placed: Option<(GroupEpoch, MapVersion, Vec<Vec<ExpertIndex>>)>,
-    looks: u32,
+    counted_at: Duration,
+    count_interval: Duration,
     failing: bool,
 }
 
 impl Observer {
-    async fn look(&mut self) -> Result<(), EngineError> {
+    /// Reads the engine once; returns the number of ranks in its group.
+    async fn look(&mut self) -> Result<u32, EngineError> {
         let after = self.agent.state.borrow().finished;
         let Some(report) = self.client.report().await? else {
-            return Ok(());
+            return Ok(0);
         };
         if self.failing {
             self.failing = false;
             self.agent.journal.note("engine-back", None, o!());
         }
         let status = report.status;
-        let counts = if self.looks % LOOKS_PER_COUNT == 0 { self.new_counts().await? } else { Vec::new() };
-        self.looks = self.looks.wrapping_add(1);
+        let counts = self.due_counts(report.size).await?;
         let known = self.placed.as_ref().map(|(epoch, version, _)| (*epoch, *version));
         if known != Some((status.epoch, status.map)) {
             let (version, placed) = self.client.placed().await?;
@@ -86,8 +101,29 @@
         };
         let rank = OwnRank { group: report.group, size: report.size, rank: status.rank };
         let news = RankNews { status, placed, counts, after };
+        let ranks = rank.size as u32;
         self.report(rank, news).await;
-        Ok(())
+        Ok(ranks)
+    }
+
+    /// Reads the counts if it is time to, and packs them.
+    async fn due_counts(&mut self, ranks: usize) -> Result<PackedCounts, EngineError> {
+        let now = self.agent.now();
+        if now < self.counted_at + self.count_interval {
+            return Ok(PackedCounts::None);
+        }
+        self.counted_at = now;
+        let counts = self.new_counts().await?;
+        let packed = pack_counts(&counts, ranks, &mut self.agent.rng.borrow_mut());
+        let bits = match &packed {
+            PackedCounts::None => 0,
+            PackedCounts::Fine(bytes) => bytes.len() * 8,
+            PackedCounts::Coarse { halves, .. } => halves.len() * 8,
+        };
+        let link = self.agent.settings.link_bits_per_second * COUNT_LINK_SHARE;
+        let needed = Duration::from_secs_f64((bits * ranks) as f64 / link.max(1.0));
+        self.count_interval = needed.max(COUNT_INTERVAL);
+        Ok(packed)
     }
 
     /// Returns how often each expert was chosen since the last reading.
@@ -95,12 +131,13 @@
         let read = self.client.counts().await?;
         let before = self.counts.replace((read.epoch, read.counts.clone()));
         let difference = match before {
-            Some((epoch, before)) if epoch == read.epoch && before.len() == read.counts.len() => read
-                .counts
-                .iter()
-                .zip(&before)
-                .map(|(new, old)| u32::try_from(new.saturating_sub(*old)).unwrap_or(u32::MAX))
-                .collect(),
+            Some((epoch, before)) if epoch == read.epoch && before.len() == read.counts.len() => {
+                read.counts
+                    .iter()
+                    .zip(&before)
+                    .map(|(new, old)| u32::try_from(new.saturating_sub(*old)).unwrap_or(u32::MAX))
+                    .collect()
+            }
             _ => Vec::new(),
         };
         Ok(difference)
@@ -119,7 +156,11 @@
                 );
                 state.rank = Some(rank);
             }
-            if state.leadership.is_some() { None } else { state.leader.map(|leader| leader.address) }
+            if state.leadership.is_some() {
+                None
+            } else {
+                state.leader.map(|leader| leader.address)
+            }
         };
         match target {
             Some(address) => agent.tell(address, &AgentMessage::News { group, news }).await,
@@ -136,6 +177,70 @@
     }
 }
 
+/// Takes an order that came from the leader; one whose base is not known is asked
+/// for as a whole.
+pub async fn take_sent_order(
+    agent: Rc<Agent>,
+    term: LeaderTerm,
+    id: OrderId,
+    order: SentOrder,
+    from: std::net::SocketAddr,
+) {
+    match whole_order(&agent, order) {
+        Some(order) => take_order(agent, term, id, order, from).await,
+        None => {
+            let group = agent.state.borrow().rank.as_ref().map(|rank| rank.group.clone());
+            if let Some(group) = group {
+                agent.tell(from, &AgentMessage::MapUnknown { group, term, id }).await;
+            }
+        }
+    }
+}
+
+/// Returns an order with its whole map, and keeps that as a base of later ones.
+fn whole_order(agent: &Agent, order: SentOrder) -> Option<RankOrder> {
+    let mut state = agent.state.borrow_mut();
+    let order = match order {
+        SentOrder::Whole(order) => order,
+        SentOrder::PrepareChanges { mark, version, base, shape, changes } => {
+            let known = state.maps.iter().find(|known| (known.0, known.1) == (mark.epoch, base));
+            let before = match known {
+                Some((_, _, map)) => map.clone(),
+                None if base == 0 => {
+                    let ranks = state.rank.as_ref()?.size;
+                    initial_map(first_layout(shape), ranks)
+                }
+                None => return None,
+            };
+            RankOrder::Prepare { mark, version, map: apply_changes(&before, &changes)? }
+        }
+    };
+    if let RankOrder::Prepare { mark, version, map } = &order {
+        keep_map(&mut state.maps, mark.epoch, *version, map);
+    }
+    Some(order)
+}
+
+fn first_layout((sets, experts): (u16, u16)) -> ExpertLayout {
+    let (sets, experts) = (usize::from(sets), usize::from(experts));
+    ExpertLayout { sets, experts, places: experts, max_new: 0 }
+}
+
+fn keep_map(
+    maps: &mut Vec<(GroupEpoch, MapVersion, ExpertMap)>,
+    epoch: GroupEpoch,
+    version: MapVersion,
+    map: &ExpertMap,
+) {
+    if maps.iter().any(|known| (known.0, known.1) == (epoch, version)) {
+        return;
+    }
+    if maps.len() >= KEPT_MAPS {
+        maps.remove(0);
+    }
+    maps.push((epoch, version, map.clone()));
+}
+
 /// Carries out an order of the leader once, and reports the outcome.
 pub async fn take_order(
     agent: Rc<Agent>,
--- a/crates/rank-agent/src/state.rs
+++ b/crates/rank-agent/src/state.rs
@@ -8,9 +8,12 @@
 
 use cuminpick::clock::Clock;
 use cuminpick::demand::DemandSettings;
+use cuminpick::experts::ExpertMap;
+use cuminpick::experts::MapVersion;
 use cuminpick::experts::PlanSettings;
 use cuminpick::ids::ChoiceRng;
 use cuminpick::ids::FastMap;
+use cuminpick::switch::GroupEpoch;
 use cuminpick::switch::LeaderTerm;
 use cuminpick::switch::OrderId;
 use cuminpick::switch::OrderOutcome;
@@ -67,6 +70,8 @@
     pub leadership: Option<Leadership>,
     /// Outcomes of the current leader's orders; `None` while one is carried out.
     pub outcomes: FastMap<OrderId, Option<OrderOutcome>>,
+    /// Newest maps of the group that orders named, oldest first.
+    pub maps: Vec<(GroupEpoch, MapVersion, ExpertMap)>,
     /// Leader's term and last order that was carried out.
     pub finished: Option<(LeaderTerm, OrderId)>,
 }
