Test the gateway against stand-ins of the users' platform

Change: stand-ins of the store, of backend servers and of a group of ranks speak the platform's protocol through a mirror of the adapter; tests start the gateway process between them and callers. First failing: a head with both a length and a transfer coding reached a server, since the HTTP library drops one of them; the gateway now looks at the head as it came and refuses it.

--- a/crates/cli/tests/stated_targets.rs
+++ b/crates/cli/tests/stated_targets.rs
@@ -13,12 +13,12 @@
 use cuminpick_cli::stated::remove_target;
 use cuminpick_cli::stated::set_state;
 use cuminpick_cli::stated::set_target;
-use cuminpick_platform::ObjectChanges;
-use cuminpick_platform::ObjectStore;
-use cuminpick_platform::PlatformError;
-use cuminpick_platform::StoredObject;
-use cuminpick_platform::VmEntry;
-use cuminpick_platform::WriteCondition;
+use cuminpick_objects::ObjectChanges;
+use cuminpick_objects::ObjectStore;
+use cuminpick_objects::PlatformError;
+use cuminpick_objects::StoredObject;
+use cuminpick_objects::VmEntry;
+use cuminpick_objects::WriteCondition;
 
 /// Object API in memory, which may lose one race.
 #[derive(Default)]
--- a/crates/core/tests/map_switch.rs
+++ b/crates/core/tests/map_switch.rs
@@ -303,7 +303,7 @@
 
     fn tell_leaders(&mut self) {
         let now = self.now();
-        if self.step % 4 == 0 {
+        if self.step.is_multiple_of(4) {
             self.read_ranks();
         }
         while self.statuses.front().is_some_and(|known| known.0 <= self.step) {
--- a/crates/core/tests/stream_gate.rs
+++ b/crates/core/tests/stream_gate.rs
@@ -77,15 +77,13 @@
 fn hopeless_refused_early() {
     let mut gate = StreamGate::default();
     let mut now = Duration::ZERO;
-    let mut request = 0;
     let mut refused_ages = Vec::new();
     let mut asked_at = Vec::new();
     // Twenty a second are let in, forty ask, for twelve seconds.
-    for step in 0..480 {
+    for (step, request) in (0..480).enumerate() {
         now += Duration::from_millis(25);
         gate.ask(asking(request, now));
         asked_at.push(now);
-        request += 1;
         let room = u32::from(step % 2 == 0);
         for verdict in gate.pump(now, room) {
             if let GateVerdict::Refuse(refused, retry) = verdict {
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -8,12 +8,14 @@
 use bytes::Bytes;
 use cuminpick::refusal::RanState;
 use cuminpick::refusal::Refusal;
+use cuminpick::refusal::RefusalKind;
 use http_body::Body;
 use http_body::Frame;
 use http_body::SizeHint;
 use hyper::HeaderMap;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::header::CONNECTION;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderValue;
 use hyper::header::RETRY_AFTER;
@@ -93,6 +95,10 @@
     });
     let mut headers = HeaderMap::new();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/problem+json"));
+    if refusal.kind == RefusalKind::Malformed {
+        // Where the next request would begin is not certain.
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
     if let Some(retry) = refusal.retry_after.and_then(retry_header) {
         headers.insert(RETRY_AFTER, retry);
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,12 +11,14 @@
 //! - [`serve`] takes a request from its head to its answer, [`attempt`] sends it
 //!   to a server, and [`relay`] carries a stream.
 //! - [`gate`] holds streams back that would make passes too slow.
+//! - [`framing`] refuses requests whose body could be framed in two ways.
 //! - [`answer`] makes the answers that the gateway gives by itself.
 
 pub mod answer;
 pub mod attempt;
 pub mod daemon;
 pub mod feeds;
+pub mod framing;
 pub mod gate;
 pub mod listen;
 pub mod peers;
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -29,6 +29,8 @@
 
 use crate::answer::AnswerBody;
 use crate::answer::whole_answer;
+use crate::framing::HeadBytes;
+use crate::framing::WatchedStream;
 use crate::serve::serve_request;
 use crate::state::Gateway;
 
@@ -73,12 +75,15 @@
         return;
     }
     let limits = gateway.table().map_or_else(CallerLimits::default, |table| table.limits());
+    let head = HeadBytes::default();
     let service = {
         let gateway = Rc::clone(&gateway);
+        let head = head.clone();
         service_fn(move |request: Request<Incoming>| {
             let gateway = Rc::clone(&gateway);
+            let head = head.clone();
             async move {
-                let mut response = serve_request(Rc::clone(&gateway), request).await;
+                let mut response = serve_request(Rc::clone(&gateway), request, head).await;
                 if gateway.leaving.get().is_some() {
                     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
@@ -90,7 +95,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout)
         .max_buf_size(limits.head_bytes.max(MIN_HEAD_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(WatchedStream::new(stream, head)), service);
     // Errors of a connection are the caller's; its requests log their own end.
     let _ = connection.await;
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -33,8 +33,6 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
-use hyper::header::CONTENT_LENGTH;
-use hyper::header::TRANSFER_ENCODING;
 use slog::o;
 use tokio::time::Instant;
 
@@ -47,6 +45,7 @@
 use crate::attempt::OpenAnswer;
 use crate::attempt::send_attempt;
 use crate::attempt::within;
+use crate::framing::HeadBytes;
 use crate::gate::wait_at_gate;
 use crate::relay::start_relay;
 use crate::state::Gateway;
@@ -77,9 +76,16 @@
 pub async fn serve_request(
     gateway: Rc<Gateway>,
     request: Request<Incoming>,
+    head_bytes: HeadBytes,
 ) -> Response<AnswerBody> {
     let mut log = RequestLog::begin(&gateway);
-    match accept(&gateway, request, &mut log).await {
+    let accepted = if head_bytes.conflicting() {
+        Err(Refusal::not_run(RefusalKind::Malformed, None))
+    } else {
+        accept(&gateway, request, &mut log).await
+    };
+    head_bytes.clear();
+    match accepted {
         Ok(exchange) => exchange.run(log).await,
         Err(refusal) => {
             log.refused(&refusal);
@@ -205,10 +211,6 @@
     table: &RoutingTable,
 ) -> Result<CallerMessage, Refusal> {
     let (parts, body) = request.into_parts();
-    let sized = parts.headers.contains_key(CONTENT_LENGTH);
-    if sized && parts.headers.contains_key(TRANSFER_ENCODING) {
-        return Err(Refusal::not_run(RefusalKind::Malformed, None));
-    }
     let limits = table.limits();
     let reading = Limited::new(body, limits.body_bytes).collect();
     let body = match tokio::time::timeout(limits.idle_timeout, reading).await {
--- /dev/null
+++ b/crates/gateway/tests/broken_answers.rs
@@ -0,0 +1,137 @@
+//! Servers that fail: what is sent again, and what the caller is told.
+
+mod support;
+
+use std::time::Duration;
+
+use cuminpick_platform::mirror::seal_of;
+use cuminpick_standins::site::engine::EngineFault;
+use hyper::StatusCode;
+use support::Site;
+use support::events;
+
+fn fault_all(site: &Site, fault: EngineFault) {
+    for server in site.engines.iter().chain(&site.bookings) {
+        server.fault_next(fault);
+    }
+}
+
+/// A booking that may have run is not sent again, and not said not to have run.
+#[tokio::test(flavor = "multi_thread")]
+async fn booking_once() {
+    let site = Site::start().await;
+    let faults = [
+        EngineFault::LostAnswer,
+        EngineFault::OtherRequest,
+        EngineFault::Unsigned,
+        EngineFault::RanAndBusy,
+    ];
+    for (index, fault) in faults.into_iter().enumerate() {
+        fault_all(&site, fault);
+        let attempt = format!("a{index}");
+        let answer = site.call("/book/x", &attempt).await;
+        assert_eq!(answer.status, Some(StatusCode::BAD_GATEWAY), "{fault:?}");
+        assert!(seal_of(&answer.headers).is_none());
+        assert_eq!(site.runs(&attempt), 1, "{fault:?}");
+        // The other server still has its fault.
+        site.call("/look/x", &format!("b{index}")).await;
+        site.call("/look/x", &format!("c{index}")).await;
+        tokio::time::sleep(Duration::from_millis(900)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn booking_refused() {
+    let site = Site::start().await;
+    fault_all(&site, EngineFault::Full);
+    let answer = site.call("/book/x", "a1").await;
+    assert_eq!(answer.status, Some(StatusCode::SERVICE_UNAVAILABLE));
+    assert!(answer.headers.contains_key("retry-after"));
+    assert_eq!(site.runs("a1"), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn booking_times_out() {
+    let site = Site::start().await;
+    fault_all(&site, EngineFault::Mute);
+    let answer = site.call_with("/book/x", "a1", Some(support::KEY), Duration::from_secs(5)).await;
+    assert_eq!(answer.status, Some(StatusCode::GATEWAY_TIMEOUT));
+    assert!(answer.took < Duration::from_millis(2_400), "{:?}", answer.took);
+    assert_eq!(site.runs("a1"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lookup_repeated() {
+    let site = Site::start().await;
+    let faults = [
+        EngineFault::LostAnswer,
+        EngineFault::OtherRequest,
+        EngineFault::Unsigned,
+        EngineFault::Error,
+        EngineFault::Mute,
+    ];
+    for (index, fault) in faults.into_iter().enumerate() {
+        site.bookings[0].fault_next(fault);
+        for call in 0..4 {
+            let answer = site.call("/look/x", &format!("a{index}-{call}")).await;
+            assert_eq!(answer.status, Some(StatusCode::OK), "{fault:?}");
+        }
+        tokio::time::sleep(Duration::from_millis(900)).await;
+    }
+}
+
+/// A server's own failure is passed on with its signature when no attempt is left.
+#[tokio::test(flavor = "multi_thread")]
+async fn failure_passed_on() {
+    let site = Site::start().await;
+    fault_all(&site, EngineFault::Error);
+    let answer = site.call("/look/x", "a1").await;
+    assert_eq!(answer.status, Some(StatusCode::INTERNAL_SERVER_ERROR));
+    assert!(seal_of(&answer.headers).is_some());
+    assert_eq!(site.runs("a1"), 2);
+}
+
+/// A stream that breaks off inside an event goes on at another server; the caller
+/// sees one whole stream with the first server's signature.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_continued() {
+    let site = Site::start().await;
+    for after in [1, 3, 5] {
+        for engine in &site.engines {
+            engine.fault_next(EngineFault::CutAfter(after));
+        }
+        let attempt = format!("a{after}");
+        let first = site.call("/draft/stream/6", &attempt).await;
+        // With the fault at all servers the second attempt breaks off as well.
+        let whole = events(6);
+        assert!(whole.starts_with(&first.body), "{}", first.body);
+        assert!(first.complete == (first.body == whole));
+        assert_eq!(site.runs(&attempt), 2);
+        for index in 0..3 {
+            site.call("/draft/stream/1", &format!("clear-{after}-{index}")).await;
+        }
+        tokio::time::sleep(Duration::from_millis(900)).await;
+    }
+    let mut continued = 0;
+    for index in 0..6 {
+        site.engines[0].fault_next(EngineFault::CutAfter(2));
+        let answer = site.call("/draft/stream/6", &format!("b{index}")).await;
+        assert!(answer.complete);
+        assert_eq!(answer.body, events(6));
+        continued += u32::from(site.runs(&format!("b{index}")) == 2);
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+    assert!(continued > 0, "no stream was continued");
+}
+
+/// A stream that fails before its first event gets another server's answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_before_first_event() {
+    let site = Site::start().await;
+    site.engines[0].fault_next(EngineFault::CutAfter(0));
+    for index in 0..4 {
+        let answer = site.call("/draft/stream/3", &format!("a{index}")).await;
+        assert_eq!(answer.body, events(3));
+        assert!(answer.complete);
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/whole_path.rs
@@ -0,0 +1,129 @@
+//! A request from its caller to a backend server and back.
+
+mod support;
+
+use std::time::Duration;
+
+use cuminpick::routing::RepeatRule;
+use cuminpick::routing::ServerState;
+use cuminpick_platform::mirror::seal_of;
+use cuminpick_platform::store::EVACUATION_KIND;
+use cuminpick_platform::store::SERVER_KIND;
+use cuminpick_standins::site::store::StoreMood;
+use hyper::StatusCode;
+use support::Site;
+use support::events;
+use support::route;
+use support::routes;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn plain_and_stream() {
+    let site = Site::start().await;
+    let plain = site.call("/look/x?q=1", "a1").await;
+    assert_eq!(plain.status, Some(StatusCode::OK));
+    assert_eq!(plain.body, "answer to a1");
+    assert!(seal_of(&plain.headers).is_some());
+    let ledger: Vec<_> = site.bookings.iter().flat_map(|server| server.ledger()).collect();
+    assert_eq!(ledger.len(), 1);
+    assert_eq!(ledger[0].path, "/look/x?q=1");
+    assert_eq!(&ledger[0].body[..], b"the body");
+    assert_eq!(ledger[0].head.organisation.as_deref(), Some("org"));
+    assert!(!ledger[0].head.carries_key);
+    assert!(ledger[0].head.time_left.unwrap() <= Duration::from_secs(3));
+    let stream = site.call("/draft/stream/6", "a2").await;
+    assert!(stream.complete);
+    assert_eq!(stream.body, events(6));
+    assert!(site.metrics().await.contains("cuminpick_latency_seconds"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn refusals_told() {
+    let site = Site::start().await;
+    let unknown = site.call("/nowhere/x", "a1").await;
+    assert_eq!(unknown.status, Some(StatusCode::NOT_FOUND));
+    let keyless = site.call_with("/look/x", "a2", None, Duration::from_secs(1)).await;
+    assert_eq!(keyless.status, Some(StatusCode::UNAUTHORIZED));
+    let wrong = site.call_with("/look/x", "a3", Some("other"), Duration::from_secs(1)).await;
+    assert_eq!(wrong.status, Some(StatusCode::UNAUTHORIZED));
+    for attempt in ["a1", "a2", "a3"] {
+        assert_eq!(site.runs(attempt), 0);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn configuration_in_force() {
+    let site = Site::start().await;
+    let mut changed = routes();
+    changed.push(route("added", "booking", RepeatRule::Idempotent));
+    site.configure(5, &changed);
+    site.settle().await;
+    assert_eq!(site.call("/added/x", "a1").await.status, Some(StatusCode::OK));
+    // An older version never comes back.
+    site.configure(3, &routes());
+    site.settle().await;
+    assert_eq!(site.call("/added/x", "a2").await.status, Some(StatusCode::OK));
+    assert_eq!(site.log("config-older").len(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn unusable_configuration_kept_out() {
+    let site = Site::start().await;
+    let broken = serde_json::json!({"version": 9, "routes": 7});
+    site.store.put(cuminpick_platform::store::CONFIG_KIND, "main", broken);
+    site.settle().await;
+    assert_eq!(site.call("/look/x", "a1").await.status, Some(StatusCode::OK));
+    assert_eq!(site.log("config-ignored").len(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_servers_left() {
+    let site = Site::start().await;
+    site.set_state("booking-3", ServerState::Draining);
+    site.settle().await;
+    for index in 0..6 {
+        assert_eq!(site.call("/look/x", &format!("a{index}")).await.status, Some(StatusCode::OK));
+    }
+    assert!(site.bookings[0].ledger().is_empty());
+    site.set_state("booking-3", ServerState::Ready);
+    site.store.put(EVACUATION_KIND, "zone-0", serde_json::json!({}));
+    site.settle().await;
+    let before = site.bookings[1].ledger().len();
+    for index in 0..6 {
+        site.call("/look/x", &format!("b{index}")).await;
+    }
+    assert_eq!(site.bookings[1].ledger().len(), before, "a zone that is out got requests");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn store_away() {
+    let site = Site::start().await;
+    site.store.set_mood(StoreMood::Reset);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    assert_eq!(site.call("/look/x", "a1").await.status, Some(StatusCode::OK));
+    // Records that lapse meanwhile hold for a while after the store's return.
+    for index in 3..5 {
+        site.store.remove(SERVER_KIND, &format!("booking-{index}"));
+    }
+    site.store.drop_history();
+    site.store.set_mood(StoreMood::Sound);
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    assert_eq!(site.call("/look/x", "a2").await.status, Some(StatusCode::OK));
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let gone = site.call("/look/x", "a3").await;
+    assert_eq!(gone.status, Some(StatusCode::SERVICE_UNAVAILABLE));
+    assert!(!site.log("store-lost").is_empty() && !site.log("store-back").is_empty());
+}
+
+/// A store that drops its history, and accepts the watch all the same.
+#[tokio::test(flavor = "multi_thread")]
+async fn history_lost() {
+    let site = Site::start().await;
+    site.store.set_mood(StoreMood::Busy);
+    let mut changed = routes();
+    changed.push(route("added", "booking", RepeatRule::Idempotent));
+    site.configure(5, &changed);
+    site.store.drop_history();
+    site.store.set_mood(StoreMood::Sound);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    assert_eq!(site.call("/added/x", "a1").await.status, Some(StatusCode::OK));
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,7 +5,9 @@
 //! - [`booking`]: a plain service that keeps a ledger of its runs;
 //! - [`load`]: callers; [`fleet`]: processes on loopback; [`drills`]: scenarios.
 //!
-//! Every stand-in takes its faults by `POST /standin/fault`.
+//! - [`site`]: the users' platform, its engines and services, by its protocol.
+//!
+//! Every stand-in of the first four takes its faults by `POST /standin/fault`.
 
 pub mod booking;
 pub mod drills;
@@ -15,6 +17,7 @@
 pub mod model;
 pub mod platform;
 pub mod server;
+pub mod site;
 
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
--- /dev/null
+++ b/crates/standins/src/site/engine.rs
@@ -0,0 +1,288 @@
+//! Stand-in of a backend server: a rank of a model group, or a plain service.
+//!
+//! What a request asks for stands in its path: `/stream/N` gives N events. Faults
+//! are set from outside and hold for the next requests.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cuminpick_platform::engine::ExpertCounts;
+use cuminpick_platform::engine::GroupReport;
+use cuminpick_platform::mirror::EngineCall;
+use cuminpick_platform::mirror::ForwardedHead;
+use cuminpick_platform::mirror::decode_engine_call;
+use cuminpick_platform::mirror::decode_forwarded;
+use cuminpick_platform::mirror::encode_counts;
+use cuminpick_platform::mirror::encode_placed;
+use cuminpick_platform::mirror::encode_report;
+use cuminpick_platform::mirror::not_run_headers;
+use cuminpick_platform::mirror::order_status;
+use cuminpick_platform::mirror::sealed_headers;
+use http_body_util::BodyExt;
+use http_body_util::StreamBody;
+use hyper::HeaderMap;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Frame;
+use serde_json::json;
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::ReceiverStream;
+
+use crate::site::SiteBody;
+use crate::site::SiteRequest;
+use crate::site::group::RankGroup;
+use crate::site::json_answer;
+use crate::site::listen;
+use crate::site::serve;
+use crate::site::whole;
+
+/// Time that a plain request takes.
+const PLAIN_WORK: Duration = Duration::from_millis(5);
+/// Pause between events where there is no group.
+const EVENT_PAUSE: Duration = Duration::from_millis(10);
+
+/// What goes wrong with a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EngineFault {
+    /// Refused as not run.
+    Full,
+    /// The answer says that the server failed.
+    Error,
+    /// Run, and the connection is closed without an answer.
+    LostAnswer,
+    /// Run, and never answered.
+    Mute,
+    /// The answer names another request.
+    OtherRequest,
+    /// The answer is not signed.
+    Unsigned,
+    /// 503 without the statement that it was not run, though it was.
+    RanAndBusy,
+    /// A stream breaks off inside the event after this many.
+    CutAfter(u32),
+}
+
+/// A request that ran.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LedgerEntry {
+    /// What its head said.
+    pub head: ForwardedHead,
+    /// Path and query.
+    pub path: String,
+    /// Body.
+    pub body: Bytes,
+}
+
+#[derive(Default)]
+struct EngineState {
+    faults: VecDeque<EngineFault>,
+    ledger: Vec<LedgerEntry>,
+    running: u32,
+    cancelled: u32,
+}
+
+/// A backend server; cheap to clone.
+#[derive(Clone)]
+pub struct SiteEngine {
+    id: String,
+    rank: Option<(RankGroup, usize)>,
+    state: Arc<Mutex<EngineState>>,
+}
+
+impl SiteEngine {
+    /// Starts a server with identity `id` on a free port of `ip`.
+    pub async fn start(
+        id: &str,
+        ip: IpAddr,
+        rank: Option<(RankGroup, usize)>,
+    ) -> std::io::Result<(SiteEngine, SocketAddr)> {
+        let engine = SiteEngine { id: id.to_string(), rank, state: Arc::default() };
+        let (listener, address) = listen(ip).await?;
+        let serving = engine.clone();
+        tokio::spawn(serve(listener, move |request| serving.clone().answer(request)));
+        Ok((engine, address))
+    }
+
+    /// Has the next request meet a fault.
+    pub fn fault_next(&self, fault: EngineFault) {
+        self.lock().faults.push_back(fault);
+    }
+
+    /// Requests that ran, oldest first.
+    pub fn ledger(&self) -> Vec<LedgerEntry> {
+        self.lock().ledger.clone()
+    }
+
+    /// How often each attempt ran.
+    pub fn runs(&self) -> HashMap<String, u32> {
+        let mut runs = HashMap::new();
+        for entry in &self.lock().ledger {
+            *runs.entry(entry.head.attempt_id.clone().unwrap_or_default()).or_insert(0) += 1;
+        }
+        runs
+    }
+
+    /// Requests that run now.
+    pub fn running(&self) -> u32 {
+        self.lock().running
+    }
+
+    /// Streams whose reader went away.
+    pub fn cancelled(&self) -> u32 {
+        self.lock().cancelled
+    }
+
+    fn lock(&self) -> MutexGuard<'_, EngineState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn answer(self, request: SiteRequest) -> Option<Response<SiteBody>> {
+        if let Some(call) = decode_engine_call(&request.method, &request.uri, &request.body) {
+            return Some(self.manage(call));
+        }
+        let head = decode_forwarded(&request.headers);
+        if head.server.as_ref().is_some_and(|server| *server != self.id) {
+            return Some(whole(StatusCode::MISDIRECTED_REQUEST, HeaderMap::new(), ""));
+        }
+        let fault = self.lock().faults.pop_front();
+        if fault == Some(EngineFault::Full) {
+            return Some(whole(StatusCode::SERVICE_UNAVAILABLE, not_run_headers(), ""));
+        }
+        let path = request.uri.to_string();
+        let entry = LedgerEntry { head: head.clone(), path: path.clone(), body: request.body };
+        self.lock().ledger.push(entry);
+        let running = Running::begin(&self);
+        let attempt = head.attempt_id.clone().unwrap_or_default();
+        let mut headers = sealed_headers(&attempt, &format!("seal-{}-{attempt}", self.id));
+        match fault {
+            Some(EngineFault::LostAnswer) => return None,
+            Some(EngineFault::Mute) => {
+                std::future::pending::<()>().await;
+            }
+            Some(EngineFault::OtherRequest) => headers = sealed_headers("other", "seal-other"),
+            Some(EngineFault::Unsigned) => headers = HeaderMap::new(),
+            Some(EngineFault::Error) => {
+                return Some(whole(StatusCode::INTERNAL_SERVER_ERROR, headers, "failed"));
+            }
+            Some(EngineFault::RanAndBusy) => {
+                return Some(whole(StatusCode::SERVICE_UNAVAILABLE, headers, "busy"));
+            }
+            _ => {}
+        }
+        let events = path.rsplit_once("/stream/").and_then(|(_, count)| count.parse().ok());
+        match events {
+            Some(events) => {
+                let cut = match fault {
+                    Some(EngineFault::CutAfter(after)) => Some(after),
+                    _ => None,
+                };
+                Some(self.stream(headers, events, head.last_event, cut, running))
+            }
+            None => {
+                tokio::time::sleep(PLAIN_WORK).await;
+                let body = format!("answer to {attempt}");
+                Some(whole(StatusCode::OK, headers, body))
+            }
+        }
+    }
+
+    fn manage(&self, call: EngineCall) -> Response<SiteBody> {
+        let Some((group, rank)) = &self.rank else {
+            return json_answer(StatusCode::OK, &json!({ "queued": 0, "running": 0 }));
+        };
+        match call {
+            EngineCall::Report => {
+                let report = GroupReport {
+                    group: "group".to_string(),
+                    size: group.size(),
+                    status: group.status(*rank),
+                };
+                json_answer(StatusCode::OK, &encode_report(&report))
+            }
+            EngineCall::Counts => {
+                let (epoch, counts) = group.counts(*rank);
+                json_answer(StatusCode::OK, &encode_counts(&ExpertCounts { epoch, counts }))
+            }
+            EngineCall::Placed => {
+                let (version, placed) = group.placed(*rank);
+                json_answer(StatusCode::OK, &encode_placed(version, &placed))
+            }
+            EngineCall::Order(order) => {
+                let outcome = group.take_order(*rank, &order);
+                json_answer(order_status(outcome), &json!({}))
+            }
+        }
+    }
+
+    fn stream(
+        &self,
+        headers: HeaderMap,
+        events: u64,
+        after: Option<u64>,
+        cut: Option<u32>,
+        running: Running,
+    ) -> Response<SiteBody> {
+        let (sender, receiver) = mpsc::channel(1);
+        let engine = self.clone();
+        let first = after.map_or(1, |after| after + 1);
+        tokio::spawn(async move {
+            let _running = running;
+            let mut passes = engine.rank.as_ref().map(|(group, _)| group.passes());
+            for (made, number) in (first..=events).enumerate() {
+                match &mut passes {
+                    Some(passes) => {
+                        let _ = passes.changed().await;
+                    }
+                    None => tokio::time::sleep(EVENT_PAUSE).await,
+                }
+                let event = format!("id: {number}\ndata: event {number}\n\n");
+                if cut.is_some_and(|cut| made as u32 == cut) {
+                    let half = Bytes::from(event.into_bytes()[..8].to_vec());
+                    let _ = sender.send(Ok(Frame::data(half))).await;
+                    let _ = sender.send(Err(std::io::Error::other("cut"))).await;
+                    return;
+                }
+                if sender.send(Ok(Frame::data(Bytes::from(event)))).await.is_err() {
+                    engine.lock().cancelled += 1;
+                    return;
+                }
+            }
+        });
+        let body = StreamBody::new(ReceiverStream::new(receiver)).boxed_unsync();
+        let mut response = Response::new(body);
+        *response.headers_mut() = headers;
+        response
+    }
+}
+
+/// Counts a request as running until it is dropped.
+struct Running {
+    engine: SiteEngine,
+}
+
+impl Running {
+    fn begin(engine: &SiteEngine) -> Running {
+        engine.lock().running += 1;
+        if let Some((group, rank)) = &engine.rank {
+            group.count_running(*rank, true);
+        }
+        Running { engine: engine.clone() }
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.engine.lock().running -= 1;
+        if let Some((group, rank)) = &self.engine.rank {
+            group.count_running(*rank, false);
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/site/mod.rs
@@ -0,0 +1,109 @@
+//! Stand-ins of the users' platform: its store, model engines and plain services.
+//!
+//! They speak the platform's protocol through the adapter's own mirror of it.
+//! [`store`] keeps objects, [`engine`] runs requests and keeps a ledger of them,
+//! [`group`] makes passes in lock-step and checks that all ranks use one map.
+
+pub mod engine;
+pub mod group;
+pub mod store;
+
+use std::future::Future;
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::HeaderMap;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::Uri;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde_json::Value;
+use tokio::net::TcpListener;
+
+/// A request that was read whole.
+#[derive(Debug, Clone)]
+pub struct SiteRequest {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// Body of an answer; an error cuts the connection.
+pub type SiteBody = UnsyncBoxBody<Bytes, std::io::Error>;
+
+/// Makes an answer with a whole body.
+pub fn whole(status: StatusCode, headers: HeaderMap, body: impl Into<Bytes>) -> Response<SiteBody> {
+    let body = http_body_util::Full::new(body.into()).map_err(|never| match never {});
+    let mut response = Response::new(body.boxed_unsync());
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
+/// Makes a JSON answer.
+pub fn json_answer(status: StatusCode, body: &Value) -> Response<SiteBody> {
+    whole(status, HeaderMap::new(), body.to_string())
+}
+
+/// Serves connections until the task is ended; `None` from the handler closes the
+/// connection without an answer.
+pub async fn serve<H, F>(listener: TcpListener, handler: H)
+where
+    H: Fn(SiteRequest) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Option<Response<SiteBody>>> + Send + 'static,
+{
+    while let Ok((stream, _)) = listener.accept().await {
+        let handler = handler.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |request| {
+                let handler = handler.clone();
+                async move {
+                    let answer = match read_request(request).await {
+                        Some(request) => handler(request).await,
+                        None => None,
+                    };
+                    answer.ok_or(ConnectionCut)
+                }
+            });
+            // A connection that is cut on purpose is no fault of the stand-in.
+            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+        });
+    }
+}
+
+/// The stand-in closes the connection without an answer.
+#[derive(Debug)]
+struct ConnectionCut;
+
+impl std::fmt::Display for ConnectionCut {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str("the connection is cut")
+    }
+}
+
+impl std::error::Error for ConnectionCut {}
+
+async fn read_request(request: Request<Incoming>) -> Option<SiteRequest> {
+    let (parts, body) = request.into_parts();
+    let body = body.collect().await.ok()?.to_bytes();
+    Some(SiteRequest { method: parts.method, uri: parts.uri, headers: parts.headers, body })
+}
+
+/// Listens on a free port of `ip`.
+pub async fn listen(ip: std::net::IpAddr) -> std::io::Result<(TcpListener, SocketAddr)> {
+    let listener = TcpListener::bind(SocketAddr::new(ip, 0)).await?;
+    let address = listener.local_addr()?;
+    Ok((listener, address))
+}
