Plan around slow ranks; read engines of agents that were never heard

Cause: a rank that works at a twelfth of its speed kept its experts, and every pass waited for it; a leader that took over from a frozen one waited for the news of the frozen agent. Change: a rank's load counts by its pace; a new leader reads the engines of agents that it has not heard and orders them directly; a leader is replaced after 450 ms of silence. Tests: frozen_leader, slow_rank_relieved.

--- a/crates/core/src/experts.rs
+++ b/crates/core/src/experts.rs
@@ -23,6 +23,8 @@
 
 /// Most moves in one plan; bounds the time that a plan takes.
 const MAX_MOVES: usize = 160;
+/// Pace below which a rank is not taken to be faster than a sound one.
+const LEAST_PACE: f64 = 0.5;
 /// Ranks from which a move may take load.
 const BUSIEST_RANKS: usize = 2;
 /// Power of the mean that stands for the highest load.
@@ -112,22 +114,26 @@
 
 /// Returns the mean over the sets of the highest load over the mean load.
 pub fn map_skew(map: &ExpertMap, demand: &[SetDemand]) -> f64 {
-    let skews = map.iter().zip(demand).map(|(set, demand)| SetPlan::new(set, demand).skew());
+    let paces = vec![1.0; map.first().map_or(0, Vec::len)];
+    let skews =
+        map.iter().zip(demand).map(|(set, demand)| SetPlan::new(set, demand, &paces).skew());
     let sum: f64 = skews.sum();
     sum / map.len().max(1) as f64
 }
 
-/// Plans the next map; `None` when no plan gains enough.
+/// Plans the next map; `None` when no plan gains enough. The pace of a rank is the
+/// time that its work takes, relative to a sound one.
 pub fn plan_map(
     current: &ExpertMap,
     demand: &[SetDemand],
+    paces: &[f64],
     layout: ExpertLayout,
     settings: &PlanSettings,
 ) -> Option<MapPlan> {
     let ranks = current.first()?.len();
     let mut copies = vec![0; ranks];
     let mut plans: Vec<SetPlan> =
-        current.iter().zip(demand).map(|(set, demand)| SetPlan::new(set, demand)).collect();
+        current.iter().zip(demand).map(|(set, demand)| SetPlan::new(set, demand, paces)).collect();
     let before: f64 = plans.iter().map(SetPlan::skew).sum();
     let per_set = settings.copies_per_rank_and_set.min(layout.max_new);
     let mut open: Vec<usize> = (0..plans.len()).collect();
@@ -197,6 +203,7 @@
 
 impl LoadChanges<'_> {
     fn add(&mut self, rank: RankIndex, change: f64) {
+        let change = change * self.plan.pace(rank);
         if let Some(known) = self.ranks[..self.count].iter_mut().find(|known| known.0 == rank) {
             known.1 += change;
         } else if self.count < MAX_CHANGES {
@@ -216,6 +223,7 @@
 /// One set while it is planned.
 struct SetPlan<'a> {
     demand: &'a [f64],
+    paces: &'a [f64],
     held: Vec<Vec<ExpertIndex>>,
     base: Vec<Vec<ExpertIndex>>,
     holders: Vec<Vec<RankIndex>>,
@@ -225,29 +233,41 @@
 }
 
 impl<'a> SetPlan<'a> {
-    fn new(set: &[Vec<ExpertIndex>], demand: &'a [f64]) -> SetPlan<'a> {
+    fn new(set: &[Vec<ExpertIndex>], demand: &'a [f64], paces: &'a [f64]) -> SetPlan<'a> {
         let mut holders = vec![Vec::new(); demand.len()];
         for (rank, experts) in set.iter().enumerate() {
             for &expert in experts {
                 holders[usize::from(expert)].push(rank);
             }
         }
+        // Ranks that shared the demand by their speed would all take this long.
+        let speed: f64 = paces.iter().map(|pace| 1.0 / pace.max(LEAST_PACE)).sum();
         let mut plan = SetPlan {
             demand,
+            paces,
             held: set.to_vec(),
             base: set.to_vec(),
             loads: vec![0.0; set.len()],
             new: vec![0; set.len()],
-            mean: demand.iter().sum::<f64>() / set.len().max(1) as f64,
+            mean: demand.iter().sum::<f64>() / speed.max(f64::MIN_POSITIVE),
             holders,
         };
         for rank in 0..set.len() {
-            plan.loads[rank] =
-                plan.held[rank].iter().map(|&expert| plan.share(expert, 0)).sum::<f64>();
+            plan.loads[rank] = plan.load(rank);
         }
         plan
     }
 
+    /// Time that a rank takes for its part, in units of demand.
+    fn load(&self, rank: RankIndex) -> f64 {
+        let shares: f64 = self.held[rank].iter().map(|&expert| self.share(expert, 0)).sum();
+        shares * self.pace(rank)
+    }
+
+    fn pace(&self, rank: RankIndex) -> f64 {
+        self.paces.get(rank).copied().unwrap_or(1.0).max(LEAST_PACE)
+    }
+
     /// Load that an expert puts on each holder when it has `more` further ones.
     fn share(&self, expert: ExpertIndex, more: isize) -> f64 {
         let holders = self.holders[usize::from(expert)].len() as isize + more;
@@ -403,7 +423,7 @@
             }
         }
         for rank in 0..self.held.len() {
-            self.loads[rank] = self.held[rank].iter().map(|&expert| self.share(expert, 0)).sum();
+            self.loads[rank] = self.load(rank);
         }
     }
 
--- a/crates/core/src/switch.rs
+++ b/crates/core/src/switch.rs
@@ -345,13 +345,32 @@
         status: RankStatus,
         after: Option<OrderId>,
     ) -> Vec<LeaderAction> {
-        if let Some(Some(view)) = self.views.get_mut(status.rank) {
-            view.status = status;
-            view.after = after;
+        match self.views.get_mut(status.rank) {
+            Some(Some(view)) => {
+                view.status = status;
+                view.after = after;
+            }
+            Some(unheard) => {
+                // The rank counts as silent, so its engine gets orders directly.
+                let heard = Duration::ZERO;
+                *unheard = Some(RankView { status, placed: Vec::new(), heard, after });
+            }
+            None => {}
         }
         self.advance(now)
     }
 
+    /// Ranks of which nothing was ever heard.
+    pub fn unheard_ranks(&self) -> usize {
+        self.views.iter().filter(|view| view.is_none()).count()
+    }
+
+    /// Time that each rank's work takes, relative to a sound engine.
+    pub fn paces(&self) -> Vec<f64> {
+        let paces = self.views.iter();
+        paces.map(|view| view.as_ref().map_or(1.0, |view| view.status.pace)).collect()
+    }
+
     /// Takes the outcome of an order in.
     pub fn hear_outcome(
         &mut self,
--- a/crates/core/tests/expert_plans.rs
+++ b/crates/core/tests/expert_plans.rs
@@ -17,6 +17,7 @@
 
 const LAYOUT: ExpertLayout = ExpertLayout { sets: 4, experts: 72, places: 8, max_new: 3 };
 const RANKS: usize = 12;
+const SOUND: [f64; RANKS] = [1.0; RANKS];
 
 fn assert_valid(
     map: &ExpertMap,
@@ -76,7 +77,7 @@
                         .collect()
                 })
                 .collect();
-            let Some(plan) = plan_map(&map, &demand, LAYOUT, &settings) else {
+            let Some(plan) = plan_map(&map, &demand, &SOUND, LAYOUT, &settings) else {
                 continue;
             };
             assert_valid(&plan.map, &map, LAYOUT, &settings);
@@ -97,7 +98,7 @@
     for _ in 0..10 {
         let demand = skewed_demand(&mut rng);
         for _ in 0..8 {
-            if let Some(plan) = plan_map(&map, &demand, LAYOUT, &settings) {
+            if let Some(plan) = plan_map(&map, &demand, &SOUND, LAYOUT, &settings) {
                 assert_valid(&plan.map, &map, LAYOUT, &settings);
                 map = plan.map;
             }
@@ -107,11 +108,40 @@
     }
 }
 
+/// Pattern: one rank works at a twelfth of its speed; its experts move away.
+#[test]
+fn slow_rank_relieved() {
+    let settings = PlanSettings::default();
+    let demand = vec![vec![1.0; LAYOUT.experts]; LAYOUT.sets];
+    let mut paces = SOUND;
+    paces[4] = 12.0;
+    let mut map = initial_map(LAYOUT, RANKS);
+    for _ in 0..20 {
+        if let Some(plan) = plan_map(&map, &demand, &paces, LAYOUT, &settings) {
+            assert_valid(&plan.map, &map, LAYOUT, &settings);
+            map = plan.map;
+        }
+    }
+    let share = |rank: usize| {
+        let mut sum = 0.0;
+        for ranks in &map {
+            for expert in &ranks[rank] {
+                let holders = ranks.iter().filter(|rank| rank.contains(expert)).count();
+                sum += 1.0 / holders as f64;
+            }
+        }
+        sum
+    };
+    let slow = share(4) * 12.0;
+    let sound = share(0);
+    assert!(slow < sound * 2.0, "the slow rank takes {slow}, a sound one {sound}");
+}
+
 #[test]
 fn even_demand_kept() {
     let map = initial_map(LAYOUT, RANKS);
     let demand = vec![vec![1.0; LAYOUT.experts]; LAYOUT.sets];
-    assert_eq!(plan_map(&map, &demand, LAYOUT, &PlanSettings::default()), None);
+    assert_eq!(plan_map(&map, &demand, &SOUND, LAYOUT, &PlanSettings::default()), None);
 }
 
 #[test]
@@ -137,7 +167,7 @@
         .map(|_| (0..layout.experts).map(|_| (rng.below(1_000) as f64).powi(3)).collect())
         .collect();
     let started = std::time::Instant::now();
-    let plan = plan_map(&map, &demand, layout, &PlanSettings::default()).unwrap();
+    let plan = plan_map(&map, &demand, &[1.0; 63], layout, &PlanSettings::default()).unwrap();
     assert_valid(&plan.map, &map, layout, &PlanSettings::default());
     let took = started.elapsed();
     assert!(took < Duration::from_secs(2), "a plan took {took:?}");
--- a/crates/core/tests/map_switch.rs
+++ b/crates/core/tests/map_switch.rs
@@ -83,6 +83,7 @@
     status_late_by: u32,
     statuses: VecDeque<(u32, usize, RankStatus, Option<OrderId>)>,
     finished: Vec<Vec<Option<OrderId>>>,
+    frozen: Option<usize>,
 }
 
 impl World {
@@ -106,6 +107,7 @@
             status_late_by: 0,
             statuses: VecDeque::new(),
             finished: vec![vec![None; RANKS]; 2],
+            frozen: None,
         }
     }
 
@@ -116,15 +118,29 @@
     fn act(&mut self, leader: usize, actions: Vec<LeaderAction>) {
         for action in actions {
             match action {
-                LeaderAction::Order { rank, id, order, .. } => {
-                    self.send(leader, rank, id, order);
+                LeaderAction::Order { rank, id, order, direct } => {
+                    if direct || self.frozen != Some(rank) {
+                        self.send(leader, rank, id, order);
+                    }
                 }
+                LeaderAction::Look { rank } => self.look(leader, rank),
                 LeaderAction::StepDown => self.leaders[leader] = None,
-                LeaderAction::Look { .. } | LeaderAction::Note { .. } => {}
+                LeaderAction::Note { .. } => {}
             }
         }
     }
 
+    /// The leader reads a rank's engine itself.
+    fn look(&mut self, leader: usize, rank: usize) {
+        let now = self.now();
+        let status = self.status(rank);
+        let after = self.finished[leader][rank];
+        if let Some(deciding) = &mut self.leaders[leader] {
+            let actions = deciding.hear_look(now, status, after);
+            self.act(leader, actions);
+        }
+    }
+
     fn send(&mut self, leader: usize, rank: usize, id: OrderId, order: RankOrder) {
         let known = self.deliveries.iter().any(|known| known.leader == leader && known.id == id);
         let answering = self.answers.iter().any(|known| known.1 == leader && known.2 == id);
@@ -293,7 +309,7 @@
     /// Reads the ranks; the leaders hear of it some steps later.
     fn read_ranks(&mut self) {
         for leader in 0..self.leaders.len() {
-            for rank in 0..RANKS {
+            for rank in (0..RANKS).filter(|rank| self.frozen != Some(*rank)) {
                 let after = self.finished[leader][rank];
                 let at = self.step + self.status_late_by;
                 self.statuses.push_back((at, leader, self.status(rank), after));
@@ -316,6 +332,10 @@
             }
         }
         for leader in 0..self.leaders.len() {
+            let unheard = self.leaders[leader].as_ref().map_or(0, GroupLeader::unheard_ranks);
+            if let (true, Some(frozen)) = (unheard > 0, self.frozen) {
+                self.look(leader, frozen);
+            }
             if let Some(deciding) = &mut self.leaders[leader] {
                 let mut actions = deciding.tick(now);
                 if deciding.switchable_map(now).is_some() {
@@ -337,7 +357,7 @@
 
     /// A second process takes the leadership; the first does not know yet.
     fn take_over(&mut self, term: u64) {
-        let newest = usize::from(self.leaders[0].is_some() && self.leaders[1].is_none());
+        let newest = usize::from(self.leaders[1].is_none());
         self.finished[newest] = vec![None; RANKS];
         self.deliveries.retain(|delivery| delivery.leader != newest);
         self.answers.retain(|answer| answer.1 != newest);
@@ -456,6 +476,28 @@
     }
 }
 
+/// A leader freezes with its agent, at every step of a switch; the next one reads
+/// the silent rank's engine and releases what is held.
+#[test]
+fn frozen_leader() {
+    for freeze in 20..120 {
+        let mut world = World::new(Vec::new());
+        for _ in 0..freeze {
+            world.advance();
+        }
+        world.frozen = Some(0);
+        world.leaders[0] = None;
+        world.take_over(11);
+        let before = world.pass;
+        for _ in 0..200 {
+            world.advance();
+        }
+        let held = world.ranks.iter().any(|rank| rank.held.is_some());
+        assert!(!held, "a pass is still held a second after a freeze at step {freeze}");
+        assert!(world.pass > before + 5, "the group stands still after {freeze}");
+    }
+}
+
 #[test]
 fn any_schedule() {
     check!().with_type::<u64>().for_each(|seed| {
--- a/crates/rank-agent/src/elect.rs
+++ b/crates/rank-agent/src/elect.rs
@@ -25,9 +25,9 @@
 /// Interval at which the leader's silence is measured.
 const WATCH_INTERVAL: Duration = Duration::from_millis(50);
 /// Silence after which a leader is replaced; several of its beacons.
-const LEADER_SILENCE: Duration = Duration::from_millis(700);
+const LEADER_SILENCE: Duration = Duration::from_millis(450);
 /// Further wait, spread over the ranks, so that one of them claims first.
-const CLAIM_SPREAD: Duration = Duration::from_millis(400);
+const CLAIM_SPREAD: Duration = Duration::from_millis(250);
 /// Pause after a claim that failed.
 const CLAIM_PAUSE: Duration = Duration::from_millis(700);
 
@@ -104,7 +104,7 @@
         std::net::SocketAddr::new(agent.settings.ip, crate::daemon::agent_port(&agent.settings));
     state.leader = Some(KnownLeader { term: written.revision, address, heard: agent.now() });
     let leader = GroupLeader::new(written.revision, rank.size, rank.rank);
-    state.leadership = Some(Leadership::new(leader));
+    state.leadership = Some(Leadership::new(leader, agent.now()));
     Ok(())
 }
 
--- a/crates/rank-agent/src/lead.rs
+++ b/crates/rank-agent/src/lead.rs
@@ -45,6 +45,10 @@
 const LIST_INTERVAL: Duration = Duration::from_secs(5);
 /// The same while ranks are not heard.
 const LIST_INTERVAL_MISSING: Duration = Duration::from_millis(700);
+/// Time after which a new leader reads the engines of agents that it has not heard.
+const UNHEARD_TIME: Duration = Duration::from_millis(200);
+/// Pause between two such readings.
+const LOOK_PAUSE: Duration = Duration::from_millis(100);
 /// Least counts on which a plan rests; a pass of one request makes some hundred.
 const LEAST_COUNTS: f64 = 2_000.0;
 
@@ -60,14 +64,21 @@
     engines: Vec<SocketAddr>,
     /// Last order that was given to an engine directly.
     direct: FastMap<SocketAddr, OrderId>,
+    /// Engines of ranks whose agents were never heard.
+    rank_engines: FastMap<RankIndex, SocketAddr>,
+    began: Duration,
+    looked: Duration,
     /// Addresses of the ranks' agents, learnt from their news.
     agents: FastMap<RankIndex, SocketAddr>,
 }
 
 impl Leadership {
     /// Begins to lead.
-    pub fn new(leader: GroupLeader) -> Leadership {
+    pub fn new(leader: GroupLeader, now: Duration) -> Leadership {
         Leadership {
+            rank_engines: FastMap::default(),
+            began: now,
+            looked: now,
             leader,
             demand: None,
             layout: None,
@@ -102,6 +113,30 @@
             actions
         };
         carry_out(&agent, actions).await;
+        look_at_unheard(&agent, now);
+    }
+}
+
+/// Reads the engines of agents that this leader has never heard.
+fn look_at_unheard(agent: &Rc<Agent>, now: Duration) {
+    let unheard: Vec<SocketAddr> = {
+        let mut state = agent.state.borrow_mut();
+        let Some(leadership) = &mut state.leadership else {
+            return;
+        };
+        let due = now >= leadership.began + UNHEARD_TIME && now >= leadership.looked + LOOK_PAUSE;
+        if !due || leadership.leader.unheard_ranks() == 0 {
+            return;
+        }
+        leadership.looked = now;
+        let heard = |engine: &SocketAddr| {
+            leadership.agents.values().any(|known| known.ip() == engine.ip())
+                || engine.ip() == agent.settings.ip
+        };
+        leadership.engines.iter().copied().filter(|engine| !heard(engine)).collect()
+    };
+    for engine in unheard {
+        tokio::task::spawn_local(look_directly(Rc::clone(agent), engine));
     }
 }
 
@@ -119,7 +154,9 @@
     let Some(sets) = demand.sets() else {
         return Vec::new();
     };
-    let Some(plan) = plan_map(&current, &sets, layout, &agent.tuning.plan) else {
+    let Some(plan) =
+        plan_map(&current, &sets, &leadership.leader.paces(), layout, &agent.tuning.plan)
+    else {
         return Vec::new();
     };
     agent.journal.note(
@@ -164,6 +201,7 @@
             return;
         };
         if let Some(from) = from {
+            leadership.rank_engines.remove(&news.status.rank);
             leadership.agents.insert(news.status.rank, from);
         }
         if let Some(demand) = &mut leadership.demand {
@@ -204,7 +242,9 @@
                 o!("version" => version, "pass" => pass, "detail" => detail),
             ),
             LeaderAction::Look { rank } => {
-                tokio::task::spawn_local(look_directly(Rc::clone(agent), rank));
+                if let Some(engine) = engine_of(agent, rank) {
+                    tokio::task::spawn_local(look_directly(Rc::clone(agent), engine));
+                }
             }
             LeaderAction::StepDown => step_down(agent, "a higher fence was seen"),
         }
@@ -245,10 +285,13 @@
         tokio::task::spawn_local(take_order(Rc::clone(agent), term, id, order, from));
         return;
     }
-    match address {
-        Some(address) if direct => {
-            tokio::task::spawn_local(order_directly(Rc::clone(agent), address, term, id, order));
+    if direct {
+        if let Some(engine) = engine_of(agent, rank) {
+            tokio::task::spawn_local(order_directly(Rc::clone(agent), engine, term, id, order));
         }
+        return;
+    }
+    match address {
         Some(address) => {
             let order = shortened(agent, order);
             agent.tell(address, &AgentMessage::Order { group, term, id, order }).await;
@@ -300,14 +343,11 @@
 /// Gives an order to the engine of a rank whose agent is silent.
 async fn order_directly(
     agent: Rc<Agent>,
-    agent_address: SocketAddr,
+    engine: SocketAddr,
     term: LeaderTerm,
     id: OrderId,
     order: RankOrder,
 ) {
-    let Some(engine) = engine_beside(&agent, agent_address) else {
-        return;
-    };
     let outcome = EngineClient::new(engine).order(&order).await;
     agent.journal.note(
         "order-given-directly",
@@ -329,15 +369,21 @@
     engines.find(|engine| engine.ip() == agent_address.ip())
 }
 
-/// Reads the status of a rank whose agent is silent from its engine.
-async fn look_directly(agent: Rc<Agent>, rank: RankIndex) {
-    let address = {
+/// Returns the engine of a rank.
+fn engine_of(agent: &Agent, rank: RankIndex) -> Option<SocketAddr> {
+    let beside = {
         let state = agent.state.borrow();
-        state.leadership.as_ref().and_then(|leadership| leadership.agents.get(&rank).copied())
-    };
-    let Some(engine) = address.and_then(|address| engine_beside(&agent, address)) else {
-        return;
+        let leadership = state.leadership.as_ref()?;
+        if let Some(engine) = leadership.rank_engines.get(&rank) {
+            return Some(*engine);
+        }
+        leadership.agents.get(&rank).copied()?
     };
+    engine_beside(agent, beside)
+}
+
+/// Reads the status of a rank whose agent is silent from its engine.
+async fn look_directly(agent: Rc<Agent>, engine: SocketAddr) {
     let after = {
         let state = agent.state.borrow();
         state.leadership.as_ref().and_then(|leadership| leadership.direct.get(&engine).copied())
@@ -351,6 +397,7 @@
                 let Some(leadership) = &mut state.leadership else {
                     return;
                 };
+                leadership.rank_engines.insert(report.status.rank, engine);
                 leadership.leader.hear_look(now, report.status, after)
             };
             carry_out(&agent, actions).await;
@@ -358,7 +405,8 @@
         Ok(None) => {}
         Err(error) => {
             let detail = error.to_string();
-            agent.journal.warn("engine-unread", o!("rank" => rank, "error" => detail));
+            let engine = engine.to_string();
+            agent.journal.warn("engine-unread", o!("engine" => engine, "error" => detail));
         }
     }
 }
