Let one request probe a group that turns all away; settle again when unread

Change: after three refusals in a row one stream probes and the others wait, but no longer than callers do; clearing that is not read within 400 ms starts over; engines are read directly only after 600 ms. Records of servers are gathered for 200 ms before the next watch. Tests: circuit_breaker; thawed_agent, first failing.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod agent;
 pub mod answer;
 pub mod balance;
+pub mod breaker;
 pub mod budget;
 pub mod choose;
 pub mod clock;
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -14,6 +14,14 @@
 /// Index of a route in [`RoutingTable::routes`].
 pub type RouteIndex = usize;
 
+/// Callers wait at least this long for the next event of a stream; this and the
+/// two figures below are the users' own.
+const LEAST_PATIENCE: Duration = Duration::from_secs(2);
+/// Target times for which callers of a stream wait.
+const PATIENCE_TARGETS: u32 = 4;
+/// Longest accepted pauses for which callers of a stream wait.
+const PATIENCE_GAPS: u32 = 8;
+
 /// What a route may do with a request more than once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RepeatRule {
@@ -261,6 +269,12 @@
         None
     }
 
+    /// Time after which callers of a stream leave when no event comes.
+    pub fn patience(&self) -> Duration {
+        let gap = self.max_gap.unwrap_or_default() * PATIENCE_GAPS;
+        LEAST_PATIENCE.max(self.target * PATIENCE_TARGETS).max(gap)
+    }
+
     /// Whether a request may run more than once.
     pub fn repeatable(&self) -> bool {
         self.repeat != RepeatRule::AtMostOnce
--- a/crates/core/src/switch.rs
+++ b/crates/core/src/switch.rs
@@ -57,6 +57,8 @@
 const COPY_TIME: Duration = Duration::from_millis(300);
 /// Pause after a switch that was given up.
 const FAILED_PAUSE: Duration = Duration::from_millis(300);
+/// Time for ranks to be read after their orders; several of their reports.
+const CLEAR_TIME: Duration = Duration::from_millis(400);
 /// Pause before a rank is given the neutral order again.
 const SETTLE_PAUSE: Duration = Duration::from_millis(30);
 /// Pause between two readings of a rank whose agent is silent.
@@ -267,7 +269,7 @@
     Settling { confirmed: Vec<Option<OrderId>> },
     /// What earlier switches left is undone; statuses must be read after the
     /// orders in `needed`.
-    Clearing { needed: Vec<OrderId> },
+    Clearing { needed: Vec<OrderId>, started: Duration },
     /// Nothing is under way.
     Idle { since: Duration },
     /// The ranks copy experts.
@@ -601,7 +603,7 @@
                 self.release_stray(now, started)
             }
             Phase::Settling { confirmed } => self.check_settled(now, confirmed),
-            Phase::Clearing { needed } => self.clear(now, &needed),
+            Phase::Clearing { needed, started } => self.clear(now, &needed, started),
             Phase::Preparing { version, started, limit, .. } => {
                 self.check_prepared(now, version, started, limit)
             }
@@ -672,8 +674,8 @@
         if needed.len() < confirmed.len() {
             return self.ask_unconfirmed(now, &confirmed);
         }
-        self.phase = Phase::Clearing { needed: needed.clone() };
-        self.clear(now, &needed)
+        self.phase = Phase::Clearing { needed: needed.clone(), started: now };
+        self.clear(now, &needed, now)
     }
 
     /// Gives the neutral order again to ranks that have not confirmed it.
@@ -697,10 +699,15 @@
     }
 
     /// Undoes what is left once each rank was read after the orders in `needed`.
-    fn clear(&mut self, now: Duration, needed: &[OrderId]) -> Vec<LeaderAction> {
+    fn clear(&mut self, now: Duration, needed: &[OrderId], started: Duration) -> Vec<LeaderAction> {
         let current = self.views.iter().zip(needed).all(|(view, needed)| {
             view.as_ref().is_some_and(|view| view.after.is_some_and(|after| after >= *needed))
         });
+        if !current && now >= started + CLEAR_TIME {
+            // An agent that was silent is heard again: it knows nothing of the
+            // orders that went past it.
+            return self.begin_settling(now, "a rank was not read after its orders");
+        }
         if !current || !self.pending.is_empty() {
             return Vec::new();
         }
@@ -931,7 +938,7 @@
                 }
                 Vec::new()
             }
-            (Phase::Clearing { needed }, _) => {
+            (Phase::Clearing { needed, .. }, _) => {
                 // The statuses that follow decide whether more is to be done.
                 needed[pending.rank] = needed[pending.rank].max(id);
                 Vec::new()
--- /dev/null
+++ b/crates/core/tests/circuit_breaker.rs
@@ -0,0 +1,53 @@
+//! Pattern: a group of ranks is down for seconds and turns every request away.
+
+use std::time::Duration;
+
+use cuminpick::breaker::BreakerState;
+use cuminpick::breaker::CircuitBreaker;
+
+#[test]
+fn few_probes_while_down() {
+    let mut breaker = CircuitBreaker::default();
+    let mut sent = 0;
+    // Sixty requests a second ask; the group is down for three seconds.
+    for step in 0..300_u32 {
+        let now = Duration::from_millis(10) * step;
+        let down = step < 180;
+        match breaker.state(now) {
+            BreakerState::Open => continue,
+            BreakerState::Probing => breaker.note_probe(now),
+            BreakerState::Closed => {}
+        }
+        if down {
+            sent += 1;
+            breaker.note_refusal(now);
+        } else {
+            breaker.note_success();
+            assert_eq!(breaker.state(now), BreakerState::Closed);
+        }
+    }
+    assert!(sent <= 20, "{sent} requests were used up");
+}
+
+#[test]
+fn single_refusals_pass() {
+    let mut breaker = CircuitBreaker::default();
+    for _ in 0..10 {
+        breaker.note_refusal(Duration::ZERO);
+        breaker.note_refusal(Duration::ZERO);
+        assert_eq!(breaker.state(Duration::ZERO), BreakerState::Closed);
+        breaker.note_success();
+    }
+}
+
+#[test]
+fn back_within_a_pause() {
+    let mut breaker = CircuitBreaker::default();
+    for _ in 0..3 {
+        breaker.note_refusal(Duration::ZERO);
+    }
+    assert_eq!(breaker.state(Duration::ZERO), BreakerState::Open);
+    assert_eq!(breaker.state(Duration::from_millis(120)), BreakerState::Probing);
+    assert!(breaker.note_success());
+    assert_eq!(breaker.state(Duration::from_millis(120)), BreakerState::Closed);
+}
--- a/crates/core/tests/map_switch.rs
+++ b/crates/core/tests/map_switch.rs
@@ -61,6 +61,7 @@
     id: OrderId,
     order: RankOrder,
     answered: bool,
+    direct: bool,
 }
 
 /// The group, and up to two processes that believe they lead it.
@@ -83,6 +84,7 @@
     status_late_by: u32,
     statuses: VecDeque<(u32, usize, RankStatus, Option<OrderId>)>,
     finished: Vec<Vec<Option<OrderId>>>,
+    direct_finished: Vec<Vec<Option<OrderId>>>,
     frozen: Option<usize>,
     unreachable: Option<usize>,
     ordered: bool,
@@ -109,6 +111,7 @@
             status_late_by: 0,
             statuses: VecDeque::new(),
             finished: vec![vec![None; RANKS]; 2],
+            direct_finished: vec![vec![None; RANKS]; 2],
             frozen: None,
             unreachable: None,
             ordered: false,
@@ -125,7 +128,7 @@
                 LeaderAction::Order { rank, id, order, direct, via } => {
                     let giver = via.unwrap_or(rank);
                     if direct || self.frozen != Some(giver) {
-                        self.send(leader, rank, id, order);
+                        self.send(leader, rank, id, order, direct);
                     }
                 }
                 LeaderAction::Look { rank } => self.look(leader, rank),
@@ -142,14 +145,14 @@
         }
         let now = self.now();
         let status = self.status(rank);
-        let after = self.finished[leader][rank];
+        let after = self.direct_finished[leader][rank];
         if let Some(deciding) = &mut self.leaders[leader] {
             let actions = deciding.hear_look(now, status, after);
             self.act(leader, actions);
         }
     }
 
-    fn send(&mut self, leader: usize, rank: usize, id: OrderId, order: RankOrder) {
+    fn send(&mut self, leader: usize, rank: usize, id: OrderId, order: RankOrder, direct: bool) {
         let known = self.deliveries.iter().any(|known| known.leader == leader && known.id == id);
         let answering = self.answers.iter().any(|known| known.1 == leader && known.2 == id);
         if known || answering {
@@ -165,7 +168,7 @@
             Fate::Late(steps) => (steps, false),
         };
         let at = self.step + delay;
-        self.deliveries.push_back(Delivery { at, leader, rank, id, order, answered });
+        self.deliveries.push_back(Delivery { at, leader, rank, id, order, answered, direct });
     }
 
     fn deliver(&mut self) {
@@ -180,7 +183,12 @@
             let outcome = self.carry_out(delivery.rank, &delivery.order);
             self.ordered |= delivery.answered;
             if delivery.answered {
-                let finished = &mut self.finished[delivery.leader][delivery.rank];
+                // An agent knows nothing of orders that went past it.
+                let finished = if delivery.direct {
+                    &mut self.direct_finished[delivery.leader][delivery.rank]
+                } else {
+                    &mut self.finished[delivery.leader][delivery.rank]
+                };
                 *finished = (*finished).max(Some(delivery.id));
                 self.answers.push_back((
                     step + self.late_by,
@@ -373,6 +381,7 @@
     fn take_over(&mut self, term: u64) {
         let newest = usize::from(self.leaders[1].is_none());
         self.finished[newest] = vec![None; RANKS];
+        self.direct_finished[newest] = vec![None; RANKS];
         self.deliveries.retain(|delivery| delivery.leader != newest);
         self.answers.retain(|answer| answer.1 != newest);
         self.statuses.retain(|known| known.1 != newest);
@@ -512,6 +521,23 @@
     }
 }
 
+/// An agent is silent while a new leader settles past it, and heard again at any
+/// step of that.
+#[test]
+fn thawed_agent() {
+    for thaw in 60..180 {
+        let mut world = World::new(Vec::new());
+        world.frozen = Some(1);
+        for step in 0..800 {
+            if step == thaw {
+                world.frozen = None;
+            }
+            world.advance();
+        }
+        assert!(world.switches >= 2, "{} switches after a thaw at {thaw}", world.switches);
+    }
+}
+
 /// The VM that gave the hold freezes with its engine before any rank is armed: the
 /// leader releases the pass.
 #[test]
--- a/crates/gateway/src/feeds.rs
+++ b/crates/gateway/src/feeds.rs
@@ -25,7 +25,10 @@
 use crate::state::Gateway;
 
 /// Longest wait of a watch; bounds how long a store that hangs goes unnoticed.
-const WATCH_WAIT: Duration = Duration::from_secs(5);
+const WATCH_WAIT: Duration = Duration::from_secs(8);
+/// Pause before servers are watched again after changes, so that the records of a
+/// starting fleet come together; a leaving server has two seconds.
+const SERVER_PAUSE: Duration = Duration::from_millis(200);
 /// First pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after failed calls; changes must be in force two seconds after
@@ -81,9 +84,13 @@
         match self.store.watch(self.kind, revision, WATCH_WAIT).await {
             Ok(changes) => {
                 self.note_contact();
+                let changed = !changes.events.is_empty();
                 for event in changes.events {
                     self.apply_event(event);
                 }
+                if changed && self.kind == SERVER_KIND {
+                    tokio::time::sleep(SERVER_PAUSE).await;
+                }
                 Some(changes.revision)
             }
             Err(StoreError::HistoryGone) => {
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -8,6 +8,8 @@
 use cuminpick::admission::GroupLoad;
 use cuminpick::admission::StreamGate;
 use cuminpick::admission::stream_limit;
+use cuminpick::breaker::BreakerState;
+use cuminpick::breaker::CircuitBreaker;
 use cuminpick::ids::FastMap;
 use cuminpick::ids::RequestId;
 use slog::o;
@@ -22,6 +24,7 @@
 #[derive(Default)]
 pub struct ServiceGate {
     gate: StreamGate,
+    breaker: CircuitBreaker,
     waiters: FastMap<RequestId, oneshot::Sender<Option<Duration>>>,
 }
 
@@ -74,6 +77,23 @@
     }
 }
 
+/// Notes that a server of a service turned a stream away.
+pub fn note_refusal(gateway: &Gateway, service: &str) {
+    let now = gateway.now();
+    let mut gates = gateway.gates.borrow_mut();
+    if gates.entry(service.to_string()).or_default().breaker.note_refusal(now) {
+        gateway.journal.warn("service-turns-away", o!("service" => service.to_string()));
+    }
+}
+
+/// Notes that a server of a service serves a stream.
+pub fn note_success(gateway: &Gateway, service: &str) {
+    let mut gates = gateway.gates.borrow_mut();
+    if gates.entry(service.to_string()).or_default().breaker.note_success() {
+        gateway.journal.note("service-back", None, o!("service" => service.to_string()));
+    }
+}
+
 /// Looks at all gates at intervals.
 pub async fn pump_gates(gateway: Rc<Gateway>) {
     loop {
@@ -97,9 +117,19 @@
     let Some(gate) = gates.get_mut(service) else {
         return;
     };
+    let room = match gate.breaker.state(now) {
+        BreakerState::Closed => room,
+        BreakerState::Probing => room.min(1),
+        BreakerState::Open => 0,
+    };
     for verdict in gate.gate.pump(now, room) {
         let (request, answer) = match verdict {
-            GateVerdict::Admit(request) => (request, None),
+            GateVerdict::Admit(request) => {
+                if gate.breaker.state(now) == BreakerState::Probing {
+                    gate.breaker.note_probe(now);
+                }
+                (request, None)
+            }
             GateVerdict::Refuse(request, retry) => (request, Some(retry)),
         };
         if let Some(waiter) = gate.waiters.remove(&request) {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -46,6 +46,8 @@
 use crate::attempt::send_attempt;
 use crate::attempt::within;
 use crate::framing::HeadBytes;
+use crate::gate::note_refusal;
+use crate::gate::note_success;
 use crate::gate::wait_at_gate;
 use crate::relay::start_relay;
 use crate::state::Gateway;
@@ -63,9 +65,9 @@
 /// Part of the target time after which a stream that waits can no longer begin
 /// on time: its prompt is read and its first event made in about half of it.
 const FRESH_SHARE: f64 = 0.45;
-/// Part of the time left after which a stream that waits is refused; the rest is
-/// for the stream itself.
-const START_SHARE: f64 = 0.6;
+/// Part of the time left, or of the caller's patience for a first event, after
+/// which a stream that waits is refused; the rest is for its first event.
+const START_SHARE: f64 = 0.7;
 /// Pause between two looks for a server with room.
 const ROOM_LOOK: Duration = Duration::from_millis(10);
 /// Multiple of the target time after which an idempotent request is sent again;
@@ -310,6 +312,7 @@
                 whole_answer(status, headers, body)
             }
             Ok(SoundAnswer::Stream(stream)) => {
+                note_success(&self.gateway, &self.service);
                 let headers = encode_answer(&stream.answer.headers);
                 let status = stream.answer.head.status;
                 let first_event = log.age();
@@ -330,7 +333,8 @@
             priority: self.route.priority,
             organisation: self.organisation.clone().unwrap_or_default(),
             fresh_until: now + self.route.target.mul_f64(FRESH_SHARE),
-            latest_start: now + self.time_left(self.give_up).mul_f64(START_SHARE),
+            latest_start: now
+                + self.time_left(self.give_up).min(self.route.patience()).mul_f64(START_SHARE),
         };
         match wait_at_gate(&self.gateway, &self.service, asking).await {
             None => Ok(()),
@@ -472,6 +476,9 @@
         if failed.failure != AttemptFailure::Failed {
             self.gateway.balance.borrow_mut().avoid(self.gateway.now(), server);
         }
+        if self.route.streaming && failed.failure == AttemptFailure::NotRun {
+            note_refusal(&self.gateway, &self.service);
+        }
         self.gateway.metrics.count_attempt(failure_name(failed.failure), retry);
         self.gateway.journal.note(
             "attempt-failed",
--- a/crates/rank-agent/src/lead.rs
+++ b/crates/rank-agent/src/lead.rs
@@ -47,7 +47,7 @@
 /// The same while ranks are not heard.
 const LIST_INTERVAL_MISSING: Duration = Duration::from_millis(700);
 /// Time after which a new leader reads the engines of agents that it has not heard.
-const UNHEARD_TIME: Duration = Duration::from_millis(200);
+const UNHEARD_TIME: Duration = Duration::from_millis(600);
 /// Pause between two such readings.
 const LOOK_PAUSE: Duration = Duration::from_millis(100);
 /// Least counts on which a plan rests; a pass of one request makes some hundred.
