--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -18,6 +18,7 @@
 use cuminpick::repeat::RepeatBudget;
 use cuminpick_operators::journal::Journal;
 use cuminpick_operators::metrics::Metrics;
+use cuminpick_operators::page::serve_metrics;
 use cuminpick_platform::settings::NodeSettings;
 use eyre::WrapErr;
 use slog::o;
@@ -41,13 +42,17 @@
 const LEAVE_LOOK: Duration = Duration::from_millis(20);
 
 /// Runs a gateway until SIGTERM, then lets it finish what it has.
-pub fn run_gateway(settings: NodeSettings, path: PathBuf) -> eyre::Result<()> {
+pub fn run_gateway(
+    settings: NodeSettings,
+    path: PathBuf,
+    metrics_port: Option<u16>,
+) -> eyre::Result<()> {
     let clock: Arc<dyn Clock> = Arc::new(SystemClock::start());
     let (journal, guard) = Journal::start(&settings.node, Arc::clone(&clock))?;
     let gateway = Rc::new(make_gateway(settings, clock, journal)?);
     let runtime = Builder::new_current_thread().enable_all().build()?;
     let local = LocalSet::new();
-    let done = local.block_on(&runtime, run(Rc::clone(&gateway), path));
+    let done = local.block_on(&runtime, run(Rc::clone(&gateway), path, metrics_port));
     let clean = done.is_ok();
     gateway.journal.note("stopped", None, o!("clean" => clean, "open" => gateway.open.get()));
     drop(guard);
@@ -84,7 +89,7 @@
     })
 }
 
-async fn run(gateway: Rc<Gateway>, path: PathBuf) -> eyre::Result<()> {
+async fn run(gateway: Rc<Gateway>, path: PathBuf, metrics_port: Option<u16>) -> eyre::Result<()> {
     let settings = &gateway.settings;
     let callers = required(settings.callers, "front")?;
     let readiness = required(settings.readiness, "ready")?;
@@ -94,6 +99,9 @@
     let ready_listener =
         bind(readiness).wrap_err_with(|| format!("cannot listen on {readiness}"))?;
     start_peers(&gateway).await.wrap_err("cannot open the socket for other gateways")?;
+    if let Some(port) = metrics_port {
+        start_metrics(&gateway, port);
+    }
     start_feeds(&gateway);
     tokio::task::spawn_local(pump_gates(Rc::clone(&gateway)));
     tokio::task::spawn_local(listen_for_readiness(Rc::clone(&gateway), ready_listener));
@@ -121,6 +129,19 @@
     })
 }
 
+fn start_metrics(gateway: &Rc<Gateway>, port: u16) {
+    let address = SocketAddr::new(gateway.settings.ip, port);
+    let gateway = Rc::clone(gateway);
+    tokio::task::spawn_local(async move {
+        let rendering = Rc::clone(&gateway);
+        let served = serve_metrics(address, move || rendering.metrics.render()).await;
+        if let Err(error) = served {
+            let detail = error.to_string();
+            gateway.journal.warn("metrics-not-served", o!("error" => detail));
+        }
+    });
+}
+
 /// Reads the settings again; addresses in use stay until the next start.
 fn note_reload(gateway: &Gateway, path: &std::path::Path) {
     match NodeSettings::load(path) {
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -8,6 +8,7 @@
 
 struct Options {
     settings: PathBuf,
+    metrics_port: Option<u16>,
     check: bool,
 }
 
@@ -16,8 +17,12 @@
         .help("Settings file; by default the one that the platform names")
         .argument::<PathBuf>("FILE")
         .fallback_with(|| Ok::<_, std::convert::Infallible>(NodeSettings::path()));
+    let metrics_port = bpaf::long("metrics-port")
+        .help("Port of the VM on which /metrics is served; not served without it")
+        .argument::<u16>("PORT")
+        .optional();
     let check = bpaf::long("check").help("Check the settings, print them and leave").switch();
-    let options = bpaf::construct!(Options { settings, check })
+    let options = bpaf::construct!(Options { settings, metrics_port, check })
         .to_options()
         .descr("Takes callers' requests and carries them to backend servers.")
         .version(env!("CARGO_PKG_VERSION"))
@@ -28,5 +33,5 @@
         std::io::Write::write_all(&mut out, format!("{node:#?}\n").as_bytes())?;
         return Ok(());
     }
-    run_gateway(node, options.settings)
+    run_gateway(node, options.settings, options.metrics_port)
 }
--- a/crates/rank-agent/src/daemon.rs
+++ b/crates/rank-agent/src/daemon.rs
@@ -12,6 +12,7 @@
 use cuminpick::ids::hash_parts;
 use cuminpick_operators::journal::Journal;
 use cuminpick_operators::metrics::Metrics;
+use cuminpick_operators::page::serve_metrics;
 use cuminpick_platform::settings::NodeSettings;
 use eyre::WrapErr;
 use slog::o;
@@ -47,12 +48,17 @@
 }
 
 /// Runs an agent until SIGTERM.
-pub fn run_agent(settings: NodeSettings, tuning: AgentTuning) -> eyre::Result<()> {
+pub fn run_agent(
+    settings: NodeSettings,
+    tuning: AgentTuning,
+    metrics_port: Option<u16>,
+) -> eyre::Result<()> {
     let clock: Arc<dyn Clock> = Arc::new(SystemClock::start());
     let (journal, guard) = Journal::start(&settings.node, Arc::clone(&clock))?;
     let runtime = Builder::new_current_thread().enable_all().build()?;
     let local = LocalSet::new();
-    let done = local.block_on(&runtime, run(settings, tuning, clock, journal.clone()));
+    let done =
+        local.block_on(&runtime, run(settings, tuning, clock, journal.clone(), metrics_port));
     journal.note("stopped", None, o!("clean" => done.is_ok()));
     drop(guard);
     done
@@ -63,6 +69,7 @@
     tuning: AgentTuning,
     clock: Arc<dyn Clock>,
     journal: Journal,
+    metrics_port: Option<u16>,
 ) -> eyre::Result<()> {
     let engine = settings.local_engine.ok_or_else(|| {
         eyre::eyre!("the settings have no `app`; run the agent on VMs with a model engine")
@@ -89,6 +96,9 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut reload = signal(SignalKind::hangup())?;
     agent.journal.note("started", None, o!("engine" => engine.to_string()));
+    if let Some(port) = metrics_port {
+        start_metrics(&agent, port);
+    }
     tokio::task::spawn_local(observe_engine(Rc::clone(&agent)));
     tokio::task::spawn_local(hear_agents(Rc::clone(&agent)));
     tokio::task::spawn_local(watch_leader(Rc::clone(&agent)));
@@ -104,6 +114,19 @@
     Ok(())
 }
 
+fn start_metrics(agent: &Rc<Agent>, port: u16) {
+    let address = SocketAddr::new(agent.settings.ip, port);
+    let agent = Rc::clone(agent);
+    tokio::task::spawn_local(async move {
+        let rendering = Rc::clone(&agent);
+        let served = serve_metrics(address, move || rendering.metrics.render()).await;
+        if let Err(error) = served {
+            let detail = error.to_string();
+            agent.journal.warn("metrics-not-served", o!("error" => detail));
+        }
+    });
+}
+
 /// Takes the other agents' messages in.
 async fn hear_agents(agent: Rc<Agent>) {
     let mut buffer = vec![0; MAX_DATAGRAM];
--- a/crates/rank-agent/src/main.rs
+++ b/crates/rank-agent/src/main.rs
@@ -12,6 +12,7 @@
 
 struct Options {
     settings: PathBuf,
+    metrics_port: Option<u16>,
     check: bool,
     tuning: AgentTuning,
 }
@@ -65,9 +66,13 @@
         .help("Settings file; by default the one that the platform names")
         .argument::<PathBuf>("FILE")
         .fallback_with(|| Ok::<_, std::convert::Infallible>(NodeSettings::path()));
+    let metrics_port = bpaf::long("metrics-port")
+        .help("Port of the VM on which /metrics is served; not served without it")
+        .argument::<u16>("PORT")
+        .optional();
     let check = bpaf::long("check").help("Check the settings, print them and leave").switch();
     let tuning = tuning();
-    let options = bpaf::construct!(Options { settings, check, tuning })
+    let options = bpaf::construct!(Options { settings, metrics_port, check, tuning })
         .to_options()
         .descr("Watches the model engine on its VM and keeps its group's expert maps.")
         .version(env!("CARGO_PKG_VERSION"))
@@ -78,5 +83,5 @@
         std::io::Write::write_all(&mut out, format!("{node:#?}\n").as_bytes())?;
         return Ok(());
     }
-    run_agent(node, options.tuning)
+    run_agent(node, options.tuning, options.metrics_port)
 }
