Tell gateways which engines are slow

Change: a leader tells the gateways of engines whose pace is 1.25 or more; they count their load by the pace and spare those from 2.0 on. Test: slow_server_spared.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -29,6 +29,11 @@
 /// Requests in flight for each slot above which a server counts as full; engines
 /// queue up to twice their slots.
 const FULL_PER_SLOT: u32 = 3;
+/// Age after which the news that a server is slow no longer holds; five messages.
+const SLOW_AGE: Duration = Duration::from_secs(1);
+/// Pace from which on a server is spared as long as others are sound. Ranks of a
+/// group wait for each other, so its own requests would slow all of them.
+const SPARED_PACE: f64 = 2.0;
 /// Span over which requests to a cold server are counted.
 const COLD_SPAN: Duration = Duration::from_secs(1);
 /// Part of what a cold server bears that gateways use together.
@@ -99,6 +104,7 @@
     backends: FastMap<ServerId, Backend>,
     zones_out: FastSet<ZoneName>,
     peers: FastMap<MemberId, PeerCounts>,
+    slow: FastMap<SocketAddr, (f64, Duration)>,
     contact_regained: Option<Duration>,
 }
 
@@ -190,6 +196,13 @@
         peer.counts = counts.into_iter().collect();
     }
 
+    /// Takes in which servers are slow, with the time that their work takes
+    /// relative to a sound one.
+    pub fn hear_slow(&mut self, now: Duration, slow: Vec<(SocketAddr, f64)>) {
+        self.slow.retain(|_, (_, heard)| now < *heard + SLOW_AGE);
+        self.slow.extend(slow.into_iter().map(|(address, pace)| (address, (pace, now))));
+    }
+
     /// Number of gateways that run, with this one.
     pub fn gateways(&self) -> usize {
         self.peers.len() + 1
@@ -242,11 +255,11 @@
             return Err(NoServer::Tried);
         }
         let sound: Vec<&Backend> =
-            untried.iter().copied().filter(|backend| backend.avoid_until <= now).collect();
+            untried.iter().copied().filter(|backend| self.is_sound(now, backend)).collect();
         let candidates = if sound.is_empty() { untried } else { sound };
         let count = candidates.len();
         let free = candidates.into_iter().filter(|backend| self.has_room(now, backend, query));
-        let ranked = free.map(|backend| (self.rank(backend, query), rng.next_bits(), backend));
+        let ranked = free.map(|backend| (self.rank(now, backend, query), rng.next_bits(), backend));
         let best = ranked.min_by(|left, right| (left.0, left.1).cmp(&(right.0, right.1)));
         let (_, _, backend) = best.ok_or(NoServer::Full)?;
         Ok(BalanceChoice {
@@ -327,11 +340,23 @@
         recent < (share.floor() as usize).max(1)
     }
 
-    /// Load per slot in thousandths, then whether the server is in another zone.
-    fn rank(&self, backend: &Backend, query: &BalanceQuery<'_>) -> (u64, bool) {
-        let load = u64::from(backend.in_flight + self.others(&backend.record.id));
-        let slots = u64::from(backend.record.slots.max(1));
-        (load * 1_000 / slots, backend.record.zone != query.zone)
+    fn is_sound(&self, now: Duration, backend: &Backend) -> bool {
+        backend.avoid_until <= now && self.pace(now, backend) < SPARED_PACE
+    }
+
+    fn pace(&self, now: Duration, backend: &Backend) -> f64 {
+        let known = self.slow.get(&backend.record.address);
+        known.filter(|(_, heard)| now < *heard + SLOW_AGE).map_or(1.0, |(pace, _)| pace.max(1.0))
+    }
+
+    /// Load per slot in thousandths, for a slow server as if it had more; then
+    /// whether the server is in another zone.
+    fn rank(&self, now: Duration, backend: &Backend, query: &BalanceQuery<'_>) -> (u64, bool) {
+        let load = backend.in_flight + self.others(&backend.record.id);
+        let pace = self.pace(now, backend);
+        let felt = f64::from(load) * pace + pace - 1.0;
+        let slots = f64::from(backend.record.slots.max(1));
+        ((felt * 1_000.0 / slots) as u64, backend.record.zone != query.zone)
     }
 
     /// Forgets the counts of peers that have not been heard for a while.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -52,6 +52,7 @@
 pub mod journal;
 pub mod limit;
 pub mod member;
+pub mod news;
 pub mod queue;
 pub mod rate;
 pub mod refusal;
--- a/crates/core/tests/balance_choice.rs
+++ b/crates/core/tests/balance_choice.rs
@@ -176,3 +176,24 @@
     table.end("a");
     assert_eq!(chosen(&table, START), Ok("a".to_string()));
 }
+
+/// Pattern: one rank of a group works at a fraction of its speed.
+#[test]
+fn slow_server_spared() {
+    let mut table = BalanceTable::default();
+    let address = |port: u16| std::net::SocketAddr::from(([127, 0, 0, 1], port));
+    for (port, id) in [(1, "a"), (2, "b")] {
+        table.put(START, ServerRecord { address: address(port), ..record(id, "bole") });
+    }
+    for _ in 0..3 {
+        table.begin(START, "b");
+    }
+    table.hear_slow(START, vec![(address(1), 12.0)]);
+    assert_eq!(chosen(&table, START), Ok("b".to_string()));
+    // A little slower only counts as more loaded.
+    table.hear_slow(START, vec![(address(1), 1.6)]);
+    assert_eq!(chosen(&table, START), Ok("a".to_string()));
+    // The news grows old.
+    table.hear_slow(START, vec![(address(1), 12.0)]);
+    assert_eq!(chosen(&table, START + Duration::from_secs(2)), Ok("a".to_string()));
+}
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -81,6 +81,7 @@
         budget: RefCell::new(RepeatBudget::new(bounds)),
         pauses: RefCell::new(FastMap::default()),
         gates: RefCell::new(FastMap::default()),
+        slow_engines: RefCell::new(Vec::new()),
         rng: RefCell::new(ChoiceRng::new(seed)),
         servers_known: Cell::new(false),
         leaving: Cell::new(None),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -9,14 +9,14 @@
 use std::time::Duration;
 
 use cuminpick::ids::FastMap;
-use cuminpick::ids::ServerId;
+use cuminpick::news::GatewayNews;
+use cuminpick::news::GroupNews;
+use cuminpick::news::NewsMessage;
 use cuminpick_platform::records::GatewayRecord;
 use cuminpick_platform::store::GATEWAY_KIND;
 use cuminpick_platform::store::ReadMode;
 use cuminpick_platform::store::StoreClient;
 use cuminpick_platform::store::StoreError;
-use serde::Deserialize;
-use serde::Serialize;
 use slog::o;
 use tokio::net::UdpSocket;
 
@@ -31,17 +31,6 @@
 /// Largest datagram.
 const MAX_DATAGRAM: usize = 60_000;
 
-/// What a gateway tells the others.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct GatewayNews {
-    /// VM of the sender.
-    pub from: String,
-    /// Whether the sender is leaving.
-    pub leaving: bool,
-    /// Its requests in flight, by server.
-    pub in_flight: Vec<(ServerId, u32)>,
-}
-
 /// Addresses of the other gateways by the VM that registered them.
 type PeerAddresses = Rc<RefCell<FastMap<String, SocketAddr>>>;
 
@@ -122,16 +111,38 @@
                 continue;
             }
         };
-        let Ok(news) = postcard::from_bytes::<GatewayNews>(&buffer[..length]) else {
+        let Ok(message) = postcard::from_bytes::<NewsMessage>(&buffer[..length]) else {
             let from = sender.to_string();
             gateway.journal.warn("peer-news-unreadable", o!("from" => from));
             continue;
         };
-        gateway.metrics.count_control("gateway-news", "in", length);
-        addresses.borrow_mut().insert(news.from.clone(), sender);
-        let now = gateway.now();
-        gateway.balance.borrow_mut().hear_peer(now, &news.from, news.in_flight);
+        match message {
+            NewsMessage::Gateway(news) => {
+                gateway.metrics.count_control("gateway-news", "in", length);
+                addresses.borrow_mut().insert(news.from.clone(), sender);
+                let now = gateway.now();
+                gateway.balance.borrow_mut().hear_peer(now, &news.from, news.in_flight);
+            }
+            NewsMessage::Group(news) => {
+                gateway.metrics.count_control("group-news", "in", length);
+                hear_group(&gateway, news);
+            }
+        }
+    }
+}
+
+fn hear_group(gateway: &Gateway, news: GroupNews) {
+    let now = gateway.now();
+    let slow = news.slow.iter().map(|(engine, pace)| format!("{engine} {pace:.1}"));
+    let slow: Vec<String> = slow.collect();
+    if gateway.slow_engines.replace(slow.clone()) != slow {
+        gateway.journal.note(
+            "slow-engines",
+            None,
+            o!("service" => news.service.clone(), "slow" => slow.join(", ")),
+        );
     }
+    gateway.balance.borrow_mut().hear_slow(now, news.slow);
 }
 
 async fn tell(gateway: Rc<Gateway>, socket: Rc<UdpSocket>, addresses: PeerAddresses) {
@@ -148,7 +159,7 @@
             leaving: gateway.leaving.get().is_some(),
             in_flight: gateway.balance.borrow().own_counts(),
         };
-        let Ok(bytes) = postcard::to_stdvec(&news) else {
+        let Ok(bytes) = postcard::to_stdvec(&NewsMessage::Gateway(news)) else {
             gateway.journal.warn("peer-news-unencodable", o!());
             continue;
         };
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -48,6 +48,8 @@
     pub pauses: RefCell<FastMap<ServiceName, PauseMeter>>,
     /// Streams that wait to be let in, by service.
     pub gates: RefCell<FastMap<ServiceName, ServiceGate>>,
+    /// Slow engines that were last heard of, for the log.
+    pub slow_engines: RefCell<Vec<String>>,
     /// Random choices.
     pub rng: RefCell<ChoiceRng>,
     /// Whether servers were listed at least once.
--- a/crates/rank-agent/src/lead.rs
+++ b/crates/rank-agent/src/lead.rs
@@ -13,6 +13,8 @@
 use cuminpick::experts::map_skew;
 use cuminpick::experts::plan_map;
 use cuminpick::ids::FastMap;
+use cuminpick::news::GroupNews;
+use cuminpick::news::NewsMessage;
 use cuminpick::routing::ExpertLayout;
 use cuminpick::switch::GroupLeader;
 use cuminpick::switch::LeaderAction;
@@ -22,9 +24,11 @@
 use cuminpick::switch::RankOrder;
 use cuminpick_platform::engine::EngineClient;
 use cuminpick_platform::records::CONFIG_NAME;
+use cuminpick_platform::records::GatewayRecord;
 use cuminpick_platform::records::decode_config;
 use cuminpick_platform::records::decode_server;
 use cuminpick_platform::store::CONFIG_KIND;
+use cuminpick_platform::store::GATEWAY_KIND;
 use cuminpick_platform::store::ReadMode;
 use cuminpick_platform::store::SERVER_KIND;
 use cuminpick_platform::store::StoreClient;
@@ -50,6 +54,10 @@
 const UNHEARD_TIME: Duration = Duration::from_millis(600);
 /// Pause between two such readings.
 const LOOK_PAUSE: Duration = Duration::from_millis(100);
+/// Interval at which gateways are told of slow engines.
+const NEWS_INTERVAL: Duration = Duration::from_millis(200);
+/// Pace from which on an engine is told of as slow.
+const SLOW_PACE: f64 = 1.25;
 /// Least counts on which a plan rests; a pass of one request makes some hundred.
 const LEAST_COUNTS: f64 = 2_000.0;
 
@@ -61,6 +69,10 @@
     layout: Option<ExpertLayout>,
     /// Map in force when the last switch began, with its version.
     base: Option<(MapVersion, ExpertMap)>,
+    /// Addresses of the gateways.
+    gateways: Vec<SocketAddr>,
+    /// Whether the gateways were last told of slow engines.
+    told_slow: bool,
     /// Engines of the service.
     engines: Vec<SocketAddr>,
     /// Last order that was given to an engine directly.
@@ -84,6 +96,8 @@
             demand: None,
             layout: None,
             base: None,
+            gateways: Vec::new(),
+            told_slow: false,
             engines: Vec::new(),
             direct: FastMap::default(),
             agents: FastMap::default(),
@@ -94,6 +108,7 @@
 /// Leads for as long as the process runs and is the leader.
 pub async fn lead_group(agent: Rc<Agent>) {
     let mut next_beacon = Duration::ZERO;
+    let mut next_news = Duration::ZERO;
     loop {
         tokio::time::sleep(TICK).await;
         let now = agent.now();
@@ -104,6 +119,10 @@
             next_beacon = now + BEACON_INTERVAL;
             send_beacons(&agent).await;
         }
+        if now >= next_news {
+            next_news = now + NEWS_INTERVAL;
+            tell_gateways(&agent).await;
+        }
         let actions = {
             let mut state = agent.state.borrow_mut();
             let Some(leadership) = &mut state.leadership else {
@@ -171,6 +190,43 @@
     leadership.leader.begin_switch(now, plan.map, agent.tuning.plan.copies_per_rank)
 }
 
+/// Tells the gateways which engines are slow, and once that none is any more.
+async fn tell_gateways(agent: &Rc<Agent>) {
+    let paces = {
+        let state = agent.state.borrow();
+        let leadership = state.leadership.as_ref();
+        leadership.map(|leadership| leadership.leader.paces()).unwrap_or_default()
+    };
+    let slow: Vec<(SocketAddr, f64)> = paces
+        .into_iter()
+        .enumerate()
+        .filter(|(_, pace)| *pace >= SLOW_PACE)
+        .filter_map(|(rank, pace)| Some((engine_of(agent, rank)?, pace)))
+        .collect();
+    let gateways = {
+        let mut state = agent.state.borrow_mut();
+        let Some(leadership) = &mut state.leadership else {
+            return;
+        };
+        let told_before = std::mem::replace(&mut leadership.told_slow, !slow.is_empty());
+        if slow.is_empty() && !told_before {
+            return;
+        }
+        leadership.gateways.clone()
+    };
+    let service = agent.settings.local_service.clone().unwrap_or_default();
+    let message = NewsMessage::Group(GroupNews { service, slow });
+    let Ok(bytes) = postcard::to_stdvec(&message) else {
+        agent.journal.warn("message-unencodable", o!());
+        return;
+    };
+    for gateway in gateways {
+        agent.metrics.count_control("group-news", "out", bytes.len());
+        // A datagram that cannot be sent is as good as lost; the next one follows.
+        let _ = agent.socket.send_to(&bytes, gateway).await;
+    }
+}
+
 async fn send_beacons(agent: &Rc<Agent>) {
     let (targets, message) = {
         let state = agent.state.borrow();
@@ -404,6 +460,9 @@
 fn engine_of(agent: &Agent, rank: RankIndex) -> Option<SocketAddr> {
     let beside = {
         let state = agent.state.borrow();
+        if state.rank.as_ref().is_some_and(|own| own.rank == rank) {
+            return Some(agent.engine);
+        }
         let leadership = state.leadership.as_ref()?;
         if let Some(engine) = leadership.rank_engines.get(&rank) {
             return Some(*engine);
@@ -484,6 +543,20 @@
             agent.journal.warn("engines-unknown", o!("error" => detail));
         }
     }
+    match store.list(GATEWAY_KIND, ReadMode::Stale).await {
+        Ok(listing) => {
+            let records = listing.objects.iter();
+            let decoded = records.filter_map(|object| GatewayRecord::decode(object).ok());
+            let gateways = decoded.map(|record| record.address).collect();
+            if let Some(leadership) = &mut agent.state.borrow_mut().leadership {
+                leadership.gateways = gateways;
+            }
+        }
+        Err(error) => {
+            let detail = error.to_string();
+            agent.journal.warn("gateways-unknown", o!("error" => detail));
+        }
+    }
     let layout_known = {
         let state = agent.state.borrow();
         state.leadership.as_ref().is_none_or(|leadership| leadership.layout.is_some())
