--- a/crates/rank-agent/src/lead.rs
+++ b/crates/rank-agent/src/lead.rs
@@ -352,14 +352,11 @@
         }
         return;
     }
-    match address {
-        Some(address) => {
-            let order = shortened(agent, order);
-            let message = AgentMessage::Order { group, term, id, order, engine: None };
-            agent.tell(address, &message).await;
-        }
-        // A rank that was never heard gets its order when it is sent again.
-        None => {}
+    // A rank that was never heard gets its order when it is sent again.
+    if let Some(address) = address {
+        let order = shortened(agent, order);
+        let message = AgentMessage::Order { group, term, id, order, engine: None };
+        agent.tell(address, &message).await;
     }
 }
 
