Split the switch's orders and the leader's duties into files of their own

Change: orders.rs has the types; pass.rs brings orders to ranks; group.rs follows engines and gateways. Nothing is decided differently. Conclusion: each file has one job.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,11 @@
 //!   backend server ([`choose`]), refuses early ([`rate`]), leaves room for others ([`share`]) and retries
 //!   within a budget ([`budget`]).
 //! - [`agent`] decides beside a backend server, with the limit from [`limit`].
+//! - For the users' platform: [`routing`] finds a request's route, [`balance`] picks a
+//!   backend server, [`repeat`] decides on further attempts, [`events`] keeps streams
+//!   whole, [`admission`] and [`breaker`] hold streams back; [`experts`] and [`demand`]
+//!   plan expert maps, [`switch`] brings them into force by [`orders`], [`counts`] and
+//!   [`news`] are what processes tell each other.
 //! - [`answer`] checks that the frames of an answer belong together.
 //! - [`refusal`] names every way in which a request is turned down.
 //! - [`journal`] merges the events of all processes into causal order.
@@ -53,6 +58,7 @@
 pub mod limit;
 pub mod member;
 pub mod news;
+pub mod orders;
 pub mod queue;
 pub mod rate;
 pub mod refusal;
--- a/crates/core/src/switch.rs
+++ b/crates/core/src/switch.rs
@@ -17,25 +17,20 @@
 
 use std::time::Duration;
 
-use serde::Deserialize;
-use serde::Serialize;
-
 use crate::experts::ExpertIndex;
 use crate::experts::ExpertMap;
 use crate::experts::MapVersion;
 use crate::experts::RankIndex;
 use crate::ids::FastMap;
-
-/// Formation of a group; a new one starts when a rank was lost.
-pub type GroupEpoch = u64;
-/// Number of a pass within an epoch.
-pub type PassNumber = u64;
-/// Fencing token of an order; ranks refuse lower ones than they have seen.
-pub type FenceNumber = u64;
-/// Term of a leader; grows with each change of leadership.
-pub type LeaderTerm = u64;
-/// Identity of an order within a leader's term.
-pub type OrderId = u64;
+use crate::orders::GroupEpoch;
+use crate::orders::LeaderAction;
+use crate::orders::LeaderTerm;
+use crate::orders::OrderId;
+use crate::orders::OrderMark;
+use crate::orders::OrderOutcome;
+use crate::orders::PassNumber;
+use crate::orders::RankOrder;
+use crate::orders::RankStatus;
 
 /// Fences that a leader can use within its term.
 const FENCES_PER_TERM: u64 = 4_096;
@@ -78,171 +73,6 @@
 /// same hold twice does no harm: carried out late, its pass has begun or it holds.
 const MAX_HOLDS: u32 = 6;
 
-/// State of a rank as its engine reports it.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct RankStatus {
-    /// Number of the rank.
-    pub rank: RankIndex,
-    /// Formation that it belongs to.
-    pub epoch: GroupEpoch,
-    /// Whether the group runs.
-    pub open: bool,
-    /// Last pass that was begun.
-    pub pass: PassNumber,
-    /// Map in use.
-    pub map: MapVersion,
-    /// Map whose experts are all copied.
-    pub prepared: Option<MapVersion>,
-    /// Map that it switches to.
-    pub armed: Option<MapVersion>,
-    /// Pass that it holds back.
-    pub held: Option<PassNumber>,
-    /// Orders that it has begun since its start.
-    pub orders: u64,
-    /// Requests that run.
-    pub running: u32,
-    /// Requests that wait.
-    pub waiting: u32,
-    /// Time that its work takes, relative to a sound engine.
-    pub pace: f64,
-}
-
-/// Marks that every order carries.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct OrderMark {
-    /// Fencing token.
-    pub fence: FenceNumber,
-    /// Formation that the order is meant for.
-    pub epoch: GroupEpoch,
-}
-
-/// An order to a rank.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum RankOrder {
-    /// Copy the experts that a map newly gives to the rank.
-    Prepare {
-        /// Marks.
-        mark: OrderMark,
-        /// Version of the map.
-        version: MapVersion,
-        /// The map.
-        map: ExpertMap,
-    },
-    /// Use a prepared map from a pass on.
-    Arm {
-        /// Marks.
-        mark: OrderMark,
-        /// Version of the map.
-        version: MapVersion,
-        /// First pass with it.
-        pass: PassNumber,
-    },
-    /// Do not switch after all.
-    Disarm {
-        /// Marks.
-        mark: OrderMark,
-        /// Version of the map.
-        version: MapVersion,
-    },
-    /// Do not begin a pass until it is released.
-    Hold {
-        /// Marks.
-        mark: OrderMark,
-        /// The pass.
-        pass: PassNumber,
-    },
-    /// Begin a pass that was held.
-    Release {
-        /// Marks.
-        mark: OrderMark,
-        /// The pass.
-        pass: PassNumber,
-    },
-}
-
-impl RankOrder {
-    /// Marks of the order.
-    pub fn mark(&self) -> OrderMark {
-        match self {
-            RankOrder::Prepare { mark, .. }
-            | RankOrder::Arm { mark, .. }
-            | RankOrder::Disarm { mark, .. }
-            | RankOrder::Hold { mark, .. }
-            | RankOrder::Release { mark, .. } => *mark,
-        }
-    }
-
-    /// Time after which its outcome is taken as unknown.
-    fn patience(&self) -> Duration {
-        match self {
-            RankOrder::Prepare { .. } => MAP_TIMEOUT,
-            _ => OUTCOME_TIMEOUT,
-        }
-    }
-
-    /// Name for the log.
-    pub fn name(&self) -> &'static str {
-        match self {
-            RankOrder::Prepare { .. } => "prepare",
-            RankOrder::Arm { .. } => "arm",
-            RankOrder::Disarm { .. } => "disarm",
-            RankOrder::Hold { .. } => "hold",
-            RankOrder::Release { .. } => "release",
-        }
-    }
-}
-
-/// How a rank took an order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum OrderOutcome {
-    /// It holds or was begun.
-    Done,
-    /// It does not fit the rank's state; nothing was done.
-    Refused,
-    /// The rank has seen a higher fence; nothing was done.
-    Fenced,
-    /// No answer; it may have been done or may be done later.
-    Unknown,
-    /// It never reached the rank.
-    NotSent,
-}
-
-/// What the leader asks to be done.
-#[derive(Debug, Clone, PartialEq)]
-pub enum LeaderAction {
-    /// Give an order to a rank.
-    Order {
-        /// The rank.
-        rank: RankIndex,
-        /// Identity, under which the outcome is reported.
-        id: OrderId,
-        /// The order.
-        order: RankOrder,
-        /// Whether to go to the engine itself, since the agent is silent.
-        direct: bool,
-        /// Rank whose agent gives the order, where it is not the rank's own.
-        via: Option<RankIndex>,
-    },
-    /// Read the status of a rank from its engine, since the agent is silent.
-    Look {
-        /// The rank.
-        rank: RankIndex,
-    },
-    /// Log a step of the protocol.
-    Note {
-        /// What happened.
-        event: &'static str,
-        /// Version of the map.
-        version: MapVersion,
-        /// Pass that it concerns.
-        pass: PassNumber,
-        /// Further detail.
-        detail: String,
-    },
-    /// Another leader has a higher fence; stop leading.
-    StepDown,
-}
-
 #[derive(Debug, Clone)]
 struct RankView {
     status: RankStatus,
@@ -410,7 +240,7 @@
         let late: Vec<OrderId> = self
             .pending
             .iter()
-            .filter(|(_, pending)| now >= pending.first_sent + pending.order.patience())
+            .filter(|(_, pending)| now >= pending.first_sent + patience(&pending.order))
             .map(|(id, _)| *id)
             .collect();
         for id in late {
@@ -542,7 +372,7 @@
         let mut actions = Vec::new();
         let views = &self.views;
         for (id, pending) in &mut self.pending {
-            if now < pending.last_sent + pending.order.patience() / RESENDS {
+            if now < pending.last_sent + patience(&pending.order) / RESENDS {
                 continue;
             }
             if agent_silent(views, now, pending.rank) {
@@ -1014,6 +844,14 @@
     }
 }
 
+/// Time after which the outcome of an order is taken as unknown.
+fn patience(order: &RankOrder) -> Duration {
+    match order {
+        RankOrder::Prepare { .. } => MAP_TIMEOUT,
+        _ => OUTCOME_TIMEOUT,
+    }
+}
+
 fn agent_silent(views: &[Option<RankView>], now: Duration, rank: RankIndex) -> bool {
     views[rank].as_ref().is_some_and(|view| now >= view.heard + AGENT_SILENCE)
 }
--- a/crates/core/tests/map_switch.rs
+++ b/crates/core/tests/map_switch.rs
@@ -11,15 +11,15 @@
 use cuminpick::experts::ExpertMap;
 use cuminpick::experts::MapVersion;
 use cuminpick::ids::ChoiceRng;
-use cuminpick::switch::FenceNumber;
-use cuminpick::switch::GroupEpoch;
+use cuminpick::orders::FenceNumber;
+use cuminpick::orders::GroupEpoch;
+use cuminpick::orders::LeaderAction;
+use cuminpick::orders::OrderId;
+use cuminpick::orders::OrderOutcome;
+use cuminpick::orders::PassNumber;
+use cuminpick::orders::RankOrder;
+use cuminpick::orders::RankStatus;
 use cuminpick::switch::GroupLeader;
-use cuminpick::switch::LeaderAction;
-use cuminpick::switch::OrderId;
-use cuminpick::switch::OrderOutcome;
-use cuminpick::switch::PassNumber;
-use cuminpick::switch::RankOrder;
-use cuminpick::switch::RankStatus;
 
 const RANKS: usize = 3;
 /// One step of the world.
--- a/crates/rank-agent/src/daemon.rs
+++ b/crates/rank-agent/src/daemon.rs
@@ -24,16 +24,16 @@
 use tokio::task::LocalSet;
 
 use crate::elect::watch_leader;
-use crate::lead::follow_group;
+use crate::group::follow_group;
 use crate::lead::hear_news_from;
 use crate::lead::hear_outcome;
 use crate::lead::lead_group;
-use crate::lead::send_whole;
 use crate::lead::step_down;
 use crate::messages::AgentMessage;
 use crate::observe::GivenOrder;
 use crate::observe::observe_engine;
 use crate::observe::take_sent_order;
+use crate::pass::send_whole;
 use crate::state::Agent;
 use crate::state::AgentState;
 use crate::state::AgentTuning;
--- a/crates/rank-agent/src/lead.rs
+++ b/crates/rank-agent/src/lead.rs
@@ -9,47 +9,32 @@
 use cuminpick::experts::ExpertMap;
 use cuminpick::experts::MapVersion;
 use cuminpick::experts::RankIndex;
-use cuminpick::experts::map_changes;
 use cuminpick::experts::map_skew;
 use cuminpick::experts::plan_map;
 use cuminpick::ids::FastMap;
 use cuminpick::news::GroupNews;
 use cuminpick::news::NewsMessage;
+use cuminpick::orders::LeaderAction;
+use cuminpick::orders::LeaderTerm;
+use cuminpick::orders::OrderId;
+use cuminpick::orders::OrderOutcome;
 use cuminpick::routing::ExpertLayout;
 use cuminpick::switch::GroupLeader;
-use cuminpick::switch::LeaderAction;
-use cuminpick::switch::LeaderTerm;
-use cuminpick::switch::OrderId;
-use cuminpick::switch::OrderOutcome;
-use cuminpick::switch::RankOrder;
-use cuminpick_platform::engine::EngineClient;
-use cuminpick_platform::records::CONFIG_NAME;
-use cuminpick_platform::records::GatewayRecord;
-use cuminpick_platform::records::decode_config;
-use cuminpick_platform::records::decode_server;
-use cuminpick_platform::store::CONFIG_KIND;
-use cuminpick_platform::store::GATEWAY_KIND;
-use cuminpick_platform::store::ReadMode;
-use cuminpick_platform::store::SERVER_KIND;
-use cuminpick_platform::store::StoreClient;
 use slog::o;
 
 use crate::daemon::agent_port;
 use crate::messages::AgentMessage;
 use crate::messages::RankNews;
-use crate::messages::SentOrder;
-use crate::observe::GivenOrder;
-use crate::observe::take_order;
+use crate::pass::engine_of;
+use crate::pass::look_directly;
+use crate::pass::pass_order;
+use crate::pass::pass_order_via;
 use crate::state::Agent;
 
 /// Interval of the leader's decisions.
 const TICK: Duration = Duration::from_millis(10);
 /// Interval of beacons to the other agents.
 const BEACON_INTERVAL: Duration = Duration::from_millis(100);
-/// Interval at which the agents' addresses are read anew.
-const LIST_INTERVAL: Duration = Duration::from_secs(5);
-/// The same while ranks are not heard.
-const LIST_INTERVAL_MISSING: Duration = Duration::from_millis(700);
 /// Time after which a new leader reads the engines of agents that it has not heard.
 const UNHEARD_TIME: Duration = Duration::from_millis(600);
 /// Pause between two such readings.
@@ -65,24 +50,24 @@
 pub struct Leadership {
     /// The decisions.
     pub leader: GroupLeader,
-    demand: Option<DemandMeter>,
-    layout: Option<ExpertLayout>,
+    pub(crate) demand: Option<DemandMeter>,
+    pub(crate) layout: Option<ExpertLayout>,
     /// Map in force when the last switch began, with its version.
-    base: Option<(MapVersion, ExpertMap)>,
+    pub(crate) base: Option<(MapVersion, ExpertMap)>,
     /// Addresses of the gateways.
-    gateways: Vec<SocketAddr>,
+    pub(crate) gateways: Vec<SocketAddr>,
     /// Whether the gateways were last told of slow engines.
     told_slow: bool,
     /// Engines of the service.
-    engines: Vec<SocketAddr>,
+    pub(crate) engines: Vec<SocketAddr>,
     /// Last order that was given to an engine directly.
-    direct: FastMap<SocketAddr, OrderId>,
+    pub(crate) direct: FastMap<SocketAddr, OrderId>,
     /// Engines of ranks whose agents were never heard.
-    rank_engines: FastMap<RankIndex, SocketAddr>,
+    pub(crate) rank_engines: FastMap<RankIndex, SocketAddr>,
     began: Duration,
     looked: Duration,
     /// Addresses of the ranks' agents, learnt from their news.
-    agents: FastMap<RankIndex, SocketAddr>,
+    pub(crate) agents: FastMap<RankIndex, SocketAddr>,
 }
 
 impl Leadership {
@@ -287,7 +272,7 @@
     carry_out(agent, actions).await;
 }
 
-async fn carry_out(agent: &Rc<Agent>, actions: Vec<LeaderAction>) {
+pub(crate) async fn carry_out(agent: &Rc<Agent>, actions: Vec<LeaderAction>) {
     for action in actions {
         match action {
             LeaderAction::Order { rank, id, order, via: Some(via), .. } => {
@@ -324,264 +309,3 @@
         );
     }
 }
-
-async fn pass_order(
-    agent: &Rc<Agent>,
-    rank: RankIndex,
-    id: OrderId,
-    order: RankOrder,
-    direct: bool,
-) {
-    let (term, group, own, address) = {
-        let state = agent.state.borrow();
-        let (Some(leadership), Some(own)) = (&state.leadership, &state.rank) else {
-            return;
-        };
-        let address = leadership.agents.get(&rank).copied();
-        (leadership.leader.term(), own.group.clone(), own.rank, address)
-    };
-    if rank == own {
-        let from = SocketAddr::new(agent.settings.ip, agent_port(&agent.settings));
-        let giving = GivenOrder { term, id, engine: agent.engine, from };
-        tokio::task::spawn_local(take_order(Rc::clone(agent), giving, order));
-        return;
-    }
-    if direct {
-        if let Some(engine) = engine_of(agent, rank) {
-            tokio::task::spawn_local(order_directly(Rc::clone(agent), engine, term, id, order));
-        }
-        return;
-    }
-    // A rank that was never heard gets its order when it is sent again.
-    if let Some(address) = address {
-        let order = shortened(agent, order);
-        let message = AgentMessage::Order { group, term, id, order, engine: None };
-        agent.tell(address, &message).await;
-    }
-}
-
-/// Passes an order for one rank's engine to the agent of another rank.
-async fn pass_order_via(
-    agent: &Rc<Agent>,
-    rank: RankIndex,
-    via: RankIndex,
-    id: OrderId,
-    order: RankOrder,
-) {
-    let engine = engine_of(agent, rank);
-    let message = {
-        let state = agent.state.borrow();
-        let (Some(leadership), Some(own)) = (&state.leadership, &state.rank) else {
-            return;
-        };
-        let (term, group) = (leadership.leader.term(), own.group.clone());
-        let order = SentOrder::Whole(order);
-        let message = AgentMessage::Order { group, term, id, order, engine };
-        leadership.agents.get(&via).copied().zip(Some(message))
-    };
-    if let (Some((address, message)), Some(_)) = (message, engine) {
-        agent.tell(address, &message).await;
-    }
-}
-
-/// Returns an order with its map as what differs from the one in force.
-fn shortened(agent: &Agent, order: RankOrder) -> SentOrder {
-    let state = agent.state.borrow();
-    let leadership = state.leadership.as_ref();
-    let base = leadership.and_then(|leadership| leadership.base.as_ref());
-    let layout = leadership.and_then(|leadership| leadership.layout);
-    match (order, base, layout) {
-        (RankOrder::Prepare { mark, version, map }, Some((base, before)), Some(layout)) => {
-            SentOrder::PrepareChanges {
-                mark,
-                version,
-                base: *base,
-                shape: (layout.sets as u16, layout.experts as u16),
-                changes: map_changes(before, &map),
-            }
-        }
-        (order, _, _) => SentOrder::Whole(order),
-    }
-}
-
-/// Sends an order again with its whole map to an agent that lacks the base.
-pub async fn send_whole(agent: &Rc<Agent>, to: SocketAddr, term: LeaderTerm, id: OrderId) {
-    let (order, group) = {
-        let state = agent.state.borrow();
-        let (Some(leadership), Some(rank)) = (&state.leadership, &state.rank) else {
-            return;
-        };
-        if leadership.leader.term() != term {
-            return;
-        }
-        let order = leadership.leader.pending_order(id).map(|(_, order)| order.clone());
-        (order, rank.group.clone())
-    };
-    if let Some(order) = order {
-        let order = SentOrder::Whole(order);
-        let message = AgentMessage::Order { group, term, id, order, engine: None };
-        agent.tell(to, &message).await;
-    }
-}
-
-/// Gives an order to the engine of a rank whose agent is silent.
-async fn order_directly(
-    agent: Rc<Agent>,
-    engine: SocketAddr,
-    term: LeaderTerm,
-    id: OrderId,
-    order: RankOrder,
-) {
-    let outcome = EngineClient::new(engine).order(&order).await;
-    agent.journal.note(
-        "order-given-directly",
-        None,
-        o!("order" => order.name(), "engine" => engine.to_string(),
-           "outcome" => format!("{outcome:?}")),
-    );
-    if let Some(leadership) = &mut agent.state.borrow_mut().leadership {
-        leadership.direct.insert(engine, id);
-    }
-    hear_outcome(&agent, term, id, outcome).await;
-}
-
-/// Returns the engine on the VM of an agent.
-fn engine_beside(agent: &Agent, agent_address: SocketAddr) -> Option<SocketAddr> {
-    let state = agent.state.borrow();
-    let leadership = state.leadership.as_ref()?;
-    let mut engines = leadership.engines.iter().copied();
-    engines.find(|engine| engine.ip() == agent_address.ip())
-}
-
-/// Returns the engine of a rank.
-fn engine_of(agent: &Agent, rank: RankIndex) -> Option<SocketAddr> {
-    let beside = {
-        let state = agent.state.borrow();
-        if state.rank.as_ref().is_some_and(|own| own.rank == rank) {
-            return Some(agent.engine);
-        }
-        let leadership = state.leadership.as_ref()?;
-        if let Some(engine) = leadership.rank_engines.get(&rank) {
-            return Some(*engine);
-        }
-        leadership.agents.get(&rank).copied()?
-    };
-    engine_beside(agent, beside)
-}
-
-/// Reads the status of a rank whose agent is silent from its engine.
-async fn look_directly(agent: Rc<Agent>, engine: SocketAddr) {
-    let after = {
-        let state = agent.state.borrow();
-        state.leadership.as_ref().and_then(|leadership| leadership.direct.get(&engine).copied())
-    };
-    let mut client = EngineClient::new(engine);
-    match client.report().await {
-        Ok(Some(report)) => {
-            let actions = {
-                let now = agent.now();
-                let mut state = agent.state.borrow_mut();
-                let Some(leadership) = &mut state.leadership else {
-                    return;
-                };
-                leadership.rank_engines.insert(report.status.rank, engine);
-                leadership.leader.hear_look(now, report.status, after)
-            };
-            carry_out(&agent, actions).await;
-        }
-        Ok(None) => {}
-        Err(error) => {
-            let detail = error.to_string();
-            let engine = engine.to_string();
-            agent.journal.warn("engine-unread", o!("engine" => engine, "error" => detail));
-        }
-    }
-}
-
-/// Reads the layout of experts and the addresses of the engines while leading.
-pub async fn follow_group(agent: Rc<Agent>) {
-    let store = StoreClient::new(agent.settings.store);
-    loop {
-        let missing = {
-            let state = agent.state.borrow();
-            match &state.leadership {
-                None => None,
-                Some(leadership) => {
-                    let silent = leadership.leader.silent_ranks(agent.now());
-                    Some(silent > 0 || leadership.layout.is_none())
-                }
-            }
-        };
-        let Some(missing) = missing else {
-            tokio::time::sleep(BEACON_INTERVAL).await;
-            continue;
-        };
-        refresh_group(&agent, &store).await;
-        let pause = if missing { LIST_INTERVAL_MISSING } else { LIST_INTERVAL };
-        tokio::time::sleep(pause).await;
-    }
-}
-
-async fn refresh_group(agent: &Rc<Agent>, store: &StoreClient) {
-    let service = agent.settings.local_service.clone().unwrap_or_default();
-    match store.list(SERVER_KIND, ReadMode::Stale).await {
-        Ok(listing) => {
-            let records = listing.objects.iter().filter_map(|object| decode_server(object).ok());
-            let engines: Vec<SocketAddr> = records
-                .filter(|record| record.service == service)
-                .map(|record| record.address)
-                .collect();
-            if let Some(leadership) = &mut agent.state.borrow_mut().leadership {
-                leadership.engines = engines;
-            }
-        }
-        Err(error) => {
-            let detail = error.to_string();
-            agent.journal.warn("engines-unknown", o!("error" => detail));
-        }
-    }
-    match store.list(GATEWAY_KIND, ReadMode::Stale).await {
-        Ok(listing) => {
-            let records = listing.objects.iter();
-            let decoded = records.filter_map(|object| GatewayRecord::decode(object).ok());
-            let gateways = decoded.map(|record| record.address).collect();
-            if let Some(leadership) = &mut agent.state.borrow_mut().leadership {
-                leadership.gateways = gateways;
-            }
-        }
-        Err(error) => {
-            let detail = error.to_string();
-            agent.journal.warn("gateways-unknown", o!("error" => detail));
-        }
-    }
-    let layout_known = {
-        let state = agent.state.borrow();
-        state.leadership.as_ref().is_none_or(|leadership| leadership.layout.is_some())
-    };
-    if layout_known {
-        return;
-    }
-    let layout = match store.get(CONFIG_KIND, CONFIG_NAME, ReadMode::Stale).await {
-        Ok(Some(object)) => match decode_config(&object) {
-            Ok(table) => table
-                .service(&service)
-                .and_then(|spec| spec.engine.as_ref())
-                .and_then(|engine| engine.experts),
-            Err(error) => {
-                let detail = error.to_string();
-                agent.journal.warn("config-ignored", o!("error" => detail));
-                None
-            }
-        },
-        Ok(None) => None,
-        Err(error) => {
-            let detail = error.to_string();
-            agent.journal.warn("config-unknown", o!("error" => detail));
-            None
-        }
-    };
-    if let (Some(layout), Some(leadership)) = (layout, &mut agent.state.borrow_mut().leadership) {
-        leadership.layout = Some(layout);
-        leadership.demand = Some(DemandMeter::new(layout, agent.tuning.demand));
-    }
-}
--- a/crates/rank-agent/src/lib.rs
+++ b/crates/rank-agent/src/lib.rs
@@ -9,12 +9,15 @@
 //! - [`daemon`] wires the parts together.
 //! - [`observe`] reads the engine and reports to the leader.
 //! - [`messages`] are what agents tell each other, in datagrams.
-//! - [`lead`] carries the leader's decisions out.
+//! - [`lead`] carries the leader's decisions out, [`pass`] brings its orders to the
+//!   ranks and [`group`] keeps up with their engines.
 //! - [`elect`] claims leadership in the platform's store when there is no leader.
 
 pub mod daemon;
 pub mod elect;
+pub mod group;
 pub mod lead;
 pub mod messages;
 pub mod observe;
+pub mod pass;
 pub mod state;
--- a/crates/rank-agent/src/messages.rs
+++ b/crates/rank-agent/src/messages.rs
@@ -9,12 +9,12 @@
 use cuminpick::experts::ExpertIndex;
 use cuminpick::experts::MapChange;
 use cuminpick::experts::MapVersion;
-use cuminpick::switch::LeaderTerm;
-use cuminpick::switch::OrderId;
-use cuminpick::switch::OrderMark;
-use cuminpick::switch::OrderOutcome;
-use cuminpick::switch::RankOrder;
-use cuminpick::switch::RankStatus;
+use cuminpick::orders::LeaderTerm;
+use cuminpick::orders::OrderId;
+use cuminpick::orders::OrderMark;
+use cuminpick::orders::OrderOutcome;
+use cuminpick::orders::RankOrder;
+use cuminpick::orders::RankStatus;
 use serde::Deserialize;
 use serde::Serialize;
 
--- a/crates/standins/src/site/group.rs
+++ b/crates/standins/src/site/group.rs
@@ -11,13 +11,13 @@
 use cuminpick::experts::MapVersion;
 use cuminpick::experts::initial_map;
 use cuminpick::ids::ChoiceRng;
+use cuminpick::orders::FenceNumber;
+use cuminpick::orders::GroupEpoch;
+use cuminpick::orders::OrderOutcome;
+use cuminpick::orders::PassNumber;
+use cuminpick::orders::RankOrder;
+use cuminpick::orders::RankStatus;
 use cuminpick::routing::ExpertLayout;
-use cuminpick::switch::FenceNumber;
-use cuminpick::switch::GroupEpoch;
-use cuminpick::switch::OrderOutcome;
-use cuminpick::switch::PassNumber;
-use cuminpick::switch::RankOrder;
-use cuminpick::switch::RankStatus;
 use tokio::sync::watch;
 
 /// Time of a pass.
