Name a request's time left once, and a failed attempt in one function

Cause: read as a newcomer, the same sum stood twice in `accept`, and two functions noted a failure, one only calling the other. Change: the form only; nothing is decided differently.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -69,7 +69,7 @@
                 RelayEnd::CallerLeft => return self.end("caller-left", "during the stream"),
                 RelayEnd::TimedOut => return self.cut("the route's timeout passed").await,
                 RelayEnd::Broken(failed) => {
-                    self.exchange.note_failed_server(&stream.server, &failed);
+                    self.exchange.note_failure(&stream.server, &failed);
                 }
             }
             match self.resume().await {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -178,15 +178,14 @@
         Ok(organisation) => organisation.map(|rule| rule.name.clone()),
         Err(_) => return Err(Refusal::not_run(RefusalKind::KeyRefused, None)),
     };
-    let needed = head.time_left.map_or(route.timeout, |left| left.min(route.timeout));
-    if !gateway.can_finish(needed) {
+    let time_left = head.time_left.map_or(route.timeout, |left| left.min(route.timeout));
+    if !gateway.can_finish(time_left) {
         return Err(Refusal::not_run(RefusalKind::Leaving, Some(RETRY_ELSEWHERE)));
     }
     let message = read_message(request, &head, &table).await?;
     let service = route.pick_target(gateway.roll()).cloned().unwrap_or_default();
     let now = gateway.now();
     gateway.budget.borrow_mut().count_first(now, &service);
-    let time_left = head.time_left.map_or(route.timeout, |left| left.min(route.timeout));
     let cold_per_second = table.service(&service).map_or(0.0, |spec| spec.cold_per_second);
     Ok(Exchange {
         gateway: Rc::clone(gateway),
@@ -362,7 +361,7 @@
                 Ok(answer) => return Ok(answer),
                 Err(failed) => failed,
             };
-            self.note_failure(&choice, &failed);
+            self.note_failure(&choice.server, &failed);
             if !self.state.may_try_again() {
                 return Err(self.given_up("no further attempt allowed"));
             }
@@ -463,12 +462,7 @@
     }
 
     /// Takes a failed attempt in, and avoids a server that failed by itself.
-    pub fn note_failure(&mut self, choice: &BalanceChoice, failed: &FailedAttempt) {
-        self.note_failed_server(&choice.server, failed);
-    }
-
-    /// As [`Exchange::note_failure`], by the server's id.
-    pub fn note_failed_server(&mut self, server: &str, failed: &FailedAttempt) {
+    pub fn note_failure(&mut self, server: &str, failed: &FailedAttempt) {
         let retry = self.state.is_repeat();
         self.state.note(failed.failure);
         self.last_failure = Some(failed.failure);
