Give each test site an address of its own

Its log shows why: the gateway could not listen on 127.0.0.1:33689, "Address already in use". The harness looked for free ports on an address that all sites and their clients share, let them go, and another took one of them first. Change: each site's gateway has a loopback address that nothing else uses. No check or bound is touched. Conclusion: a fault of the harness, not of the gateway.

--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -10,6 +10,8 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -40,6 +42,8 @@
 use hyper::Request;
 use hyper::StatusCode;
 
+/// Sites that tests of this process have started.
+static SITES: AtomicU8 = AtomicU8::new(0);
 const HOME: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
 /// Host of all routes.
 pub(crate) const HOST: &str = "shop.example";
@@ -141,7 +145,7 @@
         let folder = std::env::temp_dir().join(format!(
             "cuminpick-gateway-{}-{}",
             std::process::id(),
-            settings.callers.unwrap().port()
+            settings.ip
         ));
         std::fs::create_dir_all(&folder).unwrap();
         let file = folder.join("node.toml");
@@ -300,16 +304,26 @@
     (1..=count).map(|number| format!("id: {number}\ndata: event {number}\n\n")).collect()
 }
 
+/// Returns a loopback address that no other site uses: ports that were free on a
+/// shared address may be taken again before the gateway binds them.
+fn own_address() -> IpAddr {
+    let site = SITES.fetch_add(1, Ordering::Relaxed);
+    let process = std::process::id();
+    let (high, low) = ((process >> 8) as u8 & 0x7f, process as u8);
+    IpAddr::V4(Ipv4Addr::new(127, high + 64, low, site + 10))
+}
+
 fn settings(store: SocketAddr) -> NodeSettings {
-    let ports = free_ports(4);
+    let ip = own_address();
+    let ports = free_ports(ip, 4);
     NodeSettings {
         node: "edge-1".to_string(),
         zone: "zone-0".to_string(),
-        ip: HOME,
+        ip,
         first_internal_port: ports[2],
         last_internal_port: ports[2],
-        callers: Some(SocketAddr::new(HOME, ports[0])),
-        readiness: Some(SocketAddr::new(HOME, ports[1])),
+        callers: Some(SocketAddr::new(ip, ports[0])),
+        readiness: Some(SocketAddr::new(ip, ports[1])),
         local_engine: None,
         local_service: None,
         store,
@@ -326,9 +340,9 @@
     }
 }
 
-fn free_ports(count: usize) -> Vec<u16> {
+fn free_ports(ip: IpAddr, count: usize) -> Vec<u16> {
     let listeners: Vec<TcpListener> =
-        (0..count).map(|_| TcpListener::bind((HOME, 0)).unwrap()).collect();
+        (0..count).map(|_| TcpListener::bind((ip, 0)).unwrap()).collect();
     listeners.iter().map(|listener| listener.local_addr().unwrap().port()).collect()
 }
 
