Keep operators' objects in the platform's store, and drill the gateways

Change: the object API is now kept in the platform's store through the one client in platform/, with removals told by watches and listings. The invented protocol and its stand-in are gone; `standin platform` serves the platform's store with rates and faults. `drill path` runs gateways and rank agents on the stand-in site first. Settings, processes and callers of stand-in sites have one copy for tests and drills. The unused weight store is gone.

--- a/crates/agent/src/daemon.rs
+++ b/crates/agent/src/daemon.rs
@@ -17,7 +17,7 @@
 use cuminpick::settings::AgentSettings;
 use cuminpick_backends::BackendServer;
 use cuminpick_backends::HttpBackend;
-use cuminpick_objects::HttpStore;
+use cuminpick_objects::PlatformStore;
 use cuminpick_operators::admin::AdminSource;
 use cuminpick_operators::admin::serve_admin;
 use cuminpick_operators::journal::Journal;
@@ -66,7 +66,7 @@
         journal: journal.clone(),
         metrics: Arc::clone(&metrics),
         clock,
-        store: Arc::new(HttpStore::new(&settings.platform)),
+        store: Arc::new(PlatformStore::new(&settings.platform)?),
         book: Arc::new(Mutex::new(HomeBook::new(&settings.id, &settings.zone))),
     };
     start_announce(announce)?;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -11,12 +11,12 @@
 use cuminpick_cli::report::CommandReport;
 use cuminpick_cli::stated;
 use cuminpick_cli::status::fleet_status;
-use cuminpick_objects::HttpStore;
+use cuminpick_objects::PlatformStore;
 
 fn main() {
     let line = command_line().run();
-    let store = HttpStore::new(&line.platform);
-    let status = match run(&store, line.command) {
+    let store = PlatformStore::new(&line.platform).map_err(CommandError::from);
+    let status = match store.and_then(|store| run(&store, line.command)) {
         Ok(report) if line.json => print(&report.json.to_string()),
         Ok(report) => print(&report.text),
         Err(error) => {
@@ -27,7 +27,7 @@
     std::process::exit(status);
 }
 
-fn run(store: &HttpStore, command: OperatorCommand) -> Result<CommandReport, CommandError> {
+fn run(store: &PlatformStore, command: OperatorCommand) -> Result<CommandReport, CommandError> {
     match command {
         OperatorCommand::SetTarget(class, fields) => stated::set_target(store, &class, &fields),
         OperatorCommand::RemoveTarget(class) => stated::remove_target(store, &class),
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -17,7 +17,7 @@
 use cuminpick::settings::EntrySettings;
 use cuminpick_callers::CallerServer;
 use cuminpick_callers::ServerLimits;
-use cuminpick_objects::HttpStore;
+use cuminpick_objects::PlatformStore;
 use cuminpick_operators::admin::AdminSource;
 use cuminpick_operators::admin::serve_admin;
 use cuminpick_operators::journal::Journal;
@@ -73,7 +73,7 @@
         in_force: in_force_seen,
     };
     start_control(settings, control, probe_inbox)?;
-    let store = Arc::new(HttpStore::new(&settings.platform));
+    let store = Arc::new(PlatformStore::new(&settings.platform)?);
     PlatformWatch::start(store, decider.clone(), journal.clone())?;
     let status = Arc::new(EntryStatus { decider: decider.clone() });
     serve_admin(settings.admin, Arc::clone(&metrics), status)?;
--- a/crates/gateway/tests/broken_answers.rs
+++ b/crates/gateway/tests/broken_answers.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use cuminpick_platform::mirror::seal_of;
+use cuminpick_standins::site::caller::stream_text;
 use cuminpick_standins::site::engine::EngineFault;
 use hyper::StatusCode;
 use support::Site;
-use support::events;
 
 fn fault_all(site: &Site, fault: EngineFault) {
     for server in site.engines.iter().chain(&site.bookings) {
@@ -103,7 +103,7 @@
         let attempt = format!("a{after}");
         let first = site.call("/draft/stream/6", &attempt).await;
         // With the fault at all servers the second attempt breaks off as well.
-        let whole = events(6);
+        let whole = stream_text(6);
         assert!(whole.starts_with(&first.body), "{}", first.body);
         assert!(first.complete == (first.body == whole));
         assert_eq!(site.runs(&attempt), 2);
@@ -117,7 +117,7 @@
         site.engines[0].fault_next(EngineFault::CutAfter(2));
         let answer = site.call("/draft/stream/6", &format!("b{index}")).await;
         assert!(answer.complete);
-        assert_eq!(answer.body, events(6));
+        assert_eq!(answer.body, stream_text(6));
         continued += u32::from(site.runs(&format!("b{index}")) == 2);
         tokio::time::sleep(Duration::from_millis(300)).await;
     }
@@ -131,7 +131,7 @@
     site.engines[0].fault_next(EngineFault::CutAfter(0));
     for index in 0..4 {
         let answer = site.call("/draft/stream/3", &format!("a{index}")).await;
-        assert_eq!(answer.body, events(3));
+        assert_eq!(answer.body, stream_text(3));
         assert!(answer.complete);
     }
 }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -5,18 +5,13 @@
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
-use std::net::TcpListener;
+use std::path::Path;
 use std::path::PathBuf;
-use std::process::Child;
-use std::process::Command;
-use std::process::Stdio;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
-use bytes::Bytes;
-use cuminpick::ids::FastMap;
 use cuminpick::routing::RepeatRule;
 use cuminpick::routing::RouteRule;
 use cuminpick::routing::RouteTarget;
@@ -25,20 +20,18 @@
 use cuminpick_platform::call::ClientConnection;
 use cuminpick_platform::mirror::CallerHead;
 use cuminpick_platform::mirror::StatedService;
-use cuminpick_platform::mirror::encode_caller;
 use cuminpick_platform::mirror::encode_config;
 use cuminpick_platform::mirror::encode_server;
-use cuminpick_platform::mirror::encode_settings;
-use cuminpick_platform::settings::NodeSettings;
-use cuminpick_platform::settings::RuleBounds;
 use cuminpick_platform::store::CONFIG_KIND;
 use cuminpick_platform::store::SERVER_KIND;
+use cuminpick_standins::site::caller::CallResult;
+use cuminpick_standins::site::caller::call_site;
 use cuminpick_standins::site::engine::SiteEngine;
+use cuminpick_standins::site::nodes::NodeProcess;
+use cuminpick_standins::site::nodes::gateway_settings;
 use cuminpick_standins::site::store::SiteStore;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use hyper::HeaderMap;
-use hyper::Method;
 use hyper::Request;
 use hyper::StatusCode;
 
@@ -52,21 +45,6 @@
 /// Longest wait for something that has to happen.
 const PATIENCE: Duration = Duration::from_secs(10);
 
-/// Outcome of a call.
-#[derive(Debug, Clone)]
-pub(crate) struct CallResult {
-    /// Status; `None` when the connection closed without an answer.
-    pub(crate) status: Option<StatusCode>,
-    /// Headers.
-    pub(crate) headers: HeaderMap,
-    /// Body as far as it came.
-    pub(crate) body: String,
-    /// Whether the answer came to its end.
-    pub(crate) complete: bool,
-    /// Time from the start to the end.
-    pub(crate) took: Duration,
-}
-
 /// Store, servers and a gateway process.
 pub(crate) struct Site {
     /// The store.
@@ -76,7 +54,7 @@
     /// Servers of the service `booking`.
     pub(crate) bookings: Vec<SiteEngine>,
     records: Vec<ServerRecord>,
-    gateway: Child,
+    gateway: NodeProcess,
     callers: SocketAddr,
     readiness: SocketAddr,
     folder: PathBuf,
@@ -84,8 +62,6 @@
 
 impl Drop for Site {
     fn drop(&mut self) {
-        let _ = self.gateway.kill();
-        let _ = self.gateway.wait();
         let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
@@ -141,21 +117,12 @@
             });
             if index < 3 { engines.push(engine) } else { bookings.push(engine) }
         }
-        let settings = settings(store_address);
-        let folder = std::env::temp_dir().join(format!(
-            "cuminpick-gateway-{}-{}",
-            std::process::id(),
-            settings.ip
-        ));
-        std::fs::create_dir_all(&folder).unwrap();
-        let file = folder.join("node.toml");
-        std::fs::write(&file, encode_settings(&settings)).unwrap();
-        let gateway = Command::new(env!("CARGO_BIN_EXE_cuminpick-gateway"))
-            .arg("--settings")
-            .arg(&file)
-            .stdout(Stdio::from(std::fs::File::create(folder.join("log")).unwrap()))
-            .spawn()
-            .unwrap();
+        let ip = own_address();
+        let settings = gateway_settings("edge-1", "zone-0", ip, store_address).unwrap();
+        let name = format!("cuminpick-gateway-{}-{ip}", std::process::id());
+        let folder = std::env::temp_dir().join(name);
+        let binary = Path::new(env!("CARGO_BIN_EXE_cuminpick-gateway"));
+        let gateway = NodeProcess::start(binary, &settings, &folder).unwrap();
         let site = Site {
             store,
             engines,
@@ -217,14 +184,13 @@
 
     /// Sends SIGTERM to the gateway.
     pub(crate) fn terminate(&self) {
-        let id = self.gateway.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+        self.gateway.signal("TERM").unwrap();
     }
 
     /// Waits for the gateway's end.
     pub(crate) async fn wait_end(&mut self) -> Duration {
         let started = Instant::now();
-        while self.gateway.try_wait().unwrap().is_none() {
+        while !self.gateway.ended().unwrap() {
             assert!(started.elapsed() < PATIENCE, "the gateway does not end");
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
@@ -233,7 +199,7 @@
 
     /// Lines of the gateway's log that name an event.
     pub(crate) fn log(&self, event: &str) -> Vec<String> {
-        let text = std::fs::read_to_string(self.folder.join("log")).unwrap();
+        let text = self.gateway.log().unwrap();
         let wanted = format!("\"event\":\"{event}\"");
         text.lines().filter(|line| line.contains(&wanted)).map(str::to_string).collect()
     }
@@ -256,40 +222,8 @@
         key: Option<&str>,
         time_left: Duration,
     ) -> CallResult {
-        let started = Instant::now();
         let head = CallerHead { host: HOST, attempt_id: attempt, time_left, key };
-        let mut request = Request::builder()
-            .method(Method::POST)
-            .uri(path)
-            .body(Full::new(Bytes::from_static(b"the body")))
-            .unwrap();
-        *request.headers_mut() = encode_caller(&head);
-        let mut connection = ClientConnection::open(self.callers).await.unwrap();
-        let Ok(answer) = connection.send(request).await else {
-            return CallResult {
-                status: None,
-                headers: HeaderMap::new(),
-                body: String::new(),
-                complete: false,
-                took: started.elapsed(),
-            };
-        };
-        let status = Some(answer.status());
-        let headers = answer.headers().clone();
-        let mut answer = answer.into_body();
-        let mut body = Vec::new();
-        let mut complete = true;
-        while let Some(frame) = answer.frame().await {
-            match frame {
-                Ok(frame) => body.extend_from_slice(&frame.into_data().unwrap_or_default()),
-                Err(_) => {
-                    complete = false;
-                    break;
-                }
-            }
-        }
-        let body = String::from_utf8(body).unwrap();
-        CallResult { status, headers, body, complete, took: started.elapsed() }
+        call_site(self.callers, path, &head).await
     }
 
     /// How often an attempt ran, over all servers.
@@ -299,11 +233,6 @@
     }
 }
 
-/// The events of a whole stream, as the stand-in makes them.
-pub(crate) fn events(count: u64) -> String {
-    (1..=count).map(|number| format!("id: {number}\ndata: event {number}\n\n")).collect()
-}
-
 /// Returns a loopback address that no other site uses: ports that were free on a
 /// shared address may be taken again before the gateway binds them.
 fn own_address() -> IpAddr {
@@ -313,39 +242,6 @@
     IpAddr::V4(Ipv4Addr::new(127, high + 64, low, site + 10))
 }
 
-fn settings(store: SocketAddr) -> NodeSettings {
-    let ip = own_address();
-    let ports = free_ports(ip, 4);
-    NodeSettings {
-        node: "edge-1".to_string(),
-        zone: "zone-0".to_string(),
-        ip,
-        first_internal_port: ports[2],
-        last_internal_port: ports[2],
-        callers: Some(SocketAddr::new(ip, ports[0])),
-        readiness: Some(SocketAddr::new(ip, ports[1])),
-        local_engine: None,
-        local_service: None,
-        store,
-        bounds: RuleBounds {
-            grace: Duration::from_secs(6),
-            retry_ratio: 0.2,
-            retry_window: Duration::from_secs(10),
-            retry_slack: 90.0,
-            stall: Duration::from_millis(1_500),
-        },
-        record_interval: Duration::from_millis(1_200),
-        link_bits_per_second: 1e9,
-        zones: FastMap::default(),
-    }
-}
-
-fn free_ports(ip: IpAddr, count: usize) -> Vec<u16> {
-    let listeners: Vec<TcpListener> =
-        (0..count).map(|_| TcpListener::bind((ip, 0)).unwrap()).collect();
-    listeners.iter().map(|listener| listener.local_addr().unwrap().port()).collect()
-}
-
 async fn fetch(address: SocketAddr, path: &str) -> Option<(StatusCode, String)> {
     let mut connection = ClientConnection::open(address).await.ok()?;
     let request =
--- a/crates/gateway/tests/whole_path.rs
+++ b/crates/gateway/tests/whole_path.rs
@@ -9,10 +9,10 @@
 use cuminpick_platform::mirror::seal_of;
 use cuminpick_platform::store::EVACUATION_KIND;
 use cuminpick_platform::store::SERVER_KIND;
+use cuminpick_standins::site::caller::stream_text;
 use cuminpick_standins::site::store::StoreMood;
 use hyper::StatusCode;
 use support::Site;
-use support::events;
 use support::route;
 use support::routes;
 
@@ -32,7 +32,7 @@
     assert!(ledger[0].head.time_left.unwrap() <= Duration::from_secs(3));
     let stream = site.call("/draft/stream/6", "a2").await;
     assert!(stream.complete);
-    assert_eq!(stream.body, events(6));
+    assert_eq!(stream.body, stream_text(6));
     assert!(site.metrics().await.contains("cuminpick_latency_seconds"));
 }
 
--- a/crates/objects/src/lib.rs
+++ b/crates/objects/src/lib.rs
@@ -1,11 +1,12 @@
-//! The platform as a peer: its object API and its list of VMs.
+//! The platform as a peer: operators' objects and the list of VMs.
 //!
-//! [`ObjectStore`] is the interface; [`HttpStore`] speaks the platform's HTTP.
+//! [`ObjectStore`] is the interface; [`PlatformStore`] keeps both in the
+//! platform's store, through the adapter in `platform/`.
 //! Writes are conditional. [`settle`] carries a change through lost races and
 //! answers that were lost after the write took effect.
 
-pub mod http;
 pub mod settle;
+pub mod store;
 
 use std::time::Duration;
 
@@ -15,7 +16,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-pub use crate::http::HttpStore;
+pub use crate::store::PlatformStore;
 
 /// Prefix of configuration objects in the object API.
 pub const CONFIG_PREFIX: &str = "config/";
--- a/crates/rank-agent/tests/group_switch.rs
+++ b/crates/rank-agent/tests/group_switch.rs
@@ -4,31 +4,28 @@
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::path::PathBuf;
-use std::process::Child;
-use std::process::Command;
-use std::process::Stdio;
 use std::sync::atomic::AtomicU16;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
-use cuminpick::ids::FastMap;
 use cuminpick::routing::ExpertLayout;
 use cuminpick::routing::ServerRecord;
 use cuminpick::routing::ServerState;
 use cuminpick_platform::mirror::StatedService;
 use cuminpick_platform::mirror::encode_config;
 use cuminpick_platform::mirror::encode_server;
-use cuminpick_platform::mirror::encode_settings;
 use cuminpick_platform::records::LeaderRecord;
 use cuminpick_platform::settings::NodeSettings;
-use cuminpick_platform::settings::RuleBounds;
 use cuminpick_platform::store::CONFIG_KIND;
 use cuminpick_platform::store::LEADER_KIND;
 use cuminpick_platform::store::SERVER_KIND;
 use cuminpick_standins::site::engine::SiteEngine;
 use cuminpick_standins::site::group::RankGroup;
+use cuminpick_standins::site::nodes::NodeProcess;
+use cuminpick_standins::site::nodes::agent_settings;
 use cuminpick_standins::site::store::SiteStore;
 use cuminpick_standins::site::store::StoreMood;
 
@@ -42,18 +39,15 @@
 struct Group {
     store: SiteStore,
     group: RankGroup,
-    agents: Vec<Option<Child>>,
-    files: Vec<PathBuf>,
+    agents: Vec<Option<NodeProcess>>,
+    settings: Vec<NodeSettings>,
     folder: PathBuf,
     _engines: Vec<SiteEngine>,
 }
 
 impl Drop for Group {
     fn drop(&mut self) {
-        for agent in self.agents.iter_mut().flatten() {
-            let _ = agent.kill();
-            let _ = agent.wait();
-        }
+        self.agents.clear();
         let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
@@ -66,28 +60,26 @@
         let group = RankGroup::start(LAYOUT, RANKS, 7);
         let folder =
             std::env::temp_dir().join(format!("cuminpick-agents-{}-{taken}", std::process::id()));
-        std::fs::create_dir_all(&folder).unwrap();
         let port = 20_000 + (std::process::id() % 20_000) as u16 + taken * 2;
         let mut engines = Vec::new();
-        let mut files = Vec::new();
+        let mut settings = Vec::new();
         for rank in 0..RANKS {
             let ip = IpAddr::V4(Ipv4Addr::new(127, 0, taken as u8 + 1, rank as u8 + 10));
             let seat = Some((group.clone(), rank));
             let (engine, address) =
                 SiteEngine::start(&format!("rank-{rank}"), ip, seat).await.unwrap();
             store.put(SERVER_KIND, &format!("rank-{rank}"), encode_server(&record(rank, address)));
-            let settings = settings(rank, ip, port, address, store_address);
-            let file = folder.join(format!("node-{rank}.toml"));
-            std::fs::write(&file, encode_settings(&settings)).unwrap();
+            let beside = ("model".to_string(), address);
+            let node = format!("side-{rank}");
+            settings.push(agent_settings(&node, ip, port, beside, store_address));
             engines.push(engine);
-            files.push(file);
             group.count_running(rank, true);
         }
         let experts = Some((LAYOUT.sets, LAYOUT.experts, LAYOUT.places));
         let service = StatedService { name: "model".to_string(), experts };
         store.put(CONFIG_KIND, "main", encode_config(1, &[], &[service], &[]));
         let agents = (0..RANKS).map(|_| None).collect();
-        let mut started = Group { store, group, agents, files, folder, _engines: engines };
+        let mut started = Group { store, group, agents, settings, folder, _engines: engines };
         for rank in 0..RANKS {
             started.start_agent(rank);
         }
@@ -95,17 +87,8 @@
     }
 
     fn start_agent(&mut self, rank: usize) {
-        let log = std::fs::OpenOptions::new()
-            .create(true)
-            .append(true)
-            .open(self.folder.join(format!("log-{rank}")))
-            .unwrap();
-        let agent = Command::new(env!("CARGO_BIN_EXE_cuminpick-rank-agent"))
-            .arg("--settings")
-            .arg(&self.files[rank])
-            .stdout(Stdio::from(log))
-            .spawn()
-            .unwrap();
+        let binary = Path::new(env!("CARGO_BIN_EXE_cuminpick-rank-agent"));
+        let agent = NodeProcess::start(binary, &self.settings[rank], &self.folder).unwrap();
         self.agents[rank] = Some(agent);
     }
 
@@ -117,8 +100,7 @@
     }
 
     fn signal(&self, rank: usize, name: &str) {
-        let id = self.agents[rank].as_ref().unwrap().id().to_string();
-        assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
+        self.agents[rank].as_ref().unwrap().signal(name).unwrap();
     }
 
     /// Waits for `more` further switches.
@@ -135,13 +117,12 @@
     }
 
     fn logs(&self) -> String {
-        let read = |rank: usize| {
-            let text = std::fs::read_to_string(self.folder.join(format!("log-{rank}")));
-            let text = text.unwrap_or_default();
+        let read = |agent: &NodeProcess| {
+            let text = agent.log().unwrap_or_default();
             let lines: Vec<&str> = text.lines().rev().take(15).collect();
             lines.into_iter().rev().collect::<Vec<&str>>().join("\n")
         };
-        (0..RANKS).map(read).collect::<Vec<String>>().join("\n--\n")
+        self.agents.iter().flatten().map(read).collect::<Vec<String>>().join("\n--\n")
     }
 }
 
@@ -158,37 +139,6 @@
     }
 }
 
-fn settings(
-    rank: usize,
-    ip: IpAddr,
-    port: u16,
-    engine: SocketAddr,
-    store: SocketAddr,
-) -> NodeSettings {
-    NodeSettings {
-        node: format!("side-{rank}"),
-        zone: "zone-0".to_string(),
-        ip,
-        first_internal_port: port,
-        last_internal_port: port + 1,
-        callers: None,
-        readiness: None,
-        local_engine: Some(engine),
-        local_service: Some("model".to_string()),
-        store,
-        bounds: RuleBounds {
-            grace: Duration::from_secs(6),
-            retry_ratio: 0.2,
-            retry_window: Duration::from_secs(10),
-            retry_slack: 90.0,
-            stall: Duration::from_millis(1_500),
-        },
-        record_interval: Duration::from_millis(1_200),
-        link_bits_per_second: 2e7,
-        zones: FastMap::default(),
-    }
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn maps_follow_demand() {
     let group = Group::start().await;
@@ -202,8 +152,7 @@
     group.wait_switches(1, "before the kill").await;
     for _ in 0..2 {
         let leader = group.leader().unwrap();
-        group.signal(leader, "-KILL");
-        group.agents[leader].as_mut().unwrap().wait().unwrap();
+        group.agents[leader].as_mut().unwrap().kill().unwrap();
         tokio::time::sleep(Duration::from_millis(300)).await;
         group.start_agent(leader);
         group.wait_switches(1, "after the leader was killed").await;
@@ -216,7 +165,7 @@
     let group = Group::start().await;
     group.wait_switches(1, "before the pause").await;
     let leader = group.leader().unwrap();
-    group.signal(leader, "-STOP");
+    group.signal(leader, "STOP");
     let started = Instant::now();
     while group.leader() == Some(leader) {
         assert!(started.elapsed() < PATIENCE, "no other leader:\n{}", group.logs());
@@ -226,7 +175,7 @@
     let held = group.group.held_passes();
     tokio::time::sleep(Duration::from_millis(300)).await;
     assert_eq!(group.group.held_passes(), held, "the group stands still");
-    group.signal(leader, "-CONT");
+    group.signal(leader, "CONT");
     group.wait_switches(2, "after the pause").await;
 }
 
@@ -238,15 +187,14 @@
     group.wait_switches(2, "while the store is away").await;
     group.store.set_mood(StoreMood::LosesAnswers);
     let leader = group.leader().unwrap();
-    group.signal(leader, "-KILL");
+    let mut group = group;
+    group.agents[leader].as_mut().unwrap().kill().unwrap();
     let started = Instant::now();
     while group.leader() == Some(leader) {
         assert!(started.elapsed() < PATIENCE, "no claim while answers are lost");
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     group.store.set_mood(StoreMood::Sound);
-    let mut group = group;
-    group.agents[leader].as_mut().unwrap().wait().unwrap();
     group.start_agent(leader);
     group.wait_switches(1, "after the store's return").await;
 }
--- a/crates/standins/src/bin/standin.rs
+++ b/crates/standins/src/bin/standin.rs
@@ -26,7 +26,10 @@
 
 fn main() -> eyre::Result<()> {
     match options().run() {
-        StandinCommand::Platform { listen, rates } => PlatformStandin::new(rates).serve(listen),
+        StandinCommand::Platform { listen, rates } => {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+            runtime.block_on(PlatformStandin::new(rates).serve(listen))
+        }
         StandinCommand::Engine { listen, bearing, ignores_fence } => {
             run_async(listen, || EngineStandin::start(bearing, !ignores_fence))
         }
--- a/crates/standins/src/drills/faults.rs
+++ b/crates/standins/src/drills/faults.rs
@@ -112,7 +112,7 @@
     }
 
     fn state(&self, kind: &str, name: &str, state: &str) -> eyre::Result<()> {
-        let store = self.fleet.store();
+        let store = self.fleet.store()?;
         let key = format!("{kind}/{name}");
         let stored = format!("{CONFIG_PREFIX}{key}");
         let value = format!("{{\"state\":\"{state}\"}}");
--- a/crates/standins/src/drills/mod.rs
+++ b/crates/standins/src/drills/mod.rs
@@ -4,6 +4,7 @@
 pub mod capacity;
 pub mod evidence;
 pub mod faults;
+pub mod gateways;
 pub mod path;
 pub mod scenario;
 pub mod service;
--- a/crates/standins/src/drills/path.rs
+++ b/crates/standins/src/drills/path.rs
@@ -1,4 +1,5 @@
-//! Drill `path`: the whole path, and what it adds to the backend servers' times.
+//! Drill `path`: the whole path, and what it adds to the backend servers' times;
+//! first of the gateways, then of the entries of the own interface.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -16,6 +17,7 @@
 use serde_json::json;
 use tokio::task::JoinSet;
 
+use crate::drills::gateways;
 use crate::drills::scenario::PlannedCall;
 use crate::drills::scenario::Scenario;
 use crate::drills::tell;
@@ -41,10 +43,11 @@
 
 /// Runs the drill.
 pub fn run(scenario: &Scenario, seed: u64, length: Duration) -> eyre::Result<Value> {
-    tell("starting processes");
-    let fleet = scenario.start_fleet("path")?;
     let runtime =
         tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
+    let mut figures = runtime.block_on(gateways::run(seed, length))?;
+    tell("entries and agents of the own interface");
+    let fleet = scenario.start_fleet("path")?;
     let toured = runtime.block_on(tour(&fleet));
     tell("the same load through one entry, then straight to the engines");
     let entry = fleet.entries[0].callers;
@@ -62,7 +65,7 @@
     let mut first = added(&records, &direct, true);
     let mut whole = added(&records, &direct, false);
     print_timeline(fleet, &toured.example);
-    Ok(json!({
+    let own = json!({
         "requests": records.len() + TOUR_CALLS,
         "answered": count(&records, CallOutcome::Answered) + toured.answered,
         "refused": count(&records, CallOutcome::RefusedNotRun)
@@ -76,7 +79,11 @@
         "direct_first_token_p99_us": first.direct_at(0.99),
         "ceiling_rps": ceiling,
         "entry_rss_mb": rss,
-    }))
+    });
+    if let (Value::Object(all), Value::Object(own)) = (&mut figures, own) {
+        all.extend(own);
+    }
+    Ok(figures)
 }
 
 struct TourResult {
--- a/crates/standins/src/drills/scenario.rs
+++ b/crates/standins/src/drills/scenario.rs
@@ -191,7 +191,7 @@
     /// Starts the scenario's processes and puts its classes in force.
     pub fn start_fleet(&self, name: &str) -> eyre::Result<Fleet> {
         let fleet = self.plan_fleet(name)?;
-        let store = fleet.store();
+        let store = fleet.store()?;
         for (class, target) in &self.classes {
             let key = format!("{CONFIG_PREFIX}classes/{class}");
             let value = serde_json::to_string(target)?;
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -18,10 +18,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use cuminpick_objects::HttpStore;
 use cuminpick_objects::ObjectStore;
+use cuminpick_objects::PlatformStore;
 use cuminpick_objects::VmEntry;
 use cuminpick_objects::VmState;
+use cuminpick_platform::store::StoreClient;
+use cuminpick_platform::store::VM_KIND;
 use eyre::WrapErr;
 use eyre::eyre;
 use serde_json::Value;
@@ -173,9 +175,14 @@
             service: Some(server.service.clone()),
             state: VmState::Live,
         });
-        let vms: Vec<VmEntry> = entries.chain(servers).collect();
-        http_json("POST", &self.platform, "/standin/vms", Some(json!(vms)))?;
-        Ok(())
+        let client = StoreClient::new(self.platform);
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        runtime.block_on(async {
+            for vm in entries.chain(servers) {
+                client.create(VM_KIND, &vm.id, json!(vm)).await?;
+            }
+            Ok(())
+        })
     }
 
     /// Starts all planned processes and waits until they are ready.
@@ -328,8 +335,8 @@
     }
 
     /// Object API of the platform stand-in.
-    pub fn store(&self) -> Box<dyn ObjectStore> {
-        Box::new(HttpStore::new(&format!("http://{}", self.platform)))
+    pub fn store(&self) -> eyre::Result<Box<dyn ObjectStore>> {
+        Ok(Box::new(PlatformStore::new(&format!("http://{}", self.platform))?))
     }
 
     /// Returns the server with an id.
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,6 +1,6 @@
 //! Small stand-ins for the systems around cuminpick, and the drill runner.
 //!
-//! - [`platform`]: the object API, the lagging VM list and the weight store;
+//! - [`platform`]: the platform's store as a process, with rates and faults;
 //! - [`engine`]: a model engine with continuous batching;
 //! - [`booking`]: a plain service that keeps a ledger of its runs;
 //! - [`load`]: callers; [`fleet`]: processes on loopback; [`drills`]: scenarios.
--- a/crates/standins/src/site/store.rs
+++ b/crates/standins/src/site/store.rs
@@ -137,7 +137,8 @@
         object
     }
 
-    async fn answer(self, request: SiteRequest) -> Option<Response<SiteBody>> {
+    /// Answers a call; `None` loses the answer.
+    pub async fn answer(self, request: SiteRequest) -> Option<Response<SiteBody>> {
         let mood = {
             let mut state = self.lock();
             state.calls += 1;
@@ -181,13 +182,16 @@
                 }
                 Some(_) => self.written(&kind, &name, content),
             },
-            StoreCall::Remove { kind, name } => {
-                if self.get(&kind, &name).is_none() {
-                    return refusal(StatusCode::NOT_FOUND);
+            StoreCall::Remove { kind, name, revision } => match self.get(&kind, &name) {
+                None => refusal(StatusCode::NOT_FOUND),
+                Some(object) if revision.is_some_and(|wanted| wanted != object.revision) => {
+                    json_answer(StatusCode::CONFLICT, &encode_object(&object))
                 }
-                self.remove(&kind, &name);
-                json_answer(StatusCode::OK, &json!({}))
-            }
+                Some(_) => {
+                    self.remove(&kind, &name);
+                    json_answer(StatusCode::OK, &json!({}))
+                }
+            },
         }
     }
 
