Wait out a group's outage, and let late streams in while passes are short

Once up, a group took all who waited, beyond its slots. Change: while all servers of a service turn streams away, waiting streams stay at the gate as long as they can begin in time, are told to come back after 2.5 s (callers cap that at a third of their time) and the rate is forgotten. Requests turned away while the service is away go back to the gate. Streams that came back, told by the time they have left, count as late from the start. Late streams are let in while passes stay under 0.65 of the limit, one gateway's part of the room at a time; no more streams run than there are slots; a stream without the time to end is refused at once. The gate's log lines carry the request's id and what decided.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -20,8 +20,17 @@
 /// Fewest streams for each rank that are let in whatever the pause says, so that
 /// a stall does not close the gate.
 const LEAST_PER_RANK: f64 = 3.0;
+/// Load of the most loaded rank over the mean with a group's first map, as
+/// measured on the users' sites.
+const FIRST_MAP_SKEW: f64 = 3.45;
 /// Age after which a measured pause says nothing of the next pass.
 const PAUSE_AGE: Duration = Duration::from_secs(1);
+/// Part of the longest accepted pause up to which streams are let in that begin
+/// late; the passes of one half full of them still leave room for prompts.
+const OVERDUE_SHARE: f64 = 0.65;
+/// Time after which all other gateways have told what they let in: two intervals
+/// of their news.
+const SHARE_SPAN: Duration = Duration::from_millis(120);
 /// Streams that may wait at one gateway; more than end within a deadline.
 const QUEUE_CAPACITY: usize = 512;
 /// Weight of a new pause in the smoothed one; a pass brings one pause of each of
@@ -56,18 +65,21 @@
 pub struct GroupLoad {
     /// Ranks that take requests.
     pub ranks: usize,
+    /// Streams that the ranks run at once; further ones would wait there.
+    pub slots: u32,
     /// Streams that run, over all gateways.
     pub streams: u32,
     /// Smoothed pause between events, if known.
     pub pause: Option<Duration>,
 }
 
-/// Returns how many streams keep a pass within `target`.
+/// Returns how many streams keep a pass within `target`, at most as many as the
+/// ranks run at once: what waits there can no longer be put in order.
 ///
 /// The measured pause over the one that the cost model gives for evenly loaded
-/// ranks tells how uneven they are; the limit follows from the model.
+/// ranks tells how uneven they are; the limit follows from the model. Without a
+/// measured pause the ranks count as uneven as a group's first map leaves them.
 pub fn stream_limit(model: &EngineModel, load: &GroupLoad, target: Duration) -> Option<u32> {
-    let pause = load.pause?.as_secs_f64();
     let step = model.step_time.as_secs_f64();
     let each = model.time_per_request.as_secs_f64();
     let ranks = load.ranks as f64;
@@ -76,10 +88,45 @@
     }
     let per_rank = f64::from(load.streams) / ranks;
     let steps = f64::from(model.steps_per_pass);
-    let unevenness = pause / (steps * (step + each * per_rank));
+    let unevenness = load.pause.map_or_else(
+        || 1.0 + model.expert_share * (FIRST_MAP_SKEW - 1.0),
+        |pause| pause.as_secs_f64() / (steps * (step + each * per_rank)),
+    );
     let allowed = target.as_secs_f64() * PAUSE_SHARE / (steps * unevenness);
     let most_per_rank = ((allowed - step) / each).max(LEAST_PER_RANK);
-    Some((most_per_rank * ranks) as u32)
+    Some(((most_per_rank * ranks) as u32).min(load.slots))
+}
+
+/// Returns how many further streams that can no longer begin on time a group
+/// takes: those that still can must keep their pauses while these run.
+pub fn overdue_room(model: &EngineModel, load: &GroupLoad, target: Duration) -> u32 {
+    let limit = stream_limit(model, load, target.mul_f64(OVERDUE_SHARE));
+    limit.map_or(u32::MAX, |limit| limit.saturating_sub(load.streams))
+}
+
+/// Part of a group's room that one gateway may fill before it hears again what
+/// the others have let in.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct RoomShare {
+    begun: Option<Duration>,
+    left: u32,
+}
+
+impl RoomShare {
+    /// Returns how many streams one of `gateways` may let in now, if there is
+    /// `room` for so many over all of them.
+    pub fn part(&mut self, now: Duration, room: u32, gateways: usize) -> u32 {
+        if self.begun.is_none_or(|begun| begun + SHARE_SPAN <= now) {
+            self.begun = Some(now);
+            self.left = room.div_ceil(gateways.max(1) as u32);
+        }
+        self.left.min(room)
+    }
+
+    /// Notes that a stream was let in.
+    pub fn count_one(&mut self) {
+        self.left = self.left.saturating_sub(1);
+    }
 }
 
 /// A stream that asks to be let in.
@@ -97,6 +144,20 @@
     pub latest_start: Duration,
 }
 
+/// How much of a service is open to the streams that wait.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum GateRoom {
+    /// So many further streams.
+    Streams {
+        /// Over all.
+        all: u32,
+        /// Of those that can no longer begin on time.
+        overdue: u32,
+    },
+    /// Its servers turn all streams away; so many may try whether it is back.
+    Away(u32),
+}
+
 /// What the gate decides on a stream that waits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum GateVerdict {
@@ -113,6 +174,7 @@
     overdue: FairQueue,
     details: Vec<GateRequest>,
     rate: PlacementRate,
+    away: bool,
 }
 
 impl Default for StreamGate {
@@ -122,6 +184,7 @@
             overdue: FairQueue::new(QUEUE_CAPACITY),
             details: Vec::new(),
             rate: PlacementRate::default(),
+            away: false,
         }
     }
 }
@@ -145,6 +208,9 @@
 
     /// Time after which a refused stream is told to come back.
     pub fn retry_after(&self) -> Duration {
+        if self.away {
+            return AWAY_RETRY;
+        }
         let waiting = self.fresh.len() + self.overdue.len();
         self.rate.expected_wait(waiting).unwrap_or(SHORTEST_RETRY).max(SHORTEST_RETRY)
     }
@@ -157,8 +223,20 @@
         self.details.retain(|known| known.request != request);
     }
 
-    /// Lets in up to `room` streams, and refuses those that cannot end in time.
-    pub fn pump(&mut self, now: Duration, room: u32) -> Vec<GateVerdict> {
+    /// Lets streams in as far as there is room, and refuses those that cannot end
+    /// in time.
+    ///
+    /// While the service is away its streams wait as long as they can begin in
+    /// time if it comes back: how many were let in before says nothing of that.
+    pub fn pump(&mut self, now: Duration, room: GateRoom) -> Vec<GateVerdict> {
+        let (room, mut overdue, away) = match room {
+            GateRoom::Streams { all, overdue } => (all, overdue, false),
+            GateRoom::Away(probes) => (probes, probes, true),
+        };
+        if away != self.away {
+            self.away = away;
+            self.rate = PlacementRate::default();
+        }
         self.rate.roll(now);
         let mut verdicts = Vec::new();
         for request in self.fresh.take_expired(now) {
@@ -169,7 +247,14 @@
             verdicts.push(GateVerdict::Refuse(request, self.retry_after()));
         }
         for _ in 0..room {
-            let next = self.fresh.pop().or_else(|| self.overdue.pop());
+            let next = match self.fresh.pop() {
+                Some(next) => Some(next),
+                None if overdue > 0 => {
+                    overdue -= 1;
+                    self.overdue.pop()
+                }
+                None => None,
+            };
             let Some((request, _)) = next else {
                 break;
             };
@@ -177,7 +262,9 @@
             self.rate.count_one(now);
             verdicts.push(GateVerdict::Admit(request));
         }
-        verdicts.extend(self.refuse_hopeless(now));
+        if !self.away {
+            verdicts.extend(self.refuse_hopeless(now));
+        }
         verdicts
     }
 
@@ -220,6 +307,11 @@
 /// Shortest time after which a refused stream is told to come back; some passes.
 const SHORTEST_RETRY: Duration = Duration::from_millis(400);
 
+/// Time after which a stream is told to come back that was refused while its
+/// service is away. Crashed servers are back after some seconds; a caller
+/// comes back earlier if this is more than a third of the time that it has left.
+pub const AWAY_RETRY: Duration = Duration::from_millis(2_500);
+
 /// The queue serves higher levels first.
 fn level(priority: u8) -> u8 {
     u8::MAX - priority
--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -87,6 +87,15 @@
     pub candidates: usize,
 }
 
+/// Requests in flight of a service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct ServiceLoad {
+    /// Of this gateway.
+    pub own: u32,
+    /// Of the other gateways, as they last told.
+    pub others: u32,
+}
+
 /// Why no server was chosen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NoServer {
@@ -273,25 +282,22 @@
         })
     }
 
-    /// Requests in flight of a service over all gateways, and the slots of its
-    /// servers that are in force.
-    pub fn service_load(&self, service: &str) -> (u32, u32) {
+    /// Requests in flight of a service.
+    pub fn service_load(&self, service: &str) -> ServiceLoad {
         let backends = self.backends.values().filter(|known| known.record.service == service);
-        let mut load = 0;
-        let mut slots = 0;
+        let mut load = ServiceLoad::default();
         for backend in backends {
-            load += backend.in_flight + self.others(&backend.record.id);
-            if self.takes_work(backend) {
-                slots += backend.record.slots;
-            }
+            load.own += backend.in_flight;
+            load.others += self.others(&backend.record.id);
         }
-        (load, slots)
+        load
     }
 
-    /// Number of servers of a service that are in force.
-    pub fn in_force(&self, service: &str) -> usize {
+    /// Number of servers of a service that are in force, and their slots.
+    pub fn in_force(&self, service: &str) -> (usize, u32) {
         let backends = self.backends.values().filter(|known| known.record.service == service);
-        backends.filter(|backend| self.takes_work(backend)).count()
+        let working = backends.filter(|backend| self.takes_work(backend));
+        working.fold((0, 0), |(count, slots), backend| (count + 1, slots + backend.record.slots))
     }
 
     /// Notes that a request is sent to a server.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,7 +15,8 @@
 //! - [`agent`] decides beside a backend server, with the limit from [`limit`].
 //! - For the users' platform: [`routing`] finds a request's route, [`balance`] picks a
 //!   backend server, [`repeat`] decides on further attempts, [`events`] keeps streams
-//!   whole, [`admission`] and [`breaker`] hold streams back; [`experts`] and [`demand`]
+//!   whole, [`admission`] and [`breaker`] hold streams back, [`deadlines`] tells which
+//!   came back; [`experts`] and [`demand`]
 //!   plan expert maps, [`switch`] brings them into force by [`orders`], [`counts`] and
 //!   [`news`] are what processes tell each other.
 //! - [`answer`] checks that the frames of an answer belong together.
@@ -45,6 +46,7 @@
 pub mod clock;
 pub mod config;
 pub mod counts;
+pub mod deadlines;
 pub mod demand;
 pub mod entry;
 pub mod event;
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -228,6 +228,11 @@
         self.gaps.get(service).copied()
     }
 
+    /// Whether there is a route of this name.
+    pub fn has_route(&self, name: &str) -> bool {
+        self.routes.iter().any(|route| route.name == name)
+    }
+
     /// Number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.len()
--- a/crates/core/tests/stream_gate.rs
+++ b/crates/core/tests/stream_gate.rs
@@ -3,15 +3,19 @@
 use std::time::Duration;
 
 use cuminpick::admission::GateRequest;
+use cuminpick::admission::GateRoom;
 use cuminpick::admission::GateVerdict;
 use cuminpick::admission::GroupLoad;
 use cuminpick::admission::PauseMeter;
+use cuminpick::admission::RoomShare;
 use cuminpick::admission::StreamGate;
+use cuminpick::admission::overdue_room;
 use cuminpick::admission::stream_limit;
 use cuminpick::routing::EngineModel;
 
 const TARGET: Duration = Duration::from_millis(120);
 const RANKS: usize = 12;
+const SLOTS: u32 = 144;
 
 fn model() -> EngineModel {
     EngineModel {
@@ -32,7 +36,7 @@
 fn limit_from_model() {
     for unevenness in [1.0, 1.5, 2.0, 3.0] {
         let pause = Some(pass_time(90, unevenness));
-        let load = GroupLoad { ranks: RANKS, streams: 90, pause };
+        let load = GroupLoad { ranks: RANKS, slots: SLOTS, streams: 90, pause };
         let limit = stream_limit(&model(), &load, TARGET).unwrap();
         let at_limit = pass_time(limit, unevenness);
         let floor = limit == 3 * RANKS as u32;
@@ -40,10 +44,28 @@
     }
 }
 
+/// Streams beyond the slots would wait at the ranks, behind each other.
 #[test]
-fn unknown_pause_open() {
-    let load = GroupLoad { ranks: RANKS, streams: 90, pause: None };
-    assert_eq!(stream_limit(&model(), &load, TARGET), None);
+fn slots_bound_limit() {
+    let pause = Some(pass_time(140, 0.5));
+    let load = GroupLoad { ranks: RANKS, slots: SLOTS, streams: 140, pause };
+    assert_eq!(stream_limit(&model(), &load, TARGET), Some(SLOTS));
+}
+
+/// A group that was formed again has its first map, and all who waited ask at once.
+#[test]
+fn unknown_pause_bounded() {
+    let first_map = 1.0 + model().expert_share * 2.45;
+    for streams in [0, 90] {
+        let load = GroupLoad { ranks: RANKS, slots: SLOTS, streams, pause: None };
+        let limit = stream_limit(&model(), &load, TARGET).unwrap();
+        assert!(pass_time(limit, first_map) < TARGET, "{limit}");
+        assert!(limit >= 3 * RANKS as u32, "{limit}");
+    }
+}
+
+#[test]
+fn old_pause_forgotten() {
     let mut meter = PauseMeter::default();
     meter.note(Duration::ZERO, TARGET);
     assert_eq!(meter.mean(Duration::from_millis(500)), Some(TARGET));
@@ -65,11 +87,33 @@
 fn fresh_first() {
     let mut gate = StreamGate::default();
     gate.ask(asking(1, Duration::ZERO));
-    assert!(gate.pump(Duration::ZERO, 0).is_empty());
+    assert!(gate.pump(Duration::ZERO, open_room(0)).is_empty());
+    let later = Duration::from_millis(300);
+    gate.ask(asking(2, later));
+    assert_eq!(gate.pump(later, open_room(1)), [GateVerdict::Admit(2)]);
+    assert_eq!(gate.pump(later, open_room(1)), [GateVerdict::Admit(1)]);
+}
+
+/// Late streams leave the room to those that can still be on time.
+#[test]
+fn late_wait_for_short_passes() {
+    let mut gate = StreamGate::default();
+    gate.ask(asking(1, Duration::ZERO));
     let later = Duration::from_millis(300);
+    assert!(gate.pump(later, GateRoom::Streams { all: 9, overdue: 0 }).is_empty());
     gate.ask(asking(2, later));
-    assert_eq!(gate.pump(later, 1), [GateVerdict::Admit(2)]);
-    assert_eq!(gate.pump(later, 1), [GateVerdict::Admit(1)]);
+    let crowded = GateRoom::Streams { all: 9, overdue: 0 };
+    assert_eq!(gate.pump(later, crowded), [GateVerdict::Admit(2)]);
+    let calm = GateRoom::Streams { all: 9, overdue: 1 };
+    assert_eq!(gate.pump(later, calm), [GateVerdict::Admit(1)]);
+    let load = |streams| GroupLoad {
+        ranks: RANKS,
+        slots: SLOTS,
+        streams,
+        pause: Some(pass_time(streams, 1.3)),
+    };
+    assert!(overdue_room(&model(), &load(60), TARGET) > 0);
+    assert_eq!(overdue_room(&model(), &load(140), TARGET), 0);
 }
 
 /// A stream that cannot end in time is refused at once, not at its deadline.
@@ -85,7 +129,7 @@
         gate.ask(asking(request, now));
         asked_at.push(now);
         let room = u32::from(step % 2 == 0);
-        for verdict in gate.pump(now, room) {
+        for verdict in gate.pump(now, open_room(room)) {
             if let GateVerdict::Refuse(refused, retry) = verdict {
                 refused_ages.push(now - asked_at[refused as usize]);
                 assert!(retry >= Duration::from_millis(400));
@@ -103,7 +147,7 @@
     gate.ask(asking(1, Duration::ZERO));
     gate.ask(asking(2, Duration::ZERO));
     gate.forget(1);
-    assert_eq!(gate.pump(Duration::ZERO, 5), [GateVerdict::Admit(2)]);
+    assert_eq!(gate.pump(Duration::ZERO, open_room(5)), [GateVerdict::Admit(2)]);
     assert_eq!(gate.waiting(), 0);
 }
 
@@ -143,10 +187,10 @@
             gate.ask(asking(request, now));
         }
         let streams = running.len() as u32;
-        let load = GroupLoad { ranks: RANKS, streams, pause: meter.mean(now) };
+        let load = GroupLoad { ranks: RANKS, slots: SLOTS, streams, pause: meter.mean(now) };
         let limit = stream_limit(&model(), &load, TARGET).filter(|_| gated);
         let room = limit.map_or(u32::MAX, |limit| limit.saturating_sub(streams));
-        for verdict in gate.pump(now, room) {
+        for verdict in gate.pump(now, open_room(room)) {
             if matches!(verdict, GateVerdict::Admit(_)) {
                 running.push(24);
             }
@@ -158,3 +202,34 @@
     }
     f64::from(late) / f64::from(passes)
 }
+
+/// Streams that wait at several gateways are let in at the same moment, before
+/// any gateway knows of the others'.
+#[test]
+fn gateways_share_room() {
+    let limit = 48;
+    let mut shares = [RoomShare::default(); 4];
+    let mut own = [0_u32; 4];
+    let mut told = [0_u32; 4];
+    for step in 0..60_u32 {
+        let now = Duration::from_millis(10) * step;
+        if step % 6 == 0 {
+            told = own;
+        }
+        for gateway in 0..4 {
+            let others: u32 = (0..4).filter(|other| *other != gateway).map(|o| told[o]).sum();
+            let room = limit.min(limit - (own[gateway] + others).min(limit));
+            for _ in 0..shares[gateway].part(now, room, 4) {
+                shares[gateway].count_one();
+                own[gateway] += 1;
+            }
+        }
+        let all: u32 = own.iter().sum();
+        assert!(all <= limit + 4, "{all} after {now:?}");
+    }
+    assert!(own.iter().sum::<u32>() >= limit, "{own:?}");
+}
+
+fn open_room(all: u32) -> GateRoom {
+    GateRoom::Streams { all, overdue: all }
+}
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -11,6 +11,8 @@
 use cuminpick::balance::BalanceTable;
 use cuminpick::clock::Clock;
 use cuminpick::clock::SystemClock;
+use cuminpick::deadlines::DeadlineBook;
+use cuminpick::deadlines::StreamLengths;
 use cuminpick::ids::ChoiceRng;
 use cuminpick::ids::FastMap;
 use cuminpick::ids::hash_parts;
@@ -81,6 +83,8 @@
         budget: RefCell::new(RepeatBudget::new(bounds)),
         pauses: RefCell::new(FastMap::default()),
         gates: RefCell::new(FastMap::default()),
+        deadlines: RefCell::new(DeadlineBook::default()),
+        lengths: RefCell::new(StreamLengths::default()),
         slow_engines: RefCell::new(Vec::new()),
         rng: RefCell::new(ChoiceRng::new(seed)),
         servers_known: Cell::new(false),
--- a/crates/gateway/src/feeds.rs
+++ b/crates/gateway/src/feeds.rs
@@ -228,6 +228,8 @@
             o!("version" => table.version(), "before" => in_force,
                "routes" => table.route_count(), "revision" => object.revision),
         );
+        self.gateway.deadlines.borrow_mut().forget_quiet(self.gateway.now());
+        self.gateway.lengths.borrow_mut().retain(|route| table.has_route(route));
         *self.gateway.routing.borrow_mut() = Some(Rc::new(table));
     }
 }
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -3,10 +3,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use cuminpick::admission::AWAY_RETRY;
 use cuminpick::admission::GateRequest;
+use cuminpick::admission::GateRoom;
 use cuminpick::admission::GateVerdict;
 use cuminpick::admission::GroupLoad;
+use cuminpick::admission::RoomShare;
 use cuminpick::admission::StreamGate;
+use cuminpick::admission::overdue_room;
 use cuminpick::admission::stream_limit;
 use cuminpick::breaker::BreakerState;
 use cuminpick::breaker::CircuitBreaker;
@@ -25,17 +29,22 @@
 pub struct ServiceGate {
     gate: StreamGate,
     breaker: CircuitBreaker,
+    share: RoomShare,
     waiters: FastMap<RequestId, oneshot::Sender<Option<Duration>>>,
 }
 
 /// Waits until a stream is let in; returns when to come back if it is refused.
+/// `attempt` names the request in the log.
 pub async fn wait_at_gate(
     gateway: &Rc<Gateway>,
     service: &str,
+    attempt: Option<&str>,
     asking: GateRequest,
 ) -> Option<Duration> {
     let (sender, verdict) = oneshot::channel();
     let request = asking.request;
+    let began = gateway.now();
+    let late = asking.fresh_until <= began;
     let waiting = {
         let mut gates = gateway.gates.borrow_mut();
         let gate = gates.entry(service.to_string()).or_default();
@@ -49,12 +58,17 @@
     pump_service(gateway, service);
     let verdict = verdict.await.unwrap_or_default();
     drop(place);
-    if waiting > 1 || verdict.is_some() {
+    let waited = gateway.now().saturating_sub(began);
+    if !waited.is_zero() || verdict.is_some() {
+        let room = room_for(gateway, service, gateway.now());
         gateway.journal.note(
             "gate-passed",
-            None,
-            o!("service" => service.to_string(), "waiting" => waiting,
-               "refused" => verdict.is_some()),
+            attempt,
+            o!("service" => service.to_string(), "waiting" => waiting, "late" => late, 
+               "waited_ms" => waited.as_millis() as u64, "room" => room.all,
+               "room_overdue" => room.overdue, "streams" => room.streams,
+               "pause_ms" => room.pause.map_or(-1, |pause| pause.as_millis() as i64),
+               "retry_ms" => verdict.map_or(-1, |retry| retry.as_millis() as i64)),
         );
     }
     verdict
@@ -77,6 +91,14 @@
     }
 }
 
+/// Time after which a refused stream is told to come back, if the servers of its
+/// service turn all streams away.
+pub fn retry_while_away(gateway: &Gateway, service: &str) -> Option<Duration> {
+    let gates = gateway.gates.borrow();
+    let breaker = &gates.get(service)?.breaker;
+    (breaker.state(gateway.now()) != BreakerState::Closed).then_some(AWAY_RETRY)
+}
+
 /// Notes that a server of a service turned a stream away.
 pub fn note_refusal(gateway: &Gateway, service: &str) {
     let now = gateway.now();
@@ -113,18 +135,23 @@
 fn pump_service(gateway: &Rc<Gateway>, service: &str) {
     let now = gateway.now();
     let room = room_for(gateway, service, now);
+    let gateways = gateway.balance.borrow().gateways();
     let mut gates = gateway.gates.borrow_mut();
     let Some(gate) = gates.get_mut(service) else {
         return;
     };
     let room = match gate.breaker.state(now) {
-        BreakerState::Closed => room,
-        BreakerState::Probing => room.min(1),
-        BreakerState::Open => 0,
+        BreakerState::Closed => {
+            let overdue = gate.share.part(now, room.overdue, gateways);
+            GateRoom::Streams { all: room.all, overdue }
+        }
+        BreakerState::Probing => GateRoom::Away(1),
+        BreakerState::Open => GateRoom::Away(0),
     };
     for verdict in gate.gate.pump(now, room) {
         let (request, answer) = match verdict {
             GateVerdict::Admit(request) => {
+                gate.share.count_one();
                 if gate.breaker.state(now) == BreakerState::Probing {
                     gate.breaker.note_probe(now);
                 }
@@ -139,20 +166,41 @@
     }
 }
 
-/// Returns how many further streams a service has room for.
-fn room_for(gateway: &Gateway, service: &str, now: Duration) -> u32 {
+/// Room that a service has for further streams.
+#[derive(Debug, Clone, Copy)]
+struct ServiceRoom {
+    /// For any stream.
+    all: u32,
+    /// For streams that can no longer begin on time.
+    overdue: u32,
+    /// Streams that run.
+    streams: u32,
+    /// Pause between events, if known.
+    pause: Option<Duration>,
+}
+
+const UNBOUNDED: ServiceRoom =
+    ServiceRoom { all: u32::MAX, overdue: u32::MAX, streams: 0, pause: None };
+
+fn room_for(gateway: &Gateway, service: &str, now: Duration) -> ServiceRoom {
     let Some(table) = gateway.table() else {
-        return u32::MAX;
+        return UNBOUNDED;
     };
     let model = table.service(service).and_then(|spec| spec.engine.as_ref());
     let (Some(model), Some(target)) = (model, table.shortest_gap(service)) else {
-        return u32::MAX;
+        return UNBOUNDED;
     };
-    let (streams, ranks) = {
+    let (load, (ranks, slots)) = {
         let balance = gateway.balance.borrow();
-        (balance.service_load(service).0, balance.in_force(service))
+        (balance.service_load(service), balance.in_force(service))
     };
     let pause = gateway.pauses.borrow().get(service).and_then(|meter| meter.mean(now));
-    let load = GroupLoad { ranks, streams, pause };
-    stream_limit(model, &load, target).map_or(u32::MAX, |limit| limit.saturating_sub(streams))
+    let streams = load.own + load.others;
+    let group = GroupLoad { ranks, slots, streams, pause };
+    let Some(limit) = stream_limit(model, &group, target) else {
+        return UNBOUNDED;
+    };
+    // While nothing is known of the passes, those that are not late may begin.
+    let all = if pause.is_some() { limit.saturating_sub(streams) } else { u32::MAX };
+    ServiceRoom { all, overdue: overdue_room(model, &group, target), streams, pause }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -65,7 +65,11 @@
     async fn run(mut self, mut stream: OpenStream) {
         loop {
             match self.carry(&mut stream).await {
-                RelayEnd::Complete => return self.end("answered", "stream complete"),
+                RelayEnd::Complete => {
+                    let route = &self.exchange.route.name;
+                    self.exchange.gateway.lengths.borrow_mut().note(route, self.passed);
+                    return self.end("answered", "stream complete");
+                }
                 RelayEnd::CallerLeft => return self.end("caller-left", "during the stream"),
                 RelayEnd::TimedOut => return self.cut("the route's timeout passed").await,
                 RelayEnd::Broken(failed) => {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -48,6 +48,7 @@
 use crate::framing::HeadBytes;
 use crate::gate::note_refusal;
 use crate::gate::note_success;
+use crate::gate::retry_while_away;
 use crate::gate::wait_at_gate;
 use crate::relay::start_relay;
 use crate::state::Gateway;
@@ -65,8 +66,8 @@
 /// Part of the target time after which a stream that waits can no longer begin
 /// on time: its prompt is read and its first event made in about half of it.
 const FRESH_SHARE: f64 = 0.45;
-/// Part of the time left, or of the caller's patience for a first event, after
-/// which a stream that waits is refused; the rest is for its first event.
+/// Part of the caller's patience for a first event after which a stream that
+/// waits is refused; the rest is for its first event.
 const START_SHARE: f64 = 0.7;
 /// Pause between two looks for a server with room.
 const ROOM_LOOK: Duration = Duration::from_millis(10);
@@ -185,6 +186,9 @@
     let message = read_message(request, &head, &table).await?;
     let service = route.pick_target(gateway.roll()).cloned().unwrap_or_default();
     let now = gateway.now();
+    let spent = head.time_left.map_or(Duration::ZERO, |left| {
+        gateway.deadlines.borrow_mut().spent(now, &route.name, left)
+    });
     gateway.budget.borrow_mut().count_first(now, &service);
     let cold_per_second = table.service(&service).map_or(0.0, |spec| spec.cold_per_second);
     Ok(Exchange {
@@ -196,6 +200,7 @@
         cold_per_second,
         table_version: table.version(),
         arrived,
+        spent,
         give_up: arrived + time_left,
         deadline: head.time_left.map(|left| arrived + left),
         caller_has: head.last_event,
@@ -248,6 +253,8 @@
     /// What was tried so far.
     pub state: AttemptState,
     organisation: Option<OrganisationName>,
+    /// How long before its arrival the caller first sent it.
+    spent: Duration,
     cold_per_second: f64,
     table_version: u64,
     deadline: Option<Instant>,
@@ -327,15 +334,21 @@
     /// Waits until the group of the service has room for a further stream.
     async fn pass_gate(&self) -> Result<(), Refusal> {
         let now = self.gateway.now();
+        let arrived = now.saturating_sub(self.arrived.elapsed());
+        let whole_time = self.give_up.saturating_duration_since(self.arrived);
+        let pauses = self.gateway.pauses.borrow().get(&self.service).and_then(|m| m.mean(now));
+        let pause = pauses.or(self.route.max_gap).unwrap_or_default();
+        let needed = self.gateway.lengths.borrow().needed(&self.route.name, pause);
+        let begin_within = self.route.patience().mul_f64(START_SHARE);
         let asking = GateRequest {
             request: self.gateway.roll(),
             priority: self.route.priority,
             organisation: self.organisation.clone().unwrap_or_default(),
-            fresh_until: now + self.route.target.mul_f64(FRESH_SHARE),
-            latest_start: now
-                + self.time_left(self.give_up).min(self.route.patience()).mul_f64(START_SHARE),
+            fresh_until: (arrived + self.route.target.mul_f64(FRESH_SHARE))
+                .saturating_sub(self.spent),
+            latest_start: arrived + begin_within.min(whole_time.saturating_sub(needed)),
         };
-        match wait_at_gate(&self.gateway, &self.service, asking).await {
+        match wait_at_gate(&self.gateway, &self.service, self.attempt_id(), asking).await {
             None => Ok(()),
             Some(retry) => Err(Refusal::not_run(RefusalKind::Overloaded, Some(retry))),
         }
@@ -365,6 +378,13 @@
             if !self.state.may_try_again() {
                 return Err(self.given_up("no further attempt allowed"));
             }
+            let begun = after != self.caller_has;
+            if self.route.streaming
+                && !begun
+                && retry_while_away(&self.gateway, &self.service).is_some()
+            {
+                self.pass_gate().await?;
+            }
         }
     }
 
@@ -496,7 +516,8 @@
             o!("reason" => reason, "sent" => self.state.sent,
                "failed_connects" => self.state.failed_connects),
         );
-        self.refusal(kind, RETRY_WHEN_FULL)
+        let away = retry_while_away(&self.gateway, &self.service);
+        self.refusal(kind, away.unwrap_or(RETRY_WHEN_FULL))
     }
 
     fn refusal(&self, kind: RefusalKind, retry_after: Duration) -> Refusal {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -9,6 +9,8 @@
 use cuminpick::admission::PauseMeter;
 use cuminpick::balance::BalanceTable;
 use cuminpick::clock::Clock;
+use cuminpick::deadlines::DeadlineBook;
+use cuminpick::deadlines::StreamLengths;
 use cuminpick::ids::ChoiceRng;
 use cuminpick::ids::FastMap;
 use cuminpick::ids::ServerId;
@@ -48,6 +50,10 @@
     pub pauses: RefCell<FastMap<ServiceName, PauseMeter>>,
     /// Streams that wait to be let in, by service.
     pub gates: RefCell<FastMap<ServiceName, ServiceGate>>,
+    /// Times that callers of each route give their requests.
+    pub deadlines: RefCell<DeadlineBook>,
+    /// Events of each route's streams.
+    pub lengths: RefCell<StreamLengths>,
     /// Slow engines that were last heard of, for the log.
     pub slow_engines: RefCell<Vec<String>>,
     /// Random choices.
