Put an organisation's priority before its route's, and tell engines

Cause: the gate queued by the route's priority alone, although an organisation's goes first, and engines were told none; a caller could have set the engines' header itself.

--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -274,6 +274,11 @@
         None
     }
 
+    /// Rank of a request on this route; its organisation's goes before the route's.
+    pub fn priority_for(&self, organisation: Option<&OrganisationRule>) -> u8 {
+        organisation.and_then(|rule| rule.priority).unwrap_or(self.priority)
+    }
+
     /// Time after which callers of a stream leave when no event comes.
     pub fn patience(&self) -> Duration {
         let gap = self.max_gap.unwrap_or_default() * PATIENCE_GAPS;
--- a/crates/core/tests/route_lookup.rs
+++ b/crates/core/tests/route_lookup.rs
@@ -54,6 +54,16 @@
     assert_eq!(name("d.example", "/x/"), None);
 }
 
+#[test]
+fn organisation_before_route() {
+    let plain = RouteRule { priority: 3, ..route("plain", "a.example", "/") };
+    let urgent = OrganisationRule { name: "urgent".to_string(), priority: Some(0) };
+    let silent = OrganisationRule { name: "silent".to_string(), priority: None };
+    assert_eq!(plain.priority_for(Some(&urgent)), 0);
+    assert_eq!(plain.priority_for(Some(&silent)), 3);
+    assert_eq!(plain.priority_for(None), 3);
+}
+
 #[test]
 fn keys_checked() {
     let table = table();
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -175,8 +175,8 @@
         return Err(Refusal::not_run(RefusalKind::UnknownRoute, None));
     };
     log.class = route.name.clone();
-    let organisation = match table.organisation(route, head.key.as_deref()) {
-        Ok(organisation) => organisation.map(|rule| rule.name.clone()),
+    let (organisation, priority) = match table.organisation(route, head.key.as_deref()) {
+        Ok(rule) => (rule.map(|rule| rule.name.clone()), route.priority_for(rule)),
         Err(_) => return Err(Refusal::not_run(RefusalKind::KeyRefused, None)),
     };
     let time_left = head.time_left.map_or(route.timeout, |left| left.min(route.timeout));
@@ -197,6 +197,7 @@
         route: route.clone(),
         service,
         organisation,
+        priority,
         cold_per_second,
         table_version: table.version(),
         arrived,
@@ -253,6 +254,7 @@
     /// What was tried so far.
     pub state: AttemptState,
     organisation: Option<OrganisationName>,
+    priority: u8,
     /// How long before its arrival the caller first sent it.
     spent: Duration,
     cold_per_second: f64,
@@ -342,7 +344,7 @@
         let begin_within = self.route.patience().mul_f64(START_SHARE);
         let asking = GateRequest {
             request: self.gateway.roll(),
-            priority: self.route.priority,
+            priority: self.priority,
             organisation: self.organisation.clone().unwrap_or_default(),
             fresh_until: (arrived + self.route.target.mul_f64(FRESH_SHARE))
                 .saturating_sub(self.spent),
@@ -436,6 +438,7 @@
             server: &choice.server,
             time_left: Some(time_left.unwrap_or_else(|| self.time_left(self.give_up))),
             organisation: self.organisation.as_deref(),
+            priority: self.priority,
             last_event: after,
         };
         let sent = &mut self.sent;
--- a/crates/gateway/tests/whole_path.rs
+++ b/crates/gateway/tests/whole_path.rs
@@ -28,6 +28,7 @@
     assert_eq!(ledger[0].path, "/look/x?q=1");
     assert_eq!(&ledger[0].body[..], b"the body");
     assert_eq!(ledger[0].head.organisation.as_deref(), Some("org"));
+    assert_eq!(ledger[0].head.priority, Some(1));
     assert!(!ledger[0].head.carries_key);
     assert!(ledger[0].head.time_left.unwrap() <= Duration::from_secs(3));
     let stream = site.call("/draft/stream/6", "a2").await;
