Ask all agents for an answer before ranks are armed

Cause: an order to arm went to agents that were heard up to 100 ms before. Change: once a pass is held the leader waits 20 ms and then asks all agents for an answer; ranks are armed when each has answered, and the pass is released if one has not within 90 ms. The held pass is one further ahead, so that an ordinary switch stalls none. Conclusion: the window in which a freeze holds the group is what an order to arm takes, some milliseconds, in place of 100. Test: frozen_before_arming.

--- a/crates/core/src/orders.rs
+++ b/crates/core/src/orders.rs
@@ -160,6 +160,11 @@
         /// The rank.
         rank: RankIndex,
     },
+    /// Ask all other agents to answer at once.
+    CheckPresence {
+        /// Identity, under which they answer.
+        id: OrderId,
+    },
     /// Log a step of the protocol.
     Note {
         /// What happened.
--- a/crates/core/src/switch.rs
+++ b/crates/core/src/switch.rs
@@ -7,7 +7,9 @@
 //!
 //! The hold is given by the agent of one rank to the engine of another, neither
 //! of them the leader's: when the VM that gave it freezes, the leader and the
-//! held engine can still be reached, and the pass is released at once.
+//! held engine can still be reached, and the pass is released at once. Once the
+//! pass is held each agent has to answer a check before any rank is armed: a VM
+//! that froze before then is known not to have armed its engine.
 //!
 //! A leader that takes over, or whose switch went wrong, settles what is left.
 //! First every rank takes an order with a higher fence that changes nothing: from
@@ -66,6 +68,14 @@
 const HEARD_AGE: Duration = Duration::from_millis(100);
 /// The same for each rank of a large group, whose agents report less often.
 const HEARD_PER_RANK: Duration = Duration::from_millis(3);
+/// Time from a confirmed hold to the first check, so that a VM that fails as it
+/// gives the order is noticed; less than what is left of the pass under way.
+const HOLD_DWELL: Duration = Duration::from_millis(20);
+/// Time for agents to answer a check while a pass is held; a message takes some
+/// milliseconds, and the group should not miss two passes.
+const CHECK_TIME: Duration = Duration::from_millis(90);
+/// Pause before a check is sent again, since datagrams are lost at times.
+const CHECK_PAUSE: Duration = Duration::from_millis(20);
 /// Time for which ranks that do not answer are asked again to arm; callers give a
 /// stream up after a pause of two seconds.
 const ARMING_TIME: Duration = Duration::from_millis(500);
@@ -91,6 +101,15 @@
     last_sent: Duration,
 }
 
+/// Agents that have answered a check.
+#[derive(Debug, Clone, PartialEq)]
+struct PresenceCheck {
+    id: OrderId,
+    present: Vec<bool>,
+    held_at: Duration,
+    asked: Option<Duration>,
+}
+
 #[derive(Debug, Clone, PartialEq)]
 enum Phase {
     /// Ranks are not all known, or the group is broken.
@@ -104,9 +123,10 @@
     Idle { since: Duration },
     /// The ranks copy experts.
     Preparing { version: MapVersion, map: ExpertMap, started: Duration, limit: Duration },
-    /// A rank is asked to hold a pass. Once it does, the agent that gave the order
-    /// has to be heard again: no rank is armed for a pass that a frozen VM held.
-    Holding { version: MapVersion, pass: PassNumber, tries: u32, held_at: Option<Duration> },
+    /// A rank is asked to hold a pass.
+    Holding { version: MapVersion, pass: PassNumber, tries: u32 },
+    /// The pass is held, and each agent is asked to answer.
+    Checking { version: MapVersion, pass: PassNumber, check: PresenceCheck },
     /// All ranks are asked to switch at the held pass.
     Arming { version: MapVersion, pass: PassNumber, armed: Vec<bool>, started: Duration },
     /// The held pass is released; the ranks begin to use the map.
@@ -127,8 +147,6 @@
     phase: Phase,
     /// Rank that holds, or is to hold, the pass of the current switch.
     holder: RankIndex,
-    /// Rank whose agent gave that order.
-    giver: RankIndex,
     looked: Duration,
     settled_at: Duration,
     switches: u64,
@@ -148,7 +166,6 @@
             pending: FastMap::default(),
             phase: Phase::Waiting,
             holder: own,
-            giver: own,
             looked: Duration::ZERO,
             settled_at: Duration::ZERO,
             switches: 0,
@@ -422,11 +439,9 @@
             return self.reform(now, formed);
         }
         match self.phase.clone() {
-            Phase::Waiting | Phase::Holding { held_at: None, .. } | Phase::Arming { .. } => {
-                Vec::new()
-            }
-            Phase::Holding { version, pass, held_at: Some(held_at), .. } => {
-                self.check_giver(now, version, pass, held_at)
+            Phase::Waiting | Phase::Holding { .. } | Phase::Arming { .. } => Vec::new(),
+            Phase::Checking { version, pass, check } => {
+                self.follow_check(now, version, pass, check)
             }
             Phase::Idle { since } => self.release_stray(now, since),
             Phase::Preparing { started, .. } if self.held_after(started) => {
@@ -639,11 +654,11 @@
         let Some(view) = &self.views[self.own] else {
             return self.give_up(now, version, "the leader's own rank is not known");
         };
-        let ahead = if now < view.heard + FRESH_AGE { 1 } else { 2 };
+        let ahead = if now < view.heard + FRESH_AGE { 2 } else { 3 };
         let pass = view.status.pass + ahead + u64::from(tries);
         let (holder, giver) = self.hold_ranks(now);
         self.holder = holder;
-        self.phase = Phase::Holding { version, pass, tries, held_at: None };
+        self.phase = Phase::Holding { version, pass, tries };
         let order = RankOrder::Hold { mark: self.mark(), pass };
         vec![self.send_via(now, holder, giver, order)]
     }
@@ -660,22 +675,64 @@
         }
     }
 
-    /// Arms the ranks once the agent that gave the hold was heard after it.
-    fn check_giver(
+    /// Prepares to ask each agent for an answer now that the pass is held.
+    fn begin_check(
         &mut self,
         now: Duration,
         version: MapVersion,
         pass: PassNumber,
-        held_at: Duration,
     ) -> Vec<LeaderAction> {
-        let heard = self.views[self.giver].as_ref().is_some_and(|view| view.heard > held_at);
-        if heard && self.all_heard(now) {
-            return self.begin_arming(now, version, pass);
+        let id = self.next_order;
+        self.next_order += 1;
+        let mut present = vec![false; self.views.len()];
+        present[self.own] = true;
+        let check = PresenceCheck { id, present, held_at: now, asked: None };
+        self.phase = Phase::Checking { version, pass, check };
+        Vec::new()
+    }
+
+    /// Takes in that an agent has answered a check.
+    pub fn hear_present(
+        &mut self,
+        now: Duration,
+        rank: RankIndex,
+        id: OrderId,
+    ) -> Vec<LeaderAction> {
+        let Phase::Checking { version, pass, check } = &mut self.phase else {
+            return Vec::new();
+        };
+        if check.id != id || rank >= check.present.len() {
+            return Vec::new();
         }
-        if now >= held_at + HEARD_AGE {
-            return self.give_up_held(now, version, pass, "the agent that held the pass is silent");
+        check.present[rank] = true;
+        if !check.present.iter().all(|present| *present) {
+            return Vec::new();
         }
-        Vec::new()
+        let (version, pass) = (*version, *pass);
+        self.begin_arming(now, version, pass)
+    }
+
+    /// Asks again those who have not answered, and gives the switch up in time.
+    fn follow_check(
+        &mut self,
+        now: Duration,
+        version: MapVersion,
+        pass: PassNumber,
+        mut check: PresenceCheck,
+    ) -> Vec<LeaderAction> {
+        if now >= check.held_at + CHECK_TIME {
+            let silent = check.present.iter().position(|present| !present).unwrap_or(self.own);
+            let reason = format!("the agent of rank {silent} is silent");
+            return self.give_up_held(now, version, pass, &reason);
+        }
+        let due = check.asked.map_or(check.held_at + HOLD_DWELL, |asked| asked + CHECK_PAUSE);
+        if now < due {
+            return Vec::new();
+        }
+        check.asked = Some(now);
+        let id = check.id;
+        self.phase = Phase::Checking { version, pass, check };
+        vec![LeaderAction::CheckPresence { id }]
     }
 
     /// Gives a switch up before any rank was armed, and releases the pass if it
@@ -793,24 +850,19 @@
                 let order = RankOrder::Prepare { mark: self.mark(), version, map };
                 vec![self.send(now, pending.rank, order)]
             }
-            (Phase::Holding { version, pass, tries, held_at }, RankOrder::Hold { .. }) => {
+            (Phase::Holding { version, pass, tries }, RankOrder::Hold { .. }) => {
                 let (version, pass, tries) = (*version, *pass, *tries);
                 let held = self.views[self.holder]
                     .as_ref()
                     .is_some_and(|view| view.status.held == Some(pass));
                 match outcome {
-                    _ if done || held => {
-                        *held_at = Some(now);
-                        self.giver = pending.via.unwrap_or(pending.rank);
-                        Vec::new()
-                    }
+                    _ if done || held => self.begin_check(now, version, pass),
                     OrderOutcome::Refused if tries < MAX_HOLDS => {
                         self.begin_holding(now, version, tries + 1)
                     }
                     OrderOutcome::Refused => self.give_up(now, version, "no pass could be held"),
                     _ if self.all_heard(now) && tries < MAX_HOLDS => {
-                        self.phase =
-                            Phase::Holding { version, pass, tries: tries + 1, held_at: None };
+                        self.phase = Phase::Holding { version, pass, tries: tries + 1 };
                         vec![self.send_via(now, pending.rank, pending.via, pending.order.clone())]
                     }
                     _ => self.give_up_held(now, version, pass, "a hold without an answer"),
--- a/crates/core/tests/map_switch.rs
+++ b/crates/core/tests/map_switch.rs
@@ -74,6 +74,7 @@
     leaders: Vec<Option<GroupLeader>>,
     deliveries: VecDeque<Delivery>,
     answers: VecDeque<(u32, usize, OrderId, OrderOutcome)>,
+    presences: VecDeque<(u32, usize, usize, OrderId)>,
     fates: Vec<Fate>,
     sent: usize,
     switches: u64,
@@ -88,19 +89,26 @@
     frozen: Option<usize>,
     unreachable: Option<usize>,
     ordered: bool,
+    /// Steps between two reports of an agent.
+    report_steps: u32,
 }
 
 impl World {
     fn new(fates: Vec<Fate>) -> World {
+        World::sized(RANKS, fates)
+    }
+
+    fn sized(size: usize, fates: Vec<Fate>) -> World {
         World {
             step: 0,
             epoch: 1,
             pass: 0,
             pass_left: PASS_STEPS,
-            ranks: vec![Rank::default(); RANKS],
-            leaders: vec![Some(GroupLeader::new(10, RANKS, 0)), None],
+            ranks: vec![Rank::default(); size],
+            leaders: vec![Some(GroupLeader::new(10, size, 0)), None],
             deliveries: VecDeque::new(),
             answers: VecDeque::new(),
+            presences: VecDeque::new(),
             fates,
             sent: 0,
             switches: 0,
@@ -110,11 +118,12 @@
             late_by: 1,
             status_late_by: 0,
             statuses: VecDeque::new(),
-            finished: vec![vec![None; RANKS]; 2],
-            direct_finished: vec![vec![None; RANKS]; 2],
+            finished: vec![vec![None; size]; 2],
+            direct_finished: vec![vec![None; size]; 2],
             frozen: None,
             unreachable: None,
             ordered: false,
+            report_steps: 4,
         }
     }
 
@@ -132,6 +141,11 @@
                     }
                 }
                 LeaderAction::Look { rank } => self.look(leader, rank),
+                LeaderAction::CheckPresence { id } => {
+                    let at = self.step + self.late_by;
+                    let asked = (0..self.ranks.len()).map(|rank| (at, leader, rank, id));
+                    self.presences.extend(asked);
+                }
                 LeaderAction::StepDown => self.leaders[leader] = None,
                 LeaderAction::Note { .. } => {}
             }
@@ -198,6 +212,21 @@
                 ));
             }
         }
+        let present: Vec<_> =
+            self.presences.iter().filter(|answer| answer.0 <= step).copied().collect();
+        self.presences.retain(|answer| answer.0 > step);
+        // The way to an agent takes time here, the way back none: a VM that freezes
+        // with its answer on the way is one whose order to arm may be under way.
+        for (_, leader, rank, id) in present {
+            if self.frozen == Some(rank) {
+                continue;
+            }
+            let now = self.now();
+            if let Some(deciding) = &mut self.leaders[leader] {
+                let actions = deciding.hear_present(now, rank, id);
+                self.act(leader, actions);
+            }
+        }
         let heard: Vec<_> =
             self.answers.iter().filter(|answer| answer.0 <= step).copied().collect();
         self.answers.retain(|answer| answer.0 > step);
@@ -329,7 +358,7 @@
     /// Reads the ranks; the leaders hear of it some steps later.
     fn read_ranks(&mut self) {
         for leader in 0..self.leaders.len() {
-            for rank in (0..RANKS).filter(|rank| self.frozen != Some(*rank)) {
+            for rank in (0..self.ranks.len()).filter(|rank| self.frozen != Some(*rank)) {
                 let after = self.finished[leader][rank];
                 let at = self.step + self.status_late_by;
                 self.statuses.push_back((at, leader, self.status(rank), after));
@@ -341,7 +370,7 @@
         let now = self.now();
         // Agents report at once after an order, and at intervals.
         let ordered = std::mem::take(&mut self.ordered);
-        if ordered || self.step.is_multiple_of(4) {
+        if ordered || self.step.is_multiple_of(self.report_steps) {
             self.read_ranks();
         }
         while self.statuses.front().is_some_and(|known| known.0 <= self.step) {
@@ -361,7 +390,7 @@
             if let Some(deciding) = &mut self.leaders[leader] {
                 let mut actions = deciding.tick(now);
                 if deciding.switchable_map(now).is_some() {
-                    let map: ExpertMap = vec![vec![vec![0]; RANKS]];
+                    let map: ExpertMap = vec![vec![vec![0]; self.ranks.len()]];
                     actions.extend(deciding.begin_switch(now, map, 1));
                 }
                 self.switches = self.switches.max(deciding.switches());
@@ -380,12 +409,13 @@
     /// A second process takes the leadership; the first does not know yet.
     fn take_over(&mut self, term: u64) {
         let newest = usize::from(self.leaders[1].is_none());
-        self.finished[newest] = vec![None; RANKS];
-        self.direct_finished[newest] = vec![None; RANKS];
+        self.finished[newest] = vec![None; self.ranks.len()];
+        self.direct_finished[newest] = vec![None; self.ranks.len()];
         self.deliveries.retain(|delivery| delivery.leader != newest);
         self.answers.retain(|answer| answer.1 != newest);
+        self.presences.retain(|answer| answer.1 != newest);
         self.statuses.retain(|known| known.1 != newest);
-        self.leaders[newest] = Some(GroupLeader::new(term, RANKS, newest));
+        self.leaders[newest] = Some(GroupLeader::new(term, self.ranks.len(), newest));
     }
 
     /// A rank is lost and comes back: a new formation with the first map.
@@ -569,6 +599,43 @@
     assert!(held > 0, "no hold was met");
 }
 
+/// The VM of any rank freezes with its engine at any moment at which no order to
+/// arm is under way: the group goes on, unless the frozen engine holds a pass.
+#[test]
+fn frozen_before_arming() {
+    let (mut cases, mut stalled) = (0, Vec::new());
+    for frozen in 1..5 {
+        for freeze in 20..300 {
+            let mut world = World::sized(5, Vec::new());
+            world.report_steps = 9;
+            for _ in 0..freeze {
+                world.advance();
+            }
+            let arming = |known: &Delivery| matches!(known.order, RankOrder::Arm { .. });
+            let armed = world.ranks.iter().any(|rank| rank.armed.is_some());
+            if armed || world.deliveries.iter().any(arming) {
+                continue;
+            }
+            cases += 1;
+            world.frozen = Some(frozen);
+            world.unreachable = Some(frozen);
+            for _ in 0..30 {
+                world.advance();
+            }
+            let before = world.pass;
+            for _ in 0..70 {
+                world.advance();
+            }
+            let unreachable_hold = world.ranks[frozen].held.is_some();
+            if world.pass <= before + 3 && !unreachable_hold {
+                stalled.push((frozen, freeze));
+            }
+        }
+    }
+    assert!(cases > 300, "{cases} cases");
+    assert!(stalled.is_empty(), "the group stands still in {stalled:?} of {cases} cases");
+}
+
 #[test]
 fn any_schedule() {
     check!().with_type::<u64>().for_each(|seed| {
--- a/crates/rank-agent/src/daemon.rs
+++ b/crates/rank-agent/src/daemon.rs
@@ -27,6 +27,7 @@
 use crate::group::follow_group;
 use crate::lead::hear_news_from;
 use crate::lead::hear_outcome;
+use crate::lead::hear_present;
 use crate::lead::lead_group;
 use crate::lead::step_down;
 use crate::messages::AgentMessage;
@@ -164,6 +165,13 @@
                 tokio::task::spawn_local(take_sent_order(Rc::clone(agent), giving, order));
             }
         }
+        AgentMessage::Check { group, term, id } => {
+            let rank = agent.state.borrow().rank.as_ref().map(|own| own.rank);
+            if let Some(rank) = rank.filter(|_| follow_leader(agent, from, term)) {
+                agent.tell(from, &AgentMessage::Present { group, term, id, rank }).await;
+            }
+        }
+        AgentMessage::Present { term, id, rank, .. } => hear_present(agent, term, id, rank).await,
         AgentMessage::MapUnknown { term, id, .. } => send_whole(agent, from, term, id).await,
         AgentMessage::Outcome { term, id, outcome, .. } => {
             hear_outcome(agent, term, id, outcome).await;
--- a/crates/rank-agent/src/lead.rs
+++ b/crates/rank-agent/src/lead.rs
@@ -272,6 +272,39 @@
     carry_out(agent, actions).await;
 }
 
+/// Takes in that the agent of a rank has answered a check.
+pub async fn hear_present(agent: &Rc<Agent>, term: LeaderTerm, id: OrderId, rank: RankIndex) {
+    let now = agent.now();
+    let actions = {
+        let mut state = agent.state.borrow_mut();
+        let Some(leadership) = &mut state.leadership else {
+            return;
+        };
+        if leadership.leader.term() != term {
+            return;
+        }
+        leadership.leader.hear_present(now, rank, id)
+    };
+    carry_out(agent, actions).await;
+}
+
+/// Asks the other agents to answer.
+async fn check_presence(agent: &Rc<Agent>, id: OrderId) {
+    let (targets, message) = {
+        let state = agent.state.borrow();
+        let (Some(leadership), Some(own)) = (&state.leadership, &state.rank) else {
+            return;
+        };
+        let others = leadership.agents.iter().filter(|(rank, _)| **rank != own.rank);
+        let targets: Vec<SocketAddr> = others.map(|(_, address)| *address).collect();
+        let (group, term) = (own.group.clone(), leadership.leader.term());
+        (targets, AgentMessage::Check { group, term, id })
+    };
+    for target in targets {
+        agent.tell(target, &message).await;
+    }
+}
+
 pub(crate) async fn carry_out(agent: &Rc<Agent>, actions: Vec<LeaderAction>) {
     for action in actions {
         match action {
@@ -291,6 +324,7 @@
                     tokio::task::spawn_local(look_directly(Rc::clone(agent), engine));
                 }
             }
+            LeaderAction::CheckPresence { id } => check_presence(agent, id).await,
             LeaderAction::StepDown => step_down(agent, "a higher fence was seen"),
         }
     }
--- a/crates/rank-agent/src/messages.rs
+++ b/crates/rank-agent/src/messages.rs
@@ -9,6 +9,7 @@
 use cuminpick::experts::ExpertIndex;
 use cuminpick::experts::MapChange;
 use cuminpick::experts::MapVersion;
+use cuminpick::experts::RankIndex;
 use cuminpick::orders::LeaderTerm;
 use cuminpick::orders::OrderId;
 use cuminpick::orders::OrderMark;
@@ -84,6 +85,26 @@
         /// Engine that it is for, where that is not the receiver's own.
         engine: Option<SocketAddr>,
     },
+    /// The leader asks whether the receiver runs.
+    Check {
+        /// Group.
+        group: GroupName,
+        /// Term of the leader.
+        term: LeaderTerm,
+        /// Identity within the term.
+        id: OrderId,
+    },
+    /// The sender runs.
+    Present {
+        /// Group.
+        group: GroupName,
+        /// Term of the leader that asked.
+        term: LeaderTerm,
+        /// Identity within the term.
+        id: OrderId,
+        /// Rank of the sender's engine.
+        rank: RankIndex,
+    },
     /// The sender lacks the map on which an order is based.
     MapUnknown {
         /// Group.
@@ -113,6 +134,8 @@
             AgentMessage::Beacon { group, .. }
             | AgentMessage::News { group, .. }
             | AgentMessage::Order { group, .. }
+            | AgentMessage::Check { group, .. }
+            | AgentMessage::Present { group, .. }
             | AgentMessage::MapUnknown { group, .. }
             | AgentMessage::Outcome { group, .. } => group,
         }
@@ -124,6 +147,8 @@
             AgentMessage::Beacon { .. } => "beacon",
             AgentMessage::News { .. } => "rank-news",
             AgentMessage::Order { .. } => "order",
+            AgentMessage::Check { .. } => "check",
+            AgentMessage::Present { .. } => "present",
             AgentMessage::MapUnknown { .. } => "map-unknown",
             AgentMessage::Outcome { .. } => "outcome",
         }
