Send streams elsewhere when their server falls silent among others

Cause: on a VM that stands still requests wait until it wakes. A group that stalls as a whole is left alone. Stand-in engines can be frozen.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -54,6 +54,11 @@
         self.noted = now;
     }
 
+    /// Whether an event came within `span`.
+    pub fn active(&self, now: Duration, span: Duration) -> bool {
+        self.mean.is_some() && now < self.noted + span
+    }
+
     /// Returns the smoothed pause, unless it is old.
     pub fn mean(&self, now: Duration) -> Option<Duration> {
         self.mean.filter(|_| now < self.noted + PAUSE_AGE)
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,7 +16,7 @@
 //! - For the users' platform: [`routing`] finds a request's route, [`balance`] picks a
 //!   backend server, [`repeat`] decides on further attempts, [`events`] keeps streams
 //!   whole, [`admission`] and [`breaker`] hold streams back, [`deadlines`] tells which
-//!   came back; [`experts`] and [`demand`]
+//!   came back, [`silence`] which servers fell silent; [`experts`] and [`demand`]
 //!   plan expert maps, [`switch`] brings them into force by [`orders`], [`counts`] and
 //!   [`news`] are what processes tell each other.
 //! - [`answer`] checks that the frames of an answer belong together.
@@ -70,5 +70,6 @@
 pub mod routing;
 pub mod settings;
 pub mod share;
+pub mod silence;
 pub mod switch;
 pub mod watcher;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -33,6 +33,11 @@
 /// Largest answer that is not a stream, in bytes; answers hold some hundred.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 
+/// Pause between two looks at whether a server is silent.
+const SILENCE_LOOK: Duration = Duration::from_millis(100);
+/// Time within which an event shows that a service makes passes; a few of them.
+const ACTIVE_SPAN: Duration = Duration::from_millis(250);
+
 /// A request as the caller sent it.
 pub struct CallerMessage {
     /// Method.
@@ -194,3 +199,30 @@
         Err(_) => Err(FailedAttempt::broken(format!("no answer within {} ms", limit.as_millis()))),
     }
 }
+
+/// Waits for `work`, but gives it up when its server falls silent while others
+/// of the service make events.
+pub async fn unless_silent<T>(
+    gateway: &Gateway,
+    service: &str,
+    server: &str,
+    work: impl Future<Output = Result<T, FailedAttempt>>,
+) -> Result<T, FailedAttempt> {
+    let since = gateway.now();
+    let silent = async {
+        loop {
+            tokio::time::sleep(SILENCE_LOOK).await;
+            let now = gateway.now();
+            let pauses = gateway.pauses.borrow();
+            let active = pauses.get(service).is_some_and(|meter| meter.active(now, ACTIVE_SPAN));
+            if gateway.silence.borrow().silent(now, server, since, active) {
+                return;
+            }
+        }
+    };
+    tokio::select! {
+        biased;
+        done = work => done,
+        () = silent => Err(FailedAttempt::broken("the server is silent while others go on")),
+    }
+}
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -18,6 +18,7 @@
 use cuminpick::ids::hash_parts;
 use cuminpick::repeat::RepeatBounds;
 use cuminpick::repeat::RepeatBudget;
+use cuminpick::silence::SilenceWatch;
 use cuminpick_operators::journal::Journal;
 use cuminpick_operators::metrics::Metrics;
 use cuminpick_operators::page::serve_metrics;
@@ -85,6 +86,7 @@
         gates: RefCell::new(FastMap::default()),
         deadlines: RefCell::new(DeadlineBook::default()),
         lengths: RefCell::new(StreamLengths::default()),
+        silence: RefCell::new(SilenceWatch::default()),
         slow_engines: RefCell::new(Vec::new()),
         rng: RefCell::new(ChoiceRng::new(seed)),
         servers_known: Cell::new(false),
--- a/crates/gateway/src/feeds.rs
+++ b/crates/gateway/src/feeds.rs
@@ -161,6 +161,7 @@
             SERVER_KIND if event.removed => {
                 let id = event.object.name;
                 self.gateway.balance.borrow_mut().remove(now, &id);
+                self.gateway.silence.borrow_mut().forget(&id);
                 self.gateway.journal.note("server-removed", None, o!("server" => id));
             }
             SERVER_KIND => {
@@ -197,6 +198,7 @@
                     .warn("record-ignored", o!("kind" => self.kind, "error" => detail));
                 // A server whose record cannot be read is not one to use.
                 self.gateway.balance.borrow_mut().remove(self.gateway.now(), &object.name);
+                self.gateway.silence.borrow_mut().forget(&object.name);
                 None
             }
         }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -16,6 +16,7 @@
 use crate::answer::AnswerBody;
 use crate::answer::StreamCut;
 use crate::attempt::FailedAttempt;
+use crate::attempt::unless_silent;
 use crate::serve::Exchange;
 use crate::serve::OpenStream;
 use crate::serve::RequestLog;
@@ -98,7 +99,7 @@
                 biased;
                 () = self.sender.closed() => return RelayEnd::CallerLeft,
                 () = tokio::time::sleep_until(self.exchange.give_up) => return RelayEnd::TimedOut,
-                read = stream.answer.next_bytes() => read,
+                read = read_stream(&self.exchange, stream) => read,
             };
             match read {
                 Err(failed) => return RelayEnd::Broken(failed),
@@ -186,6 +187,26 @@
     }
 }
 
+/// Reads the next bytes of a stream; one that another server may continue is
+/// given up when its own falls silent.
+async fn read_stream(
+    exchange: &Exchange,
+    stream: &mut OpenStream,
+) -> Result<Option<Bytes>, FailedAttempt> {
+    let gateway = &exchange.gateway;
+    let resumable = exchange.route.repeat == RepeatRule::ResumableStream;
+    let reading = stream.answer.next_bytes();
+    let read = if resumable && exchange.state.may_try_again_after_failure() {
+        unless_silent(gateway, &exchange.service, &stream.server, reading).await
+    } else {
+        reading.await
+    };
+    if let Ok(Some(_)) = read {
+        gateway.silence.borrow_mut().note(gateway.now(), &stream.server);
+    }
+    read
+}
+
 fn broken(detail: &str) -> RelayEnd {
     RelayEnd::Broken(FailedAttempt { failure: AttemptFailure::Broken, detail: detail.to_string() })
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -44,6 +44,7 @@
 use crate::attempt::FailedAttempt;
 use crate::attempt::OpenAnswer;
 use crate::attempt::send_attempt;
+use crate::attempt::unless_silent;
 use crate::attempt::within;
 use crate::framing::HeadBytes;
 use crate::gate::note_refusal;
@@ -450,7 +451,11 @@
             let answer = send_attempt(gateway, message, choice, &facts, || *sent = true).await?;
             finish_head(answer, choice, streaming, retryable).await
         };
-        let done = within(limit, attempt).await;
+        let done = if streaming && retryable {
+            unless_silent(gateway, &self.service, &choice.server, attempt).await
+        } else {
+            within(limit, attempt).await
+        };
         self.sent = false;
         done
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -17,6 +17,7 @@
 use cuminpick::ids::ServiceName;
 use cuminpick::repeat::RepeatBudget;
 use cuminpick::routing::RoutingTable;
+use cuminpick::silence::SilenceWatch;
 use cuminpick_operators::journal::Journal;
 use cuminpick_operators::metrics::Metrics;
 use cuminpick_platform::settings::NodeSettings;
@@ -54,6 +55,8 @@
     pub deadlines: RefCell<DeadlineBook>,
     /// Events of each route's streams.
     pub lengths: RefCell<StreamLengths>,
+    /// When each server last made an event.
+    pub silence: RefCell<SilenceWatch>,
     /// Slow engines that were last heard of, for the log.
     pub slow_engines: RefCell<Vec<String>>,
     /// Random choices.
--- a/crates/gateway/tests/broken_answers.rs
+++ b/crates/gateway/tests/broken_answers.rs
@@ -135,3 +135,30 @@
         assert!(answer.complete);
     }
 }
+
+/// The VM of one server freezes: its streams, begun or not, go on at the others
+/// while callers still wait.
+#[tokio::test(flavor = "multi_thread")]
+async fn frozen_server() {
+    let site = std::sync::Arc::new(Site::start().await);
+    let call = |number: usize, events: u64| {
+        let site = std::sync::Arc::clone(&site);
+        tokio::spawn(async move {
+            site.call(&format!("/draft/stream/{events}"), &format!("f{number}")).await
+        })
+    };
+    let mut calls: Vec<_> = (0..9).map(|number| (call(number, 40), 40)).collect();
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    site.engines[0].freeze(true);
+    // Further streams show that the service goes on.
+    for number in 9..35 {
+        calls.push((call(number, 10), 10));
+        tokio::time::sleep(Duration::from_millis(40)).await;
+    }
+    for (call, events) in calls {
+        let answer = call.await.unwrap();
+        assert!(answer.complete, "{answer:?}");
+        assert_eq!(answer.body, stream_text(events));
+    }
+    site.engines[0].freeze(false);
+}
--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -87,6 +87,7 @@
     ledger: Vec<LedgerEntry>,
     running: u32,
     cancelled: u32,
+    frozen: bool,
 }
 
 /// A backend server; cheap to clone.
@@ -116,6 +117,18 @@
         self.lock().faults.push_back(fault);
     }
 
+    /// Has the VM stand still, or go on: while it does nothing is answered and no
+    /// event is made.
+    pub fn freeze(&self, frozen: bool) {
+        self.lock().frozen = frozen;
+    }
+
+    async fn thawed(&self) {
+        while self.lock().frozen {
+            tokio::time::sleep(PLAIN_WORK).await;
+        }
+    }
+
     /// Requests that ran, oldest first.
     pub fn ledger(&self) -> Vec<LedgerEntry> {
         self.lock().ledger.clone()
@@ -145,6 +158,7 @@
     }
 
     async fn answer(self, request: SiteRequest) -> Option<Response<SiteBody>> {
+        self.thawed().await;
         if let Some(call) = decode_engine_call(&request.method, &request.uri, &request.body) {
             return Some(self.manage(call));
         }
@@ -243,6 +257,7 @@
                     }
                     None => tokio::time::sleep(EVENT_PAUSE).await,
                 }
+                engine.thawed().await;
                 let event = format!("id: {number}\ndata: event {number}\n\n");
                 if cut.is_some_and(|cut| made as u32 == cut) {
                     let half = Bytes::from(event.into_bytes()[..8].to_vec());
