Check presence sooner, and bound late streams only after an outage

Change: the check goes out 5 ms after the hold, for the pass held as before; late streams are bounded for 8 s after an outage only.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -180,6 +180,8 @@
     details: Vec<GateRequest>,
     rate: PlacementRate,
     away: bool,
+    /// Until when those who waited out an outage may still come back.
+    recovering: Duration,
 }
 
 impl Default for StreamGate {
@@ -190,6 +192,7 @@
             details: Vec::new(),
             rate: PlacementRate::default(),
             away: false,
+            recovering: Duration::ZERO,
         }
     }
 }
@@ -233,6 +236,8 @@
     ///
     /// While the service is away its streams wait as long as they can begin in
     /// time if it comes back: how many were let in before says nothing of that.
+    /// For some seconds afterwards late streams, of which there are many then,
+    /// have only the room that is theirs.
     pub fn pump(&mut self, now: Duration, room: GateRoom) -> Vec<GateVerdict> {
         let (room, mut overdue, away) = match room {
             GateRoom::Streams { all, overdue } => (all, overdue, false),
@@ -241,6 +246,10 @@
         if away != self.away {
             self.away = away;
             self.rate = PlacementRate::default();
+            self.recovering = now + RECOVERY_SPAN;
+        }
+        if now >= self.recovering {
+            overdue = room;
         }
         self.rate.roll(now);
         let mut verdicts = Vec::new();
@@ -317,6 +326,10 @@
 /// comes back earlier if this is more than a third of the time that it has left.
 pub const AWAY_RETRY: Duration = Duration::from_millis(2_500);
 
+/// Time after a service's return for which those who waited it out come back; a
+/// caller's deadline.
+const RECOVERY_SPAN: Duration = Duration::from_secs(8);
+
 /// The queue serves higher levels first.
 fn level(priority: u8) -> u8 {
     u8::MAX - priority
--- a/crates/core/src/switch.rs
+++ b/crates/core/src/switch.rs
@@ -70,7 +70,7 @@
 const HEARD_PER_RANK: Duration = Duration::from_millis(3);
 /// Time from a confirmed hold to the first check, so that a VM that fails as it
 /// gives the order is noticed; less than what is left of the pass under way.
-const HOLD_DWELL: Duration = Duration::from_millis(20);
+const HOLD_DWELL: Duration = Duration::from_millis(5);
 /// Time for agents to answer a check while a pass is held; a message takes some
 /// milliseconds, and the group should not miss two passes.
 const CHECK_TIME: Duration = Duration::from_millis(90);
@@ -654,7 +654,7 @@
         let Some(view) = &self.views[self.own] else {
             return self.give_up(now, version, "the leader's own rank is not known");
         };
-        let ahead = if now < view.heard + FRESH_AGE { 2 } else { 3 };
+        let ahead = if now < view.heard + FRESH_AGE { 1 } else { 2 };
         let pass = view.status.pass + ahead + u64::from(tries);
         let (holder, giver) = self.hold_ranks(now);
         self.holder = holder;
