--- a/crates/core/src/demand.rs
+++ b/crates/core/src/demand.rs
@@ -21,7 +21,7 @@
 }
 
 impl Default for DemandSettings {
-    /// Values that gave the highest worth on the standard days; see docs/ROUNDS.md.
+    /// Values in force; docs/ROUNDS.md tells what was tried beside them.
     fn default() -> DemandSettings {
         DemandSettings {
             recent: Duration::from_millis(180),
--- a/crates/core/src/experts.rs
+++ b/crates/core/src/experts.rs
@@ -79,7 +79,7 @@
 }
 
 impl Default for PlanSettings {
-    /// Values that gave the highest worth on the standard days; see docs/ROUNDS.md.
+    /// Values in force; docs/ROUNDS.md tells what was tried beside them.
     fn default() -> PlanSettings {
         PlanSettings {
             copies_per_rank: 2,
