--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -64,7 +64,7 @@
         gateway.journal.note(
             "gate-passed",
             attempt,
-            o!("service" => service.to_string(), "waiting" => waiting, "late" => late, 
+            o!("service" => service.to_string(), "waiting" => waiting, "late" => late,
                "waited_ms" => waited.as_millis() as u64, "room" => room.all,
                "room_overdue" => room.overdue, "streams" => room.streams,
                "pause_ms" => room.pause.map_or(-1, |pause| pause.as_millis() as i64),
@@ -182,6 +182,7 @@
 const UNBOUNDED: ServiceRoom =
     ServiceRoom { all: u32::MAX, overdue: u32::MAX, streams: 0, pause: None };
 
+/// Returns the room of a service as far as this gateway knows.
 fn room_for(gateway: &Gateway, service: &str, now: Duration) -> ServiceRoom {
     let Some(table) = gateway.table() else {
         return UNBOUNDED;
