Read a process's memory in one place, and tell when it cannot be read

Cause: the read was written again for gateways, and the drills' own turned a status without the figure into zero. Change: one function in the stand-ins; the error is told.

--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -29,6 +29,8 @@
 use serde_json::Value;
 use serde_json::json;
 
+use crate::site::nodes::resident_mb;
+
 /// First port given to processes.
 const FIRST_PORT: u16 = 20_000;
 /// Number of ports that may be given.
@@ -328,10 +330,7 @@
 
     /// Returns a process's resident memory in MB.
     pub fn resident_mb(&self, id: &str) -> eyre::Result<f64> {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.pid(id)?))?;
-        let line = status.lines().find(|line| line.starts_with("VmRSS:"));
-        let kilobytes = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<f64>().ok());
-        Ok(kilobytes.unwrap_or(0.0) / 1_024.0)
+        Ok(resident_mb(self.pid(id)?)?)
     }
 
     /// Object API of the platform stand-in.
--- a/crates/standins/src/site/nodes.rs
+++ b/crates/standins/src/site/nodes.rs
@@ -157,11 +157,16 @@
 
     /// Resident memory in MB.
     pub fn resident_mb(&self) -> std::io::Result<f64> {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
-        let line = status.lines().find(|line| line.starts_with("VmRSS:"));
-        let kilobytes = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<f64>().ok());
-        kilobytes
-            .map(|kilobytes| kilobytes / 1_024.0)
-            .ok_or_else(|| std::io::Error::other("the process states no resident memory"))
+        resident_mb(self.child.id())
     }
 }
+
+/// Returns the resident memory of a process in MB.
+pub fn resident_mb(process: u32) -> std::io::Result<f64> {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status"))?;
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let kilobytes = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<f64>().ok());
+    kilobytes
+        .map(|kilobytes| kilobytes / 1_024.0)
+        .ok_or_else(|| std::io::Error::other("the process states no resident memory"))
+}
