Plan large groups by their busiest ranks, and spare their leader's VM

(1) A move had to lower the power sum over all ranks by a fifth: with 63 or 129 ranks many are nearly as loaded as the busiest, so plans ended early; and a rank took two copies a switch although one takes 14 or 7 ms there, not 98. (2) The leader planned each 10 ms whenever it was idle, copied the map for each rank and the switch's phase for each message, and took the experts of all ranks in with each report: a rank agent has 0.15 of a core, so everything else it did came late.

Change: a move's gain is measured by the three busiest ranks; copies are bounded by 200 ms a switch, from the configured size and link; maps are shared; a leader rests twice as long as it planned; agents report at once what a switch waits for, look each 10 ms while one is under way, and tell the held experts only when they change; maps are passed on by some of the agents, paced to the link, and whole maps are asked for together; where a rank's counts come seldom they tell of the last 150 ms.

--- a/crates/core/src/counts.rs
+++ b/crates/core/src/counts.rs
@@ -68,12 +68,12 @@
             fine.iter().map(|&value| unscaled(u32::from(value), FINE_STEPS)).collect()
         }
         PackedCounts::Coarse { length, shift, halves } => {
+            let mut counts_of = [0; COARSE_TOP as usize + 1];
+            for (value, count) in counts_of.iter_mut().enumerate().skip(1) {
+                *count = unscaled(value as u32 + u32::from(*shift), COARSE_STEPS);
+            }
             let values = halves.iter().flat_map(|&byte| [byte & 0x0f, byte >> 4]);
-            let counts = values.take(*length as usize).map(|value| match value {
-                0 => 0,
-                value => unscaled(u32::from(value) + u32::from(*shift), COARSE_STEPS),
-            });
-            counts.collect()
+            values.take(*length as usize).map(|value| counts_of[usize::from(value)]).collect()
         }
     }
 }
--- a/crates/core/src/experts.rs
+++ b/crates/core/src/experts.rs
@@ -4,6 +4,8 @@
 //! pace. A plan lowers the sum of these maxima with few copies: the next best
 //! moves that are in force soon are worth more than the best map later.
 
+use std::time::Duration;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -21,12 +23,16 @@
 /// Demand for each expert of a set, in any unit.
 pub type SetDemand = Vec<f64>;
 
-/// Most moves in one plan; bounds the time that a plan takes.
-const MAX_MOVES: usize = 160;
+/// Most moves in one plan for each set; bounds the time that a plan takes.
+const MAX_MOVES_PER_SET: usize = 40;
+/// Least loaded ranks to which a move may go; bounds the time that a plan takes.
+const LIGHTEST_RANKS: usize = 16;
 /// Pace below which a rank is not taken to be faster than a sound one.
 const LEAST_PACE: f64 = 0.5;
 /// Ranks from which a move may take load.
 const BUSIEST_RANKS: usize = 2;
+/// Ranks whose loads a move's gain is measured by; docs/ROUNDS.md has the trials.
+const PEAK_RANKS: usize = 3;
 /// Power of the mean that stands for the highest load.
 const PEAK_POWER: i32 = 12;
 
@@ -68,11 +74,11 @@
 /// Bounds on a plan.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PlanSettings {
-    /// Most copies to a rank, over all sets; each takes about a tenth of a second.
-    pub copies_per_rank: usize,
+    /// Longest time for which the copies of one switch keep a rank's link busy.
+    pub copy_span: Duration,
     /// Most copies to a rank in one set.
     pub copies_per_rank_and_set: usize,
-    /// Part of a set's highest load by which each move must lower it.
+    /// Part by which each move must lower the loads of the most loaded ranks.
     pub move_gain: f64,
     /// Part of the sum of highest loads by which a whole plan must lower it.
     pub plan_gain: f64,
@@ -82,14 +88,25 @@
     /// Values in force; docs/ROUNDS.md tells what was tried beside them.
     fn default() -> PlanSettings {
         PlanSettings {
-            copies_per_rank: 2,
-            copies_per_rank_and_set: 1,
+            copy_span: Duration::from_millis(200),
+            copies_per_rank_and_set: 2,
             move_gain: 0.02,
             plan_gain: 0.15,
         }
     }
 }
 
+impl PlanSettings {
+    /// Most copies to a rank in one switch, over all sets.
+    pub fn copies_per_rank(&self, layout: ExpertLayout) -> usize {
+        if layout.copy_time.is_zero() {
+            return layout.sets * layout.max_new;
+        }
+        let copies = self.copy_span.as_secs_f64() / layout.copy_time.as_secs_f64();
+        (copies as usize).max(1)
+    }
+}
+
 /// A map that is better than the one in force.
 #[derive(Debug, Clone, PartialEq)]
 pub struct MapPlan {
@@ -139,7 +156,7 @@
     let mut open: Vec<usize> = (0..plans.len()).collect();
     // The set with the highest skew moves first, so that the copies that a rank
     // may take go where they gain most.
-    for _ in 0..MAX_MOVES {
+    for _ in 0..MAX_MOVES_PER_SET * plans.len() {
         let Some(position) = worst_set(&plans, &open) else {
             break;
         };
@@ -147,7 +164,7 @@
         let limits = MoveLimits {
             places: layout.places,
             per_set,
-            per_rank: settings.copies_per_rank,
+            per_rank: settings.copies_per_rank(layout),
             gain: settings.move_gain,
         };
         if !plans[set].improve(&limits, &mut copies) {
@@ -287,9 +304,10 @@
     /// gains enough.
     fn improve(&mut self, limits: &MoveLimits, copies: &mut [usize]) -> bool {
         let before = self.power_sum();
+        let lightest = self.lightest(limits, copies);
         let mut best: Option<(f64, Move)> = None;
         for rank in self.busiest() {
-            for candidate in self.candidates(rank, limits, copies) {
+            for candidate in self.candidates(rank, &lightest, limits, copies) {
                 let after = self.weigh(candidate, before);
                 if best.as_ref().is_none_or(|(known, _)| after < *known) {
                     best = Some((after, candidate));
@@ -299,7 +317,9 @@
         let Some((after, chosen)) = best else {
             return false;
         };
-        if after > before * (1.0 - limits.gain).powi(PEAK_POWER) {
+        // Measured by a few ranks: where many are nearly as loaded, relieving one of
+        // them moves the whole sum by little.
+        if before - after < self.peak_sum() * (1.0 - (1.0 - limits.gain).powi(PEAK_POWER)) {
             return false;
         }
         self.apply(chosen, copies);
@@ -314,6 +334,16 @@
         ranks
     }
 
+    /// Returns the least loaded ranks that may still take a copy.
+    fn lightest(&self, limits: &MoveLimits, copies: &[usize]) -> Vec<RankIndex> {
+        let open =
+            |&rank: &RankIndex| self.new[rank] < limits.per_set && copies[rank] < limits.per_rank;
+        let mut ranks: Vec<RankIndex> = (0..self.loads.len()).filter(open).collect();
+        ranks.sort_by(|&left, &right| self.loads[left].total_cmp(&self.loads[right]));
+        ranks.truncate(LIGHTEST_RANKS);
+        ranks
+    }
+
     /// Sum of the loads' powers, relative to the mean load. Its root is a smooth
     /// form of the highest load: it also falls when one of several ranks with
     /// nearly the highest load is relieved.
@@ -321,6 +351,13 @@
         self.loads.iter().map(|load| self.power(*load)).sum()
     }
 
+    /// The same over the most loaded ranks only.
+    fn peak_sum(&self) -> f64 {
+        let mut powers: Vec<f64> = self.loads.iter().map(|load| self.power(*load)).collect();
+        powers.sort_by(|left, right| right.total_cmp(left));
+        powers.iter().take(PEAK_RANKS).sum()
+    }
+
     fn power(&self, load: f64) -> f64 {
         (load / self.mean.max(f64::MIN_POSITIVE)).powi(PEAK_POWER)
     }
@@ -336,13 +373,19 @@
             || (self.new[to] < limits.per_set && copies[to] < limits.per_rank)
     }
 
-    fn candidates(&self, top: RankIndex, limits: &MoveLimits, copies: &[usize]) -> Vec<Move> {
+    fn candidates(
+        &self,
+        top: RankIndex,
+        lightest: &[RankIndex],
+        limits: &MoveLimits,
+        copies: &[usize],
+    ) -> Vec<Move> {
         let mut moves = Vec::new();
         for &expert in &self.held[top] {
             if self.holders[usize::from(expert)].len() > 1 {
                 moves.push(Move::Drop { expert, from: top });
             }
-            for to in (0..self.held.len()).filter(|&to| to != top) {
+            for to in lightest.iter().copied().filter(|&to| to != top) {
                 if self.loads[to] >= self.loads[top] || self.held[to].contains(&expert) {
                     continue;
                 }
--- a/crates/core/src/orders.rs
+++ b/crates/core/src/orders.rs
@@ -1,5 +1,7 @@
 //! Orders to the ranks of a group, and what ranks and leaders say of them.
 
+use std::sync::Arc;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -65,8 +67,8 @@
         mark: OrderMark,
         /// Version of the map.
         version: MapVersion,
-        /// The map.
-        map: ExpertMap,
+        /// The map; the orders to all ranks share it.
+        map: Arc<ExpertMap>,
     },
     /// Use a prepared map from a pass on.
     Arm {
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -97,6 +97,8 @@
     pub places: usize,
     /// Most experts in a set that one change may copy to a rank.
     pub max_new: usize,
+    /// Time that the copy of one expert to a rank takes.
+    pub copy_time: Duration,
 }
 
 /// A service as operators state it.
--- a/crates/core/src/switch.rs
+++ b/crates/core/src/switch.rs
@@ -17,6 +17,7 @@
 //! while a pass is held; armed ranks without a held pass were released together
 //! and are left to switch. What is held is released last.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::experts::ExpertIndex;
@@ -46,12 +47,15 @@
 const MAP_TIMEOUT: Duration = Duration::from_millis(600);
 /// Times that an order is sent while its outcome is awaited.
 const RESENDS: u32 = 4;
+/// The same for an order that carries a map, which other agents pass on.
+const MAP_RESENDS: u32 = 2;
 /// Silence of an agent after which its engine is given orders directly.
 const AGENT_SILENCE: Duration = Duration::from_millis(400);
 /// Time to prepare a map, besides its copies.
 const PREPARE_TIME: Duration = Duration::from_millis(900);
-/// Time allowed for each copy to a rank; three times what one takes.
-const COPY_TIME: Duration = Duration::from_millis(300);
+/// Times that the copies to a rank may take longer than its link allows; passes
+/// and other copies share it.
+const COPY_SLACK: u32 = 3;
 /// Pause after a switch that was given up.
 const FAILED_PAUSE: Duration = Duration::from_millis(300);
 /// Time for ranks to be read after their orders; several of their reports.
@@ -122,7 +126,7 @@
     /// Nothing is under way.
     Idle { since: Duration },
     /// The ranks copy experts.
-    Preparing { version: MapVersion, map: ExpertMap, started: Duration, limit: Duration },
+    Preparing { version: MapVersion, map: Arc<ExpertMap>, started: Duration, limit: Duration },
     /// A rank is asked to hold a pass.
     Holding { version: MapVersion, pass: PassNumber, tries: u32 },
     /// The pass is held, and each agent is asked to answer.
@@ -150,6 +154,8 @@
     looked: Duration,
     settled_at: Duration,
     switches: u64,
+    /// Map of the last switch; ranks that use its version hold just this.
+    ordered: Option<(MapVersion, Arc<ExpertMap>)>,
 }
 
 impl GroupLeader {
@@ -169,6 +175,7 @@
             looked: Duration::ZERO,
             settled_at: Duration::ZERO,
             switches: 0,
+            ordered: None,
         }
     }
 
@@ -182,8 +189,9 @@
         self.switches
     }
 
-    /// Takes the status of a rank in, with the experts that it holds by set and
-    /// the last order of this leader that was carried out before it was read.
+    /// Takes the status of a rank in, with the experts that it holds by set, unless
+    /// they are told seldom and were not due, and the last order of this leader that
+    /// was carried out before it was read.
     pub fn hear_status(
         &mut self,
         now: Duration,
@@ -198,6 +206,11 @@
         let versions = [Some(status.map), status.prepared, status.armed];
         let highest = versions.into_iter().flatten().max().unwrap_or(0);
         self.last_version = self.last_version.max(highest);
+        let before = self.views[rank].take();
+        let placed = match before {
+            Some(before) if placed.is_empty() && same_map(&before.status, &status) => before.placed,
+            _ => placed,
+        };
         self.views[rank] = Some(RankView { status, placed, heard: now, after });
         self.advance(now)
     }
@@ -296,7 +309,7 @@
     }
 
     /// Returns the map in force if a switch could begin now.
-    pub fn switchable_map(&self, now: Duration) -> Option<ExpertMap> {
+    pub fn switchable_map(&self, now: Duration) -> Option<Arc<ExpertMap>> {
         let Phase::Idle { since } = self.phase else {
             return None;
         };
@@ -304,36 +317,42 @@
             return None;
         }
         let first = self.views.first()?.as_ref()?;
+        let version = first.status.map;
+        if self.views.iter().flatten().any(|view| view.status.map != version) {
+            return None;
+        }
+        if let Some((_, map)) = self.ordered.as_ref().filter(|(ordered, _)| *ordered == version) {
+            return Some(Arc::clone(map));
+        }
         let sets = first.placed.len();
-        let same = self
-            .views
-            .iter()
-            .flatten()
-            .all(|view| view.status.map == first.status.map && view.placed.len() == sets);
-        if !same || sets == 0 {
+        if sets == 0 || self.views.iter().flatten().any(|view| view.placed.len() != sets) {
             return None;
         }
         let by_set = (0..sets)
             .map(|set| self.views.iter().flatten().map(|view| view.placed[set].clone()).collect());
-        Some(by_set.collect())
+        Some(Arc::new(by_set.collect()))
     }
 
-    /// Begins to switch to a map; `copies` is the most that a rank has to copy.
+    /// Begins to switch to a map; `copy_span` is the longest time for which a rank
+    /// has to copy.
     pub fn begin_switch(
         &mut self,
         now: Duration,
         map: ExpertMap,
-        copies: usize,
+        copy_span: Duration,
     ) -> Vec<LeaderAction> {
         if !matches!(self.phase, Phase::Idle { .. }) {
             return Vec::new();
         }
         let version = self.last_version + 1;
         self.last_version = version;
-        let limit = PREPARE_TIME + COPY_TIME * copies as u32;
-        let mut actions = vec![note("map-prepared", version, 0, format!("copies {copies}"))];
+        let limit = PREPARE_TIME + copy_span * COPY_SLACK;
+        let detail = format!("copies take {} ms", copy_span.as_millis());
+        let mut actions = vec![note("map-prepared", version, 0, detail)];
+        let map = Arc::new(map);
+        self.ordered = Some((version, Arc::clone(&map)));
         for rank in 0..self.views.len() {
-            let order = RankOrder::Prepare { mark: self.mark(), version, map: map.clone() };
+            let order = RankOrder::Prepare { mark: self.mark(), version, map: Arc::clone(&map) };
             actions.push(self.send(now, rank, order));
         }
         self.phase = Phase::Preparing { version, map, started: now, limit };
@@ -389,7 +408,7 @@
         let mut actions = Vec::new();
         let views = &self.views;
         for (id, pending) in &mut self.pending {
-            if now < pending.last_sent + patience(&pending.order) / RESENDS {
+            if now < pending.last_sent + patience(&pending.order) / resends(&pending.order) {
                 continue;
             }
             if agent_silent(views, now, pending.rank) {
@@ -438,21 +457,28 @@
         if formed.is_none() || formed != self.epoch {
             return self.reform(now, formed);
         }
-        match self.phase.clone() {
+        match &self.phase {
             Phase::Waiting | Phase::Holding { .. } | Phase::Arming { .. } => Vec::new(),
             Phase::Checking { version, pass, check } => {
+                let (version, pass, check) = (*version, *pass, check.clone());
                 self.follow_check(now, version, pass, check)
             }
-            Phase::Idle { since } => self.release_stray(now, since),
-            Phase::Preparing { started, .. } if self.held_after(started) => {
+            &Phase::Idle { since } => self.release_stray(now, since),
+            &Phase::Preparing { started, .. } if self.held_after(started) => {
                 self.release_stray(now, started)
             }
-            Phase::Settling { confirmed } => self.check_settled(now, confirmed),
-            Phase::Clearing { needed, started } => self.clear(now, &needed, started),
-            Phase::Preparing { version, started, limit, .. } => {
+            Phase::Settling { confirmed } => {
+                let confirmed = confirmed.clone();
+                self.check_settled(now, confirmed)
+            }
+            Phase::Clearing { needed, started } => {
+                let (needed, started) = (needed.clone(), *started);
+                self.clear(now, &needed, started)
+            }
+            &Phase::Preparing { version, started, limit, .. } => {
                 self.check_prepared(now, version, started, limit)
             }
-            Phase::Releasing { version, pass, started, sent } => {
+            &Phase::Releasing { version, pass, started, sent } => {
                 self.check_released(now, version, pass, started, sent)
             }
         }
@@ -480,6 +506,7 @@
             return vec![note("group-broken", 0, 0, String::new())];
         };
         self.epoch = Some(epoch);
+        self.ordered = None;
         self.pending.clear();
         let mut actions = vec![note("group-formed", 0, 0, format!("epoch {epoch}"))];
         actions.extend(self.begin_settling(now, "a new formation or leader"));
@@ -836,7 +863,7 @@
                 if done {
                     return Vec::new();
                 }
-                let (version, map) = (*version, map.clone());
+                let (version, map) = (*version, Arc::clone(map));
                 if outcome != OrderOutcome::Unknown {
                     let rank = pending.rank;
                     let taken = self.views[rank]
@@ -904,6 +931,19 @@
     }
 }
 
+/// Times that an order is sent while its outcome is awaited.
+fn resends(order: &RankOrder) -> u32 {
+    match order {
+        RankOrder::Prepare { .. } => MAP_RESENDS,
+        _ => RESENDS,
+    }
+}
+
+/// Whether two statuses of a rank speak of the same map.
+fn same_map(before: &RankStatus, after: &RankStatus) -> bool {
+    (before.epoch, before.map) == (after.epoch, after.map)
+}
+
 fn agent_silent(views: &[Option<RankView>], now: Duration, rank: RankIndex) -> bool {
     views[rank].as_ref().is_some_and(|view| now >= view.heard + AGENT_SILENCE)
 }
--- a/crates/core/tests/expert_plans.rs
+++ b/crates/core/tests/expert_plans.rs
@@ -15,7 +15,10 @@
 use cuminpick::ids::ChoiceRng;
 use cuminpick::routing::ExpertLayout;
 
-const LAYOUT: ExpertLayout = ExpertLayout { sets: 4, experts: 72, places: 8, max_new: 3 };
+/// Time of a copy on the users' first sites.
+const COPY_TIME: Duration = Duration::from_millis(98);
+const LAYOUT: ExpertLayout =
+    ExpertLayout { sets: 4, experts: 72, places: 8, max_new: 3, copy_time: COPY_TIME };
 const RANKS: usize = 12;
 const SOUND: [f64; RANKS] = [1.0; RANKS];
 
@@ -44,7 +47,7 @@
             assert!(new <= layout.max_new && new <= settings.copies_per_rank_and_set);
             copies += new;
         }
-        assert!(copies <= settings.copies_per_rank);
+        assert!(copies <= settings.copies_per_rank(layout));
     }
 }
 
@@ -146,7 +149,7 @@
 
 #[test]
 fn recent_demand_counts() {
-    let layout = ExpertLayout { sets: 1, experts: 2, places: 2, max_new: 1 };
+    let layout = ExpertLayout { sets: 1, experts: 2, places: 2, max_new: 1, copy_time: COPY_TIME };
     let mut meter = DemandMeter::new(layout, DemandSettings::default());
     assert_eq!(meter.sets(), None);
     meter.add(Duration::ZERO, &[1_000, 0]);
@@ -160,7 +163,8 @@
 /// agent's thread for long.
 #[test]
 fn large_group_bounded() {
-    let layout = ExpertLayout { sets: 8, experts: 252, places: 5, max_new: 3 };
+    let layout =
+        ExpertLayout { sets: 8, experts: 252, places: 5, max_new: 3, copy_time: COPY_TIME };
     let mut rng = ChoiceRng::new(9);
     let map = initial_map(layout, 63);
     let demand: Vec<SetDemand> = (0..layout.sets)
@@ -172,3 +176,28 @@
     let took = started.elapsed();
     assert!(took < Duration::from_secs(2), "a plan took {took:?}");
 }
+
+/// Pattern: in a group of 63 ranks many ranks are nearly as loaded as the most
+/// loaded one. What is liked is drawn anew; copies take 14 ms each, and three
+/// switches, about as many as there is time for until the next shift, have to do.
+#[test]
+fn large_group_shifted() {
+    let copy_time = Duration::from_millis(14);
+    let layout = ExpertLayout { sets: 8, experts: 252, places: 5, max_new: 2, copy_time };
+    let settings = PlanSettings::default();
+    let mut rng = ChoiceRng::new(11);
+    let mut map = initial_map(layout, 63);
+    for _ in 0..4 {
+        let demand: Vec<SetDemand> = (0..layout.sets)
+            .map(|_| (0..layout.experts).map(|_| 1.0 + (rng.below(5) as f64).powi(2)).collect())
+            .collect();
+        for _ in 0..3 {
+            if let Some(plan) = plan_map(&map, &demand, &[1.0; 63], layout, &settings) {
+                assert_valid(&plan.map, &map, layout, &settings);
+                map = plan.map;
+            }
+        }
+        let skew = map_skew(&map, &demand);
+        assert!(skew < 1.35, "skew {skew} after three switches");
+    }
+}
--- a/crates/core/tests/map_switch.rs
+++ b/crates/core/tests/map_switch.rs
@@ -28,6 +28,8 @@
 const PASS_STEPS: u32 = 8;
 /// Steps that a rank needs to copy experts.
 const COPY_STEPS: u32 = 10;
+/// Time that a leader expects the copies to take.
+const COPY_SPAN: Duration = Duration::from_millis(100);
 
 #[derive(Debug, Clone, Default)]
 struct Rank {
@@ -391,7 +393,7 @@
                 let mut actions = deciding.tick(now);
                 if deciding.switchable_map(now).is_some() {
                     let map: ExpertMap = vec![vec![vec![0]; self.ranks.len()]];
-                    actions.extend(deciding.begin_switch(now, map, 1));
+                    actions.extend(deciding.begin_switch(now, map, COPY_SPAN));
                 }
                 self.switches = self.switches.max(deciding.switches());
                 self.act(leader, actions);
--- a/crates/rank-agent/src/daemon.rs
+++ b/crates/rank-agent/src/daemon.rs
@@ -34,7 +34,9 @@
 use crate::observe::GivenOrder;
 use crate::observe::observe_engine;
 use crate::observe::take_sent_order;
-use crate::pass::send_whole;
+use crate::pass::note_unknowing;
+use crate::pass::pass_on;
+use crate::pass::take_passed_order;
 use crate::state::Agent;
 use crate::state::AgentState;
 use crate::state::AgentTuning;
@@ -166,6 +168,10 @@
                 tokio::task::spawn_local(take_sent_order(Rc::clone(agent), giving, order));
             }
         }
+        AgentMessage::PassOn { group, order, agents } => {
+            pass_on(agent, group, order, agents);
+        }
+        AgentMessage::Passed { order, id, .. } => take_passed_order(agent, order, id),
         AgentMessage::Check { group, term, id } => {
             let rank = agent.state.borrow().rank.as_ref().map(|own| own.rank);
             if let Some(rank) = rank.filter(|_| follow_leader(agent, from, term)) {
@@ -173,7 +179,7 @@
             }
         }
         AgentMessage::Present { term, id, rank, .. } => hear_present(agent, term, id, rank).await,
-        AgentMessage::MapUnknown { term, id, .. } => send_whole(agent, from, term, id).await,
+        AgentMessage::MapUnknown { term, id, .. } => note_unknowing(agent, from, term, id),
         AgentMessage::Outcome { term, id, outcome, .. } => {
             hear_outcome(agent, term, id, outcome).await;
         }
@@ -181,7 +187,7 @@
 }
 
 /// Follows the leader with the highest term; false for an earlier one.
-fn follow_leader(agent: &Rc<Agent>, address: SocketAddr, term: u64) -> bool {
+pub(crate) fn follow_leader(agent: &Rc<Agent>, address: SocketAddr, term: u64) -> bool {
     let known = agent.state.borrow().leader.map_or(0, |leader| leader.term);
     if term < known {
         return false;
--- a/crates/rank-agent/src/lead.rs
+++ b/crates/rank-agent/src/lead.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use cuminpick::counts::unpack_counts;
@@ -9,7 +10,6 @@
 use cuminpick::experts::ExpertMap;
 use cuminpick::experts::MapVersion;
 use cuminpick::experts::RankIndex;
-use cuminpick::experts::map_skew;
 use cuminpick::experts::plan_map;
 use cuminpick::ids::FastMap;
 use cuminpick::news::GroupNews;
@@ -18,6 +18,7 @@
 use cuminpick::orders::LeaderTerm;
 use cuminpick::orders::OrderId;
 use cuminpick::orders::OrderOutcome;
+use cuminpick::orders::RankOrder;
 use cuminpick::routing::ExpertLayout;
 use cuminpick::switch::GroupLeader;
 use slog::o;
@@ -27,8 +28,10 @@
 use crate::messages::RankNews;
 use crate::pass::engine_of;
 use crate::pass::look_directly;
+use crate::pass::pass_map;
 use crate::pass::pass_order;
 use crate::pass::pass_order_via;
+use crate::pass::send_whole;
 use crate::state::Agent;
 
 /// Interval of the leader's decisions.
@@ -37,6 +40,11 @@
 const BEACON_INTERVAL: Duration = Duration::from_millis(100);
 /// Time after which a new leader reads the engines of agents that it has not heard.
 const UNHEARD_TIME: Duration = Duration::from_millis(600);
+/// Least pause between two plans.
+const PLAN_PAUSE: Duration = Duration::from_millis(40);
+/// Pause after a plan for each unit of time that it took: a leader spends at most a
+/// third of its processor on plans, so that messages are not held up.
+const PLAN_REST: u32 = 2;
 /// Pause between two such readings.
 const LOOK_PAUSE: Duration = Duration::from_millis(100);
 /// Interval at which gateways are told of slow engines.
@@ -53,7 +61,7 @@
     pub(crate) demand: Option<DemandMeter>,
     pub(crate) layout: Option<ExpertLayout>,
     /// Map in force when the last switch began, with its version.
-    pub(crate) base: Option<(MapVersion, ExpertMap)>,
+    pub(crate) base: Option<(MapVersion, Arc<ExpertMap>)>,
     /// Addresses of the gateways.
     pub(crate) gateways: Vec<SocketAddr>,
     /// Whether the gateways were last told of slow engines.
@@ -64,6 +72,10 @@
     pub(crate) direct: FastMap<SocketAddr, OrderId>,
     /// Engines of ranks whose agents were never heard.
     pub(crate) rank_engines: FastMap<RankIndex, SocketAddr>,
+    /// Agents that lack the base of an order, and when the first of them said so.
+    pub(crate) unknowing: Option<(Duration, Vec<(SocketAddr, OrderId)>)>,
+    /// When the next plan may be made.
+    plan_due: Duration,
     began: Duration,
     looked: Duration,
     /// Addresses of the ranks' agents, learnt from their news.
@@ -75,6 +87,8 @@
     pub fn new(leader: GroupLeader, now: Duration) -> Leadership {
         Leadership {
             rank_engines: FastMap::default(),
+            unknowing: None,
+            plan_due: now,
             began: now,
             looked: now,
             leader,
@@ -108,6 +122,7 @@
             next_news = now + NEWS_INTERVAL;
             tell_gateways(&agent).await;
         }
+        send_whole(&agent, now);
         let actions = {
             let mut state = agent.state.borrow_mut();
             let Some(leadership) = &mut state.leadership else {
@@ -150,7 +165,7 @@
     let (Some(layout), Some(demand)) = (leadership.layout, &leadership.demand) else {
         return Vec::new();
     };
-    if demand.weight() < LEAST_COUNTS {
+    if now < leadership.plan_due || demand.weight() < LEAST_COUNTS {
         return Vec::new();
     }
     let Some(current) = leadership.leader.switchable_map(now) else {
@@ -159,9 +174,10 @@
     let Some(sets) = demand.sets() else {
         return Vec::new();
     };
-    let Some(plan) =
-        plan_map(&current, &sets, &leadership.leader.paces(), layout, &agent.tuning.plan)
-    else {
+    let plan = plan_map(&current, &sets, &leadership.leader.paces(), layout, &agent.tuning.plan);
+    let planned = agent.now();
+    leadership.plan_due = planned + PLAN_PAUSE.max((planned - now) * PLAN_REST);
+    let Some(plan) = plan else {
         return Vec::new();
     };
     agent.journal.note(
@@ -169,10 +185,11 @@
         None,
         o!("skew_before" => plan.skew_before, "skew_after" => plan.skew_after,
            "copies" => plan.copies, "counts" => demand.weight() as u64,
-           "skew_now" => map_skew(&current, &sets)),
+           "planned_ms" => (planned - now).as_millis() as u64),
     );
     leadership.base = leadership.leader.map_version().map(|version| (version, current));
-    leadership.leader.begin_switch(now, plan.map, agent.tuning.plan.copies_per_rank)
+    let copies = agent.tuning.plan.copies_per_rank(layout);
+    leadership.leader.begin_switch(now, plan.map, layout.copy_time * copies as u32)
 }
 
 /// Tells the gateways which engines are slow, and once that none is any more.
@@ -306,8 +323,17 @@
 }
 
 pub(crate) async fn carry_out(agent: &Rc<Agent>, actions: Vec<LeaderAction>) {
+    let own = agent.state.borrow().rank.as_ref().map(|own| own.rank);
+    let mut map_order = None;
+    let mut map_ids = Vec::new();
     for action in actions {
         match action {
+            LeaderAction::Order { rank, id, order, direct: false, via: None }
+                if Some(rank) != own && matches!(order, RankOrder::Prepare { .. }) =>
+            {
+                map_ids.push((rank, id));
+                map_order = Some(order);
+            }
             LeaderAction::Order { rank, id, order, via: Some(via), .. } => {
                 pass_order_via(agent, rank, via, id, order).await;
             }
@@ -328,6 +354,9 @@
             LeaderAction::StepDown => step_down(agent, "a higher fence was seen"),
         }
     }
+    if let Some(order) = map_order {
+        pass_map(agent, order, map_ids);
+    }
 }
 
 /// Stops leading.
--- a/crates/rank-agent/src/main.rs
+++ b/crates/rank-agent/src/main.rs
@@ -28,10 +28,10 @@
         .help("Part by which a plan must lower the sum of highest loads")
         .argument::<f64>("PART")
         .fallback(plan_defaults.plan_gain);
-    let copies = bpaf::long("copies")
-        .help("Most copies to a rank in one switch")
-        .argument::<usize>("N")
-        .fallback(plan_defaults.copies_per_rank);
+    let copy_span = bpaf::long("copy-span-ms")
+        .help("Longest time for the copies to a rank in one switch")
+        .argument::<u64>("MS")
+        .fallback(plan_defaults.copy_span.as_millis() as u64);
     let copies_in_set = bpaf::long("copies-in-set")
         .help("Most copies to a rank in one set and switch")
         .argument::<usize>("N")
@@ -44,10 +44,10 @@
         .help("Part of long-run demand in plans")
         .argument::<f64>("PART")
         .fallback(demand_defaults.long_share);
-    bpaf::construct!(move_gain, plan_gain, copies, copies_in_set, recent, long_share).map(
-        move |(move_gain, plan_gain, copies, copies_in_set, recent, long_share)| AgentTuning {
+    bpaf::construct!(move_gain, plan_gain, copy_span, copies_in_set, recent, long_share).map(
+        move |(move_gain, plan_gain, copy_span, copies_in_set, recent, long_share)| AgentTuning {
             plan: PlanSettings {
-                copies_per_rank: copies,
+                copy_span: Duration::from_millis(copy_span),
                 copies_per_rank_and_set: copies_in_set,
                 move_gain,
                 plan_gain,
--- a/crates/rank-agent/src/messages.rs
+++ b/crates/rank-agent/src/messages.rs
@@ -55,7 +55,19 @@
     },
 }
 
-/// A message between two agents.
+/// An order of a leader to an agent that it reaches through another agent.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PassedOrder {
+    /// Term of the leader.
+    pub term: LeaderTerm,
+    /// Address of the leader, which waits for the outcome.
+    pub leader: SocketAddr,
+    /// The order.
+    pub order: SentOrder,
+}
+
+/// A message between two agents. Variants are only added at the end: during a rolling
+/// update agents of two versions hear each other.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum AgentMessage {
     /// The sender leads the group.
@@ -125,6 +137,26 @@
         /// The outcome.
         outcome: OrderOutcome,
     },
+    /// An order for the receiver's engine, and for those of other agents, to which the
+    /// receiver passes it on. Maps are large, and the leader's link is as narrow as
+    /// the others'.
+    PassOn {
+        /// Group.
+        group: GroupName,
+        /// The order.
+        order: PassedOrder,
+        /// Agents, and the order's identity at each; the receiver is the first.
+        agents: Vec<(SocketAddr, OrderId)>,
+    },
+    /// An order for the receiver's engine that was passed on.
+    Passed {
+        /// Group.
+        group: GroupName,
+        /// The order.
+        order: PassedOrder,
+        /// Identity within the term.
+        id: OrderId,
+    },
 }
 
 impl AgentMessage {
@@ -137,7 +169,9 @@
             | AgentMessage::Check { group, .. }
             | AgentMessage::Present { group, .. }
             | AgentMessage::MapUnknown { group, .. }
-            | AgentMessage::Outcome { group, .. } => group,
+            | AgentMessage::Outcome { group, .. }
+            | AgentMessage::PassOn { group, .. }
+            | AgentMessage::Passed { group, .. } => group,
         }
     }
 
@@ -151,6 +185,8 @@
             AgentMessage::Present { .. } => "present",
             AgentMessage::MapUnknown { .. } => "map-unknown",
             AgentMessage::Outcome { .. } => "outcome",
+            AgentMessage::PassOn { .. } => "pass-on",
+            AgentMessage::Passed { .. } => "passed",
         }
     }
 }
--- a/crates/rank-agent/src/observe.rs
+++ b/crates/rank-agent/src/observe.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use cuminpick::counts::PackedCounts;
@@ -16,6 +17,7 @@
 use cuminpick::orders::OrderId;
 use cuminpick::orders::OrderOutcome;
 use cuminpick::orders::RankOrder;
+use cuminpick::orders::RankStatus;
 use cuminpick::routing::ExpertLayout;
 use cuminpick_platform::engine::EngineClient;
 use cuminpick_platform::engine::EngineError;
@@ -33,8 +35,19 @@
 const LOOK_INTERVAL: Duration = Duration::from_millis(30);
 /// Interval for each rank of a group, so that a large one's leader can hear all.
 const LOOK_PER_RANK: Duration = Duration::from_millis(1);
+/// Interval at which the engine is read while a switch waits for it; a switch waits
+/// for the last rank to say that it has prepared, and that it uses the map.
+const SWITCH_LOOK_INTERVAL: Duration = Duration::from_millis(10);
+/// Time after an order for which a switch may wait for the engine; copies and passes
+/// take some hundred milliseconds.
+const SWITCH_WAIT: Duration = Duration::from_secs(1);
+/// Reports after which the experts that the rank holds are told again, though they
+/// are the same.
+const PLACED_REPEAT: u32 = 8;
 /// Least interval at which the counts are read.
 const COUNT_INTERVAL: Duration = Duration::from_millis(60);
+/// Span that counts tell of where they are told less often; a pass or two.
+const COUNT_SPAN: Duration = Duration::from_millis(150);
 /// Part of a VM's link that counts from all ranks may take at the leader.
 const COUNT_LINK_SHARE: f64 = 0.4;
 /// Maps that are kept as bases of later ones.
@@ -44,6 +57,15 @@
 /// Outcomes that are remembered before all are forgotten.
 const MAX_OUTCOMES: usize = 4_096;
 
+/// Time by which a report may come early, so that the timer's lateness does not
+/// add up.
+const REPORT_SLACK: Duration = Duration::from_millis(3);
+
+/// Interval at which a rank of a group of that size reports when nothing changes.
+fn report_interval(ranks: u32) -> Duration {
+    LOOK_INTERVAL.max(LOOK_PER_RANK * ranks)
+}
+
 /// Reads the engine for as long as the process runs.
 pub async fn observe_engine(agent: Rc<Agent>) {
     let mut observer = Observer {
@@ -51,13 +73,16 @@
         agent,
         counts: None,
         placed: None,
+        told: None,
+        reported_at: Duration::ZERO,
         counted_at: Duration::ZERO,
+        began_span: Duration::ZERO,
         count_interval: COUNT_INTERVAL,
         failing: false,
     };
     loop {
         let pause = match observer.look().await {
-            Ok(ranks) => LOOK_INTERVAL.max(LOOK_PER_RANK * ranks),
+            Ok(ranks) => observer.pause(ranks),
             Err(error) => {
                 observer.note_failure(&error);
                 FAILED_PAUSE
@@ -73,12 +98,43 @@
     client: EngineClient,
     counts: Option<(GroupEpoch, Vec<u64>)>,
     placed: Option<(GroupEpoch, MapVersion, Vec<Vec<ExpertIndex>>)>,
+    /// What was last reported, to which leader, and how many reports ago the held
+    /// experts were told.
+    told: Option<ToldStatus>,
+    reported_at: Duration,
     counted_at: Duration,
+    /// When the span was begun that the next counts tell of.
+    began_span: Duration,
     count_interval: Duration,
     failing: bool,
 }
 
+/// What an observer reported last.
+#[derive(Debug, Clone, PartialEq)]
+struct ToldStatus {
+    status: RankStatus,
+    leader: Option<LeaderTerm>,
+    after: Option<(LeaderTerm, OrderId)>,
+    since_placed: u32,
+}
+
 impl Observer {
+    /// Time until the engine is read next.
+    fn pause(&self, ranks: u32) -> Duration {
+        let regular = report_interval(ranks);
+        if self.switch_waits() { SWITCH_LOOK_INTERVAL.min(regular) } else { regular }
+    }
+
+    /// Whether a switch waits for this rank to prepare a map or to use it.
+    fn switch_waits(&self) -> bool {
+        let awaited = self.agent.state.borrow().awaited;
+        let Some((version, since)) = awaited else {
+            return false;
+        };
+        let reached = self.told.as_ref().is_some_and(|told| told.status.map >= version);
+        !reached && self.agent.now() < since + SWITCH_WAIT
+    }
+
     /// Reads the engine once; returns the number of ranks in its group.
     async fn look(&mut self) -> Result<u32, EngineError> {
         let after = self.agent.state.borrow().finished;
@@ -96,21 +152,70 @@
             let (version, placed) = self.client.placed().await?;
             self.placed = Some((status.epoch, version, placed));
         }
-        let placed = match &self.placed {
-            Some((_, version, placed)) if *version == status.map => placed.clone(),
-            _ => Vec::new(),
-        };
         let rank = OwnRank { group: report.group, size: report.size, rank: status.rank };
-        let news = RankNews { status, placed, counts, after };
         let ranks = rank.size as u32;
+        let now = self.agent.now();
+        let due = now + REPORT_SLACK >= self.reported_at + report_interval(ranks);
+        if !due && counts == PackedCounts::None && !self.tells_more(&status, after) {
+            return Ok(ranks);
+        }
+        self.reported_at = now;
+        let placed = self.due_placed(&status, after);
+        let news = RankNews { status, placed, counts, after };
         self.report(rank, news).await;
         Ok(ranks)
     }
 
-    /// Reads the counts if it is time to, and packs them.
+    /// Whether a status says anything that a switch may wait for.
+    fn tells_more(&self, status: &RankStatus, after: Option<(LeaderTerm, OrderId)>) -> bool {
+        self.told.as_ref().is_none_or(|told| {
+            let before = &told.status;
+            let known = (before.epoch, before.open, before.map, before.prepared);
+            let orders = (before.armed, before.held);
+            told.after != after
+                || known != (status.epoch, status.open, status.map, status.prepared)
+                || orders != (status.armed, status.held)
+        })
+    }
+
+    /// Returns the experts that the rank holds when the leader has to be told, and
+    /// notes what is reported.
+    fn due_placed(
+        &mut self,
+        status: &RankStatus,
+        after: Option<(LeaderTerm, OrderId)>,
+    ) -> Vec<Vec<ExpertIndex>> {
+        let leader = self.agent.state.borrow().leader.map(|leader| leader.term);
+        let since_placed = match &self.told {
+            Some(told)
+                if told.leader == leader
+                    && (told.status.epoch, told.status.map) == (status.epoch, status.map) =>
+            {
+                (told.since_placed + 1) % PLACED_REPEAT
+            }
+            _ => 0,
+        };
+        self.told = Some(ToldStatus { status: status.clone(), leader, after, since_placed });
+        match &self.placed {
+            Some((_, version, placed)) if *version == status.map && since_placed == 0 => {
+                placed.clone()
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// Reads the counts if it is time to, and packs them. In a large group a rank's
+    /// turn comes seldom: it then tells what was chosen shortly before only, since
+    /// demand shifts within seconds.
     async fn due_counts(&mut self, ranks: usize) -> Result<PackedCounts, EngineError> {
         let now = self.agent.now();
-        if now < self.counted_at + self.count_interval {
+        let due = self.counted_at + self.count_interval;
+        if now < due {
+            let spans_more = self.count_interval > COUNT_SPAN * 2;
+            if spans_more && now + COUNT_SPAN >= due && self.began_span < self.counted_at {
+                self.began_span = now;
+                self.new_counts().await?;
+            }
             return Ok(PackedCounts::None);
         }
         self.counted_at = now;
@@ -164,7 +269,9 @@
             }
         };
         match target {
-            Some(address) => agent.tell(address, &AgentMessage::News { group, news }).await,
+            Some(address) => {
+                agent.tell(address, &AgentMessage::News { group, news }).await;
+            }
             None => hear_news(agent, news).await,
         }
     }
@@ -214,14 +321,15 @@
         SentOrder::PrepareChanges { mark, version, base, shape, changes } => {
             let known = state.maps.iter().find(|known| (known.0, known.1) == (mark.epoch, base));
             let before = match known {
-                Some((_, _, map)) => map.clone(),
+                Some((_, _, map)) => Arc::clone(map),
                 None if base == 0 => {
                     let ranks = state.rank.as_ref()?.size;
-                    initial_map(first_layout(shape), ranks)
+                    Arc::new(initial_map(first_layout(shape), ranks))
                 }
                 None => return None,
             };
-            RankOrder::Prepare { mark, version, map: apply_changes(&before, &changes)? }
+            let map = Arc::new(apply_changes(&before, &changes)?);
+            RankOrder::Prepare { mark, version, map }
         }
     };
     if let RankOrder::Prepare { mark, version, map } = &order {
@@ -232,14 +340,14 @@
 
 fn first_layout((sets, experts): (u16, u16)) -> ExpertLayout {
     let (sets, experts) = (usize::from(sets), usize::from(experts));
-    ExpertLayout { sets, experts, places: experts, max_new: 0 }
+    ExpertLayout { sets, experts, places: experts, max_new: 0, copy_time: Duration::ZERO }
 }
 
 fn keep_map(
-    maps: &mut Vec<(GroupEpoch, MapVersion, ExpertMap)>,
+    maps: &mut Vec<(GroupEpoch, MapVersion, Arc<ExpertMap>)>,
     epoch: GroupEpoch,
     version: MapVersion,
-    map: &ExpertMap,
+    map: &Arc<ExpertMap>,
 ) {
     if maps.iter().any(|known| (known.0, known.1) == (epoch, version)) {
         return;
@@ -247,7 +355,7 @@
     if maps.len() >= KEPT_MAPS {
         maps.remove(0);
     }
-    maps.push((epoch, version, map.clone()));
+    maps.push((epoch, version, Arc::clone(map)));
 }
 
 /// Carries out an order of the leader once, and reports the outcome.
@@ -261,6 +369,9 @@
         let known = state.outcomes.get(&id).copied();
         if known.is_none() {
             state.outcomes.insert(id, None);
+            if let RankOrder::Prepare { version, .. } = &order {
+                state.awaited = Some((*version, agent.now()));
+            }
         }
         known
     };
--- a/crates/rank-agent/src/pass.rs
+++ b/crates/rank-agent/src/pass.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use cuminpick::experts::RankIndex;
 use cuminpick::experts::map_changes;
@@ -12,14 +13,26 @@
 use slog::o;
 
 use crate::daemon::agent_port;
+use crate::daemon::follow_leader;
 use crate::lead::carry_out;
 use crate::lead::hear_outcome;
 use crate::messages::AgentMessage;
+use crate::messages::GroupName;
+use crate::messages::PassedOrder;
 use crate::messages::SentOrder;
 use crate::observe::GivenOrder;
 use crate::observe::take_order;
+use crate::observe::take_sent_order;
 use crate::state::Agent;
 
+/// Agents from which on maps are passed on by some of them.
+const LEAST_PASSED_ON: usize = 16;
+/// Part of a VM's link that maps may take while they are sent.
+const MAP_LINK_SHARE: f64 = 0.8;
+/// Time for which agents that lack a map are gathered; their messages come within some
+/// milliseconds of each other.
+const UNKNOWING_WAIT: Duration = Duration::from_millis(30);
+
 /// Passes an order to a rank, by its agent or straight to its engine.
 pub(crate) async fn pass_order(
     agent: &Rc<Agent>,
@@ -56,6 +69,90 @@
     }
 }
 
+/// Passes a map to all ranks whose agents are heard, as what differs from the one in
+/// force.
+pub(crate) fn pass_map(agent: &Rc<Agent>, order: RankOrder, ids: Vec<(RankIndex, OrderId)>) {
+    let agents = {
+        let state = agent.state.borrow();
+        let Some(leadership) = &state.leadership else {
+            return;
+        };
+        // A rank that was never heard gets its order when it is sent again.
+        let heard = ids.iter().filter_map(|(rank, id)| Some((*leadership.agents.get(rank)?, *id)));
+        heard.collect()
+    };
+    let order = shortened(agent, order);
+    distribute(agent, order, agents);
+}
+
+/// Sends an order to agents: to few by itself, to many by some of them, so that the
+/// leader's link carries it a few times only.
+fn distribute(agent: &Rc<Agent>, order: SentOrder, agents: Vec<(SocketAddr, OrderId)>) {
+    let (term, group) = {
+        let state = agent.state.borrow();
+        let (Some(leadership), Some(own)) = (&state.leadership, &state.rank) else {
+            return;
+        };
+        (leadership.leader.term(), own.group.clone())
+    };
+    let leader = SocketAddr::new(agent.settings.ip, agent_port(&agent.settings));
+    let share = match agents.len() {
+        count if count < LEAST_PASSED_ON => 1,
+        count => (count as f64).sqrt().ceil() as usize,
+    };
+    let messages = agents.chunks(share).map(|part| {
+        let (first, id) = part[0];
+        let (group, order) = (group.clone(), order.clone());
+        let message = match part.len() {
+            1 => AgentMessage::Order { group, term, id, order, engine: None },
+            _ => {
+                let order = PassedOrder { term, leader, order };
+                AgentMessage::PassOn { group, order, agents: part.to_vec() }
+            }
+        };
+        (first, message)
+    });
+    let messages = messages.collect();
+    tokio::task::spawn_local(send_paced(Rc::clone(agent), messages));
+}
+
+/// Sends messages no faster than the link carries them; what it cannot take is lost.
+async fn send_paced(agent: Rc<Agent>, messages: Vec<(SocketAddr, AgentMessage)>) {
+    let rate = agent.settings.link_bits_per_second * MAP_LINK_SHARE;
+    for (address, message) in messages {
+        let bytes = agent.tell(address, &message).await;
+        tokio::time::sleep(Duration::from_secs_f64((bytes * 8) as f64 / rate.max(1.0))).await;
+    }
+}
+
+/// Passes an order on to other agents, and takes it for the own engine.
+pub(crate) fn pass_on(
+    agent: &Rc<Agent>,
+    group: GroupName,
+    order: PassedOrder,
+    agents: Vec<(SocketAddr, OrderId)>,
+) {
+    let mut agents = agents.into_iter();
+    let Some((_, own)) = agents.next() else {
+        return;
+    };
+    let messages = agents.map(|(address, id)| {
+        (address, AgentMessage::Passed { group: group.clone(), order: order.clone(), id })
+    });
+    let messages = messages.collect();
+    tokio::task::spawn_local(send_paced(Rc::clone(agent), messages));
+    take_passed_order(agent, order, own);
+}
+
+/// Takes an order for the own engine that came through another agent.
+pub(crate) fn take_passed_order(agent: &Rc<Agent>, passed: PassedOrder, id: OrderId) {
+    let PassedOrder { term, leader, order } = passed;
+    if follow_leader(agent, leader, term) {
+        let giving = GivenOrder { term, id, engine: agent.engine, from: leader };
+        tokio::task::spawn_local(take_sent_order(Rc::clone(agent), giving, order));
+    }
+}
+
 /// Passes an order for one rank's engine to the agent of another rank.
 pub(crate) async fn pass_order_via(
     agent: &Rc<Agent>,
@@ -100,24 +197,42 @@
     }
 }
 
-/// Sends an order again with its whole map to an agent that lacks the base.
-pub async fn send_whole(agent: &Rc<Agent>, to: SocketAddr, term: LeaderTerm, id: OrderId) {
-    let (order, group) = {
-        let state = agent.state.borrow();
-        let (Some(leadership), Some(rank)) = (&state.leadership, &state.rank) else {
+/// Notes that an agent lacks the base of an order. After a restart of many they say so
+/// together and get the whole map together.
+pub fn note_unknowing(agent: &Agent, from: SocketAddr, term: LeaderTerm, id: OrderId) {
+    let now = agent.now();
+    let mut state = agent.state.borrow_mut();
+    let Some(leadership) = &mut state.leadership else {
+        return;
+    };
+    if leadership.leader.term() == term {
+        let (_, agents) = leadership.unknowing.get_or_insert_with(|| (now, Vec::new()));
+        if !agents.contains(&(from, id)) {
+            agents.push((from, id));
+        }
+    }
+}
+
+/// Sends an order again with its whole map to agents that lack the base.
+pub(crate) fn send_whole(agent: &Rc<Agent>, now: Duration) {
+    let (order, agents) = {
+        let mut state = agent.state.borrow_mut();
+        let Some(leadership) = &mut state.leadership else {
             return;
         };
-        if leadership.leader.term() != term {
+        let due = leadership.unknowing.take_if(|(since, _)| now >= *since + UNKNOWING_WAIT);
+        let Some((_, mut agents)) = due else {
             return;
-        }
-        let order = leadership.leader.pending_order(id).map(|(_, order)| order.clone());
-        (order, rank.group.clone())
+        };
+        let pending = |id: OrderId| leadership.leader.pending_order(id).map(|(_, order)| order);
+        let Some(order) = agents.iter().rev().find_map(|(_, id)| pending(*id)) else {
+            return;
+        };
+        // Some may have asked for a map that was given up since.
+        agents.retain(|(_, id)| pending(*id).is_some_and(|asked| asked.mark() == order.mark()));
+        (order.clone(), agents)
     };
-    if let Some(order) = order {
-        let order = SentOrder::Whole(order);
-        let message = AgentMessage::Order { group, term, id, order, engine: None };
-        agent.tell(to, &message).await;
-    }
+    distribute(agent, SentOrder::Whole(order), agents);
 }
 
 /// Gives an order to the engine of a rank whose agent is silent.
--- a/crates/rank-agent/src/state.rs
+++ b/crates/rank-agent/src/state.rs
@@ -71,7 +71,9 @@
     /// Outcomes of the current leader's orders; `None` while one is carried out.
     pub outcomes: FastMap<OrderId, Option<OrderOutcome>>,
     /// Newest maps of the group that orders named, oldest first.
-    pub maps: Vec<(GroupEpoch, MapVersion, ExpertMap)>,
+    pub maps: Vec<(GroupEpoch, MapVersion, Arc<ExpertMap>)>,
+    /// Version that a switch brings this rank's engine to, and when it was ordered.
+    pub awaited: Option<(MapVersion, Duration)>,
     /// Leader's term and last order that was carried out.
     pub finished: Option<(LeaderTerm, OrderId)>,
 }
@@ -114,16 +116,19 @@
         Duration::from_millis(self.rng.borrow_mut().next_bits() % millis)
     }
 
-    /// Sends a message; one that cannot be sent is as good as lost.
-    pub async fn tell(self: &Rc<Agent>, to: SocketAddr, message: &AgentMessage) {
+    /// Sends a message and returns its size; one that cannot be sent is as good as
+    /// lost.
+    pub async fn tell(self: &Rc<Agent>, to: SocketAddr, message: &AgentMessage) -> usize {
         match postcard::to_stdvec(message) {
             Ok(bytes) => {
                 self.metrics.count_control(message.name(), "out", bytes.len());
                 let _ = self.socket.send_to(&bytes, to).await;
+                bytes.len()
             }
             Err(error) => {
                 let detail = error.to_string();
                 self.journal.warn("message-unencodable", o!("error" => detail));
+                0
             }
         }
     }
--- a/crates/rank-agent/tests/group_switch.rs
+++ b/crates/rank-agent/tests/group_switch.rs
@@ -29,7 +29,13 @@
 use cuminpick_standins::site::store::SiteStore;
 use cuminpick_standins::site::store::StoreMood;
 
-const LAYOUT: ExpertLayout = ExpertLayout { sets: 2, experts: 16, places: 6, max_new: 3 };
+const LAYOUT: ExpertLayout = ExpertLayout {
+    sets: 2,
+    experts: 16,
+    places: 6,
+    max_new: 3,
+    copy_time: Duration::from_millis(100),
+};
 const RANKS: usize = 4;
 /// Longest wait for something that has to happen.
 const PATIENCE: Duration = Duration::from_secs(15);
--- a/crates/standins/src/drills/gateways.rs
+++ b/crates/standins/src/drills/gateways.rs
@@ -45,7 +45,13 @@
 use crate::site::nodes::gateway_settings;
 use crate::site::store::SiteStore;
 
-const LAYOUT: ExpertLayout = ExpertLayout { sets: 2, experts: 16, places: 6, max_new: 3 };
+const LAYOUT: ExpertLayout = ExpertLayout {
+    sets: 2,
+    experts: 16,
+    places: 6,
+    max_new: 3,
+    copy_time: Duration::from_millis(100),
+};
 /// Ranks of the model group, each with an agent.
 const RANKS: usize = 4;
 /// Plain services.
--- a/crates/standins/src/site/group.rs
+++ b/crates/standins/src/site/group.rs
@@ -244,7 +244,7 @@
             if fits {
                 known.highest = *version;
                 known.prepared = None;
-                known.copying = Some((*version, map.clone(), COPY_PASSES));
+                known.copying = Some((*version, map.as_ref().clone(), COPY_PASSES));
             }
             fits
         }
