Let answers that speak for a request lapse by time, and be outweighed

Cause: the log of answered requests rotated only when another answer came, so that at a gateway told of one answer an answer spoke for its request for ever; and a request that was answered shortly before it begins to end servers was bounded by nothing for up to four minutes. Change: answers lapse whenever the ledger is used or swept. Ends after an answer, in three bursts a second or more apart and without a further answer, hold the request back; a lost zone ends its servers within a second and counts once.

--- a/crates/core/src/crashes.rs
+++ b/crates/core/src/crashes.rs
@@ -6,14 +6,13 @@
 //!
 //! Most requests at a server that ends are innocent. One that is answered anywhere
 //! is no cause of ends: its ends are void, and so are those in the time after the
-//! answer. Merging what others tell is idempotent and needs no order.
+//! answer, unless they keep coming without another answer. Merging what others tell is idempotent and needs no order.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use crate::ends::ServerLife;
 use crate::ids::FastMap;
-use crate::ids::FastSet;
 use crate::ids::RequestDigest;
 
 /// Ends of servers after which a request is held back; the platform's bound.
@@ -32,6 +31,10 @@
 /// Time for which an answer speaks for a request, at least; half of it after a
 /// rotation of the log.
 const ANSWER_SPAN: Duration = Duration::from_secs(120);
+/// Least time between two ends that count against a request although it was answered.
+/// A lost zone ends its servers within this time, so that its ends count once; a
+/// request that ends servers ends the next only after it was sent again.
+const BURST_SPAN: Duration = Duration::from_secs(1);
 /// Answers that are remembered in each half of the log; a gateway of the largest
 /// site answers 24 requests a second.
 const MAX_ANSWERS: usize = 4_096;
@@ -92,12 +95,15 @@
     Answered,
 }
 
+/// Answered requests, with the ends that came since the answer.
+type AnswerLog = FastMap<RequestDigest, Vec<CrashEnd>>;
+
 /// Ends of servers by the request under which they came.
 #[derive(Debug, Clone, Default)]
 pub struct CrashLedger {
     suspects: FastMap<RequestDigest, SuspectState>,
-    answered: FastSet<RequestDigest>,
-    answered_before: FastSet<RequestDigest>,
+    answered: AnswerLog,
+    answered_before: AnswerLog,
     rotated: Duration,
     evicted: u64,
 }
@@ -105,12 +111,13 @@
 impl CrashLedger {
     /// Takes an end in; `own` if this gateway noticed it itself.
     pub fn note_end(&mut self, now: Duration, end: CrashEnd, own: bool) -> LedgerChange {
-        if self.was_answered(end.digest) {
-            return LedgerChange::Answered;
-        }
+        self.expire_answers(now);
         if now >= end.at + FORGET_TIME {
             return LedgerChange::Known;
         }
+        if self.was_answered(end.digest) {
+            return self.note_end_after_answer(end, own);
+        }
         let suspect = self.suspects.entry(end.digest).or_default();
         if let Some(known) = suspect.ends.iter_mut().find(|known| known.end.life == end.life) {
             let changed = own && !known.own;
@@ -130,21 +137,61 @@
         change
     }
 
+    /// Takes the end of a server under an answered request in. Ends in so many
+    /// bursts as hold a request back outweigh the answer.
+    fn note_end_after_answer(&mut self, end: CrashEnd, own: bool) -> LedgerChange {
+        let digest = end.digest;
+        let logs = [&mut self.answered, &mut self.answered_before];
+        let Some(since) = logs.into_iter().find_map(|log| log.get_mut(&digest)) else {
+            return LedgerChange::Answered;
+        };
+        let counted = since.iter().any(|known| {
+            known.life == end.life || known.at.abs_diff(end.at) < BURST_SPAN
+        });
+        if !counted {
+            since.push(end);
+        }
+        if since.len() < HELD_ENDS {
+            return LedgerChange::Answered;
+        }
+        let ends = std::mem::take(since).into_iter().map(|end| SuspectEnd { end, own });
+        self.suspects.insert(digest, SuspectState { ends: ends.collect() });
+        self.answered.remove(&digest);
+        self.answered_before.remove(&digest);
+        self.evict();
+        LedgerChange::NowHeld
+    }
+
+    /// Forgets answers that are too old to speak for a request.
+    fn expire_answers(&mut self, now: Duration) {
+        if now >= self.rotated + ANSWER_SPAN * 2 {
+            self.answered.clear();
+            self.answered_before.clear();
+            self.rotated = now;
+        } else if now >= self.rotated + ANSWER_SPAN {
+            self.rotate_answers(now);
+        }
+    }
+
+    fn rotate_answers(&mut self, now: Duration) {
+        self.answered_before = std::mem::take(&mut self.answered);
+        self.rotated = now;
+    }
+
     /// Takes in that a request was answered, here or elsewhere; returns the number
     /// of ends that are void by it.
     pub fn note_answer(&mut self, now: Duration, digest: RequestDigest) -> usize {
-        let full = self.answered.len() >= MAX_ANSWERS;
-        if full || now >= self.rotated + ANSWER_SPAN {
-            self.answered_before = std::mem::take(&mut self.answered);
-            self.rotated = now;
+        self.expire_answers(now);
+        if self.answered.len() >= MAX_ANSWERS {
+            self.rotate_answers(now);
         }
-        self.answered.insert(digest);
+        self.answered.insert(digest, Vec::new());
         self.suspects.remove(&digest).map_or(0, |suspect| suspect.ends.len())
     }
 
     /// Whether an answer of late speaks for a request.
     pub fn was_answered(&self, digest: RequestDigest) -> bool {
-        self.answered.contains(&digest) || self.answered_before.contains(&digest)
+        self.answered.contains_key(&digest) || self.answered_before.contains_key(&digest)
     }
 
     /// Tells whether a request may be sent.
@@ -176,8 +223,9 @@
         ends.filter(|kept| wanted(kept)).map(|kept| kept.end.clone()).take(most).collect()
     }
 
-    /// Forgets ends that are too old.
+    /// Forgets ends and answers that are too old.
     pub fn sweep(&mut self, now: Duration) {
+        self.expire_answers(now);
         for suspect in self.suspects.values_mut() {
             suspect.ends.retain(|kept| now < kept.end.at + FORGET_TIME);
         }
--- a/crates/core/tests/crash_ledger.rs
+++ b/crates/core/tests/crash_ledger.rs
@@ -165,3 +165,42 @@
         assert_ne!(base, other);
     }
 }
+
+/// A gateway that was told of one answer and then of nothing for an hour holds the
+/// request back like any other.
+#[test]
+fn idle_answer_wears_off() {
+    let mut ledger = CrashLedger::default();
+    ledger.note_answer(SECOND, 1);
+    let begin = Duration::from_secs(3_600);
+    for server in 0..6 {
+        let at = begin + SECOND * server as u32;
+        ledger.note_end(at, end(1, server, at), false);
+    }
+    assert!(held(&ledger, begin + SECOND * 6, 1));
+}
+
+/// A request that is answered and then begins to end servers is held back after
+/// ends in three bursts; one answer in between, and it is innocent again.
+#[test]
+fn answer_outweighed() {
+    let mut ledger = CrashLedger::default();
+    ledger.note_answer(SECOND, 1);
+    let at = |second: u32| Duration::from_secs(10) + SECOND * second;
+    let note = |ledger: &mut CrashLedger, server: usize, at: Duration| {
+        ledger.note_end(at, end(1, server, at), true)
+    };
+    // A lost zone: many servers within a second.
+    for server in 0..20 {
+        let at = at(0) + Duration::from_millis(40) * server as u32;
+        assert_eq!(note(&mut ledger, server, at), LedgerChange::Answered);
+    }
+    assert_eq!(note(&mut ledger, 30, at(2)), LedgerChange::Answered);
+    ledger.note_answer(at(3), 1);
+    assert_eq!(note(&mut ledger, 31, at(4)), LedgerChange::Answered);
+    assert_eq!(note(&mut ledger, 32, at(6)), LedgerChange::Answered);
+    assert_eq!(note(&mut ledger, 32, at(8)), LedgerChange::Answered, "the same end again");
+    assert!(!held(&ledger, at(8), 1));
+    assert_eq!(note(&mut ledger, 33, at(9)), LedgerChange::NowHeld);
+    assert!(held(&ledger, at(9), 1));
+}
