--- a/crates/rank-agent/tests/group_switch.rs
+++ b/crates/rank-agent/tests/group_switch.rs
@@ -60,16 +60,20 @@
 
 impl Group {
     async fn start() -> Group {
+        Group::start_of(RANKS, LAYOUT).await
+    }
+
+    async fn start_of(ranks: usize, layout: ExpertLayout) -> Group {
         let taken = TAKEN.fetch_add(1, Ordering::Relaxed);
         let (store, store_address) =
             SiteStore::start(IpAddr::V4(Ipv4Addr::LOCALHOST)).await.unwrap();
-        let group = RankGroup::start(LAYOUT, RANKS, 7);
+        let group = RankGroup::start(layout, ranks, 7);
         let folder =
             std::env::temp_dir().join(format!("cuminpick-agents-{}-{taken}", std::process::id()));
         let port = 20_000 + (std::process::id() % 20_000) as u16 + taken * 2;
         let mut engines = Vec::new();
         let mut settings = Vec::new();
-        for rank in 0..RANKS {
+        for rank in 0..ranks {
             let ip = IpAddr::V4(Ipv4Addr::new(127, 0, taken as u8 + 1, rank as u8 + 10));
             let seat = Some((group.clone(), rank));
             let (engine, address) =
@@ -81,12 +85,12 @@
             engines.push(engine);
             group.count_running(rank, true);
         }
-        let experts = Some((LAYOUT.sets, LAYOUT.experts, LAYOUT.places));
+        let experts = Some((layout.sets, layout.experts, layout.places));
         let service = StatedService { name: "model".to_string(), experts };
         store.put(CONFIG_KIND, "main", encode_config(1, &[], &[service], &[]));
-        let agents = (0..RANKS).map(|_| None).collect();
+        let agents = (0..ranks).map(|_| None).collect();
         let mut started = Group { store, group, agents, settings, folder, _engines: engines };
-        for rank in 0..RANKS {
+        for rank in 0..ranks {
             started.start_agent(rank);
         }
         started
@@ -204,3 +208,22 @@
     group.start_agent(leader);
     group.wait_switches(1, "after the store's return").await;
 }
+
+/// Pattern: a group so large that its agents pass maps on to each other; all of them
+/// are killed at once, and none that starts again knows the map in force.
+#[tokio::test(flavor = "multi_thread")]
+async fn restarted_agents() {
+    let layout = ExpertLayout { experts: 48, ..LAYOUT };
+    let mut group = Group::start_of(20, layout).await;
+    group.wait_switches(2, "before the restart").await;
+    for agent in group.agents.iter_mut().flatten() {
+        agent.kill().unwrap();
+    }
+    for rank in 0..20 {
+        group.start_agent(rank);
+    }
+    group.wait_switches(2, "after all agents were killed").await;
+    assert_eq!(group.group.mixed_passes(), 0);
+    let logs = group.logs();
+    assert!(!logs.contains("message-unreadable"), "{logs}");
+}
