--- a/crates/rank-agent/src/daemon.rs
+++ b/crates/rank-agent/src/daemon.rs
@@ -34,7 +34,7 @@
 use crate::observe::GivenOrder;
 use crate::observe::observe_engine;
 use crate::observe::take_sent_order;
-use crate::pass::note_unknowing;
+use crate::pass::note_missing_base;
 use crate::pass::pass_on;
 use crate::pass::take_passed_order;
 use crate::state::Agent;
@@ -179,7 +179,7 @@
             }
         }
         AgentMessage::Present { term, id, rank, .. } => hear_present(agent, term, id, rank).await,
-        AgentMessage::MapUnknown { term, id, .. } => note_unknowing(agent, from, term, id),
+        AgentMessage::MapUnknown { term, id, .. } => note_missing_base(agent, from, term, id),
         AgentMessage::Outcome { term, id, outcome, .. } => {
             hear_outcome(agent, term, id, outcome).await;
         }
--- a/crates/rank-agent/src/lead.rs
+++ b/crates/rank-agent/src/lead.rs
@@ -77,7 +77,7 @@
     /// Engines of ranks whose agents were never heard.
     pub(crate) rank_engines: FastMap<RankIndex, SocketAddr>,
     /// Agents that lack the base of an order, and when the first of them said so.
-    pub(crate) unknowing: Option<(Duration, Vec<(SocketAddr, OrderId)>)>,
+    pub(crate) missing_base: Option<(Duration, Vec<(SocketAddr, OrderId)>)>,
     /// When the next plan may be made.
     plan_due: Duration,
     began: Duration,
@@ -91,7 +91,7 @@
     pub fn new(leader: GroupLeader, now: Duration) -> Leadership {
         Leadership {
             rank_engines: FastMap::default(),
-            unknowing: None,
+            missing_base: None,
             plan_due: now,
             began: now,
             looked: now,
--- a/crates/rank-agent/src/pass.rs
+++ b/crates/rank-agent/src/pass.rs
@@ -31,7 +31,7 @@
 const MAP_LINK_SHARE: f64 = 0.8;
 /// Time for which agents that lack a map are gathered; their messages come within some
 /// milliseconds of each other.
-const UNKNOWING_WAIT: Duration = Duration::from_millis(30);
+const MISSING_BASE_WAIT: Duration = Duration::from_millis(30);
 
 /// Passes an order to a rank, by its agent or straight to its engine.
 pub(crate) async fn pass_order(
@@ -199,14 +199,14 @@
 
 /// Notes that an agent lacks the base of an order. After a restart of many they say so
 /// together and get the whole map together.
-pub fn note_unknowing(agent: &Agent, from: SocketAddr, term: LeaderTerm, id: OrderId) {
+pub fn note_missing_base(agent: &Agent, from: SocketAddr, term: LeaderTerm, id: OrderId) {
     let now = agent.now();
     let mut state = agent.state.borrow_mut();
     let Some(leadership) = &mut state.leadership else {
         return;
     };
     if leadership.leader.term() == term {
-        let (_, agents) = leadership.unknowing.get_or_insert_with(|| (now, Vec::new()));
+        let (_, agents) = leadership.missing_base.get_or_insert_with(|| (now, Vec::new()));
         if !agents.contains(&(from, id)) {
             agents.push((from, id));
         }
@@ -220,7 +220,7 @@
         let Some(leadership) = &mut state.leadership else {
             return;
         };
-        let due = leadership.unknowing.take_if(|(since, _)| now >= *since + UNKNOWING_WAIT);
+        let due = leadership.missing_base.take_if(|(since, _)| now >= *since + MISSING_BASE_WAIT);
         let Some((_, mut agents)) = due else {
             return;
         };
