Order and read the engine of a silent agent directly while switching

Cause: a leader switches only while all agents report. One agent whose process is killed stops the map of its group for as long as it is away, though its engine serves on.

Change: while an agent is silent its engine is read and ordered directly in every phase, the presence check included; the map is switched as long as most agents report. Each switch has a fence of its own, so that an order of an earlier switch has no effect once all ranks are prepared. A leader whose fences are used up ends its term. The state is now taken to be twice the stated lag old. The release of a pass is checked at the rank that holds it, not at the leader's own.

A frozen VM has to be met by admission, not by the map.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,7 +25,8 @@
 //!   requests that were at a crashed server, and [`quarantine`] decides which of them are
 //!   refused for a time because servers keep crashing while running them.
 //! - For groups of ranks, [`demand`] estimates the load of experts, [`experts`] plans expert
-//!   maps and [`switch`] puts them in force by [`orders`]. [`expert_counts`] and [`updates`]
+//!   maps and [`switch`] puts them in force by [`orders`], from what [`rank_views`] knows of
+//!   the ranks. [`expert_counts`] and [`updates`]
 //!   are messages between processes.
 //! - [`answer`] checks that the frames of an answer belong together.
 //! - [`refusal`] lists the reasons for which a request is refused.
@@ -71,6 +72,7 @@
 pub mod orders;
 pub mod quarantine;
 pub mod queue;
+pub mod rank_views;
 pub mod rate;
 pub mod refusal;
 pub mod replay;
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -87,6 +87,8 @@
     pub time_per_request: Duration,
     /// Share of the step time that experts take, 0 to 1.
     pub expert_share: f64,
+    /// Age of the state in an engine's reports to other VMs; zero if it is not known.
+    pub report_lag: Duration,
     /// Expert layout; `None` when the model has no experts.
     pub experts: Option<ExpertLayout>,
 }
--- a/crates/core/src/switch.rs
+++ b/crates/core/src/switch.rs
@@ -8,11 +8,16 @@
 //! on one of them, arms all ranks for that pass and releases it only after each rank has
 //! confirmed.
 //!
+//! While the agent of a rank is silent, its engine receives the orders directly and is read
+//! directly; one VM that stands still does not stop the switches of its group. Each switch
+//! has a fence of its own, so an agent that resumes with an order of an earlier switch has
+//! no effect: all ranks have seen the higher fence before a pass is held.
+//!
 //! The agent of one rank sends the hold to the engine of another, and neither is the
 //! leader's own rank: if the VM that sent the hold freezes, the leader and the held engine
 //! are still reachable, and the pass is released at once. While the pass is held, each
-//! agent has to answer a presence check before any rank is armed: a VM that froze earlier
-//! is then known not to have armed its engine.
+//! agent, or in its place the engine, has to answer a presence check before any rank is
+//! armed: a VM that froze earlier is then known not to have armed its engine.
 //!
 //! A leader that takes over, or whose switch failed, reconciles the ranks. First every
 //! rank receives an order with a higher fence that changes nothing else, after which no
@@ -37,12 +42,10 @@
 use crate::orders::PassNumber;
 use crate::orders::RankOrder;
 use crate::orders::RankStatus;
+use crate::rank_views::RankViews;
 
 /// Fencing tokens reserved for each term.
 const FENCES_PER_TERM: u64 = 4_096;
-/// Age after which a rank's status is too old to act on; ten report intervals in groups of
-/// up to 30 ranks.
-const MAX_STATUS_AGE: Duration = Duration::from_millis(300);
 /// Age up to which a hold can target the pass right after the one in a status; older
 /// statuses skip one more pass. Passes take 40 ms or more.
 const NEXT_PASS_STATUS_AGE: Duration = Duration::from_millis(12);
@@ -54,9 +57,6 @@
 const MAX_SENDS: u32 = 4;
 /// The same number for an order that carries a map, which other agents may relay.
 const MAX_MAP_SENDS: u32 = 2;
-/// Time without reports after which an agent counts as silent and its engine receives
-/// orders directly.
-const AGENT_SILENCE: Duration = Duration::from_millis(400);
 /// Time allowed for preparing a map, in addition to its copies.
 const PREPARE_TIMEOUT: Duration = Duration::from_millis(900);
 /// Factor by which copies may take longer than the link's rate implies; passes and other
@@ -65,20 +65,19 @@
 /// Delay before the next switch after one was aborted.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Time allowed for receiving statuses that were read after the ranks' last orders;
-/// several report intervals.
+/// several report intervals. The age of direct reads is added.
 const CLEAN_UP_TIMEOUT: Duration = Duration::from_millis(400);
 /// Minimum interval between fencing orders to a rank.
 const FENCING_INTERVAL: Duration = Duration::from_millis(30);
-/// Interval between direct reads of ranks whose agents are silent.
-const STATUS_READ_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval between direct reads of a rank whose agent is silent.
+const DIRECT_READ_INTERVAL: Duration = Duration::from_millis(50);
+/// Minimum interval between any two direct reads, so that the leader's VM keeps up when many
+/// agents are silent.
+const DIRECT_READ_SPACING: Duration = Duration::from_millis(10);
 /// Time allowed for all ranks to use a released map, after which they are reconciled.
 const SWITCH_TIMEOUT: Duration = Duration::from_secs(2);
 /// Interval at which a release is sent again while the pass is still held.
 const RELEASE_INTERVAL: Duration = Duration::from_millis(60);
-/// Age of a status at which its agent may have stopped; three report intervals.
-const MAX_REPORT_GAP: Duration = Duration::from_millis(100);
-/// The same age per rank of a large group, whose agents report less often.
-const REPORT_GAP_PER_RANK: Duration = Duration::from_millis(3);
 /// Delay from a confirmed hold to the first presence check, so that a VM that fails while
 /// it sends the hold is detected; shorter than the remainder of the running pass.
 const CHECK_DELAY: Duration = Duration::from_millis(5);
@@ -87,6 +86,12 @@
 const CHECK_TIMEOUT: Duration = Duration::from_millis(90);
 /// Interval at which a presence check is sent again, since datagrams may be lost.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Time after a confirmed hold from which the engines of agents that have not answered are
+/// read in their place; three checks are sent before it.
+const DIRECT_CHECK_DELAY: Duration = Duration::from_millis(45);
+/// Most agents in whose place the engines are read; a leader that more do not answer is
+/// likely to be cut off itself.
+const MAX_DIRECT_CHECKS: usize = 4;
 /// Time for which unanswered arm orders are sent again; callers abandon a stream after two
 /// seconds without an event.
 const ARMING_TIMEOUT: Duration = Duration::from_millis(500);
@@ -95,24 +100,13 @@
 /// out, the pass has begun or is held already.
 const MAX_HOLD_RETRIES: u32 = 6;
 
-/// What the leader knows of a rank.
-#[derive(Debug, Clone)]
-struct RankView {
-    status: RankStatus,
-    /// Experts that the rank holds, by set; empty while unknown.
-    placed: Vec<Vec<ExpertIndex>>,
-    /// When the rank's agent last reported.
-    reported: Duration,
-    /// Last order that was carried out before the status was read.
-    last_order: Option<OrderId>,
-}
-
 /// An order whose outcome is not known yet.
 #[derive(Debug, Clone)]
 struct PendingOrder {
     rank: RankIndex,
     order: RankOrder,
     via: Option<RankIndex>,
+    direct: bool,
     first_sent: Duration,
     last_sent: Duration,
 }
@@ -161,12 +155,13 @@
     next_order: OrderId,
     last_version: MapVersion,
     epoch: Option<GroupEpoch>,
-    views: Vec<Option<RankView>>,
+    views: RankViews,
     pending: FastMap<OrderId, PendingOrder>,
     phase: Phase,
     /// Rank that holds, or will hold, the pass of the current switch.
     holder: RankIndex,
-    statuses_read_at: Duration,
+    /// Next rank to read directly, and when the last read was begun.
+    next_read: (RankIndex, Duration),
     fencing_sent_at: Duration,
     completed_switches: u64,
     /// Map of the latest switch; ranks that use its version hold exactly this map.
@@ -183,11 +178,11 @@
             next_order: 0,
             last_version: 0,
             epoch: None,
-            views: vec![None; size],
+            views: RankViews::new(size),
             pending: FastMap::default(),
             phase: Phase::Waiting,
             holder: own_rank,
-            statuses_read_at: Duration::ZERO,
+            next_read: (0, Duration::ZERO),
             fencing_sent_at: Duration::ZERO,
             completed_switches: 0,
             latest_map: None,
@@ -199,6 +194,11 @@
         self.term
     }
 
+    /// Sets the age of the state that engines give in reports to other VMs.
+    pub fn set_report_lag(&mut self, lag: Duration) {
+        self.views.set_report_lag(lag);
+    }
+
     /// Returns the number of completed switches.
     pub fn completed_switches(&self) -> u64 {
         self.completed_switches
@@ -216,56 +216,53 @@
         placed: Vec<Vec<ExpertIndex>>,
         last_order: Option<OrderId>,
     ) -> Vec<LeaderAction> {
-        let rank = status.rank;
-        if rank >= self.views.len() {
+        if status.rank >= self.views.size() {
             return Vec::new();
         }
+        self.record_versions(&status);
+        self.views.record_report(now, status, placed, last_order);
+        self.advance(now)
+    }
+
+    /// Keeps the highest version that a rank has had, since later ones have to be higher.
+    fn record_versions(&mut self, status: &RankStatus) {
         let versions = [Some(status.map), status.prepared, status.armed];
         let highest = versions.into_iter().flatten().max().unwrap_or(0);
         self.last_version = self.last_version.max(highest);
-        let before = self.views[rank].take();
-        let placed = match before {
-            Some(before) if placed.is_empty() && same_map(&before.status, &status) => before.placed,
-            _ => placed,
-        };
-        self.views[rank] = Some(RankView { status, placed, reported: now, last_order });
-        self.advance(now)
     }
 
-    /// Applies a status that was read directly from the rank's engine because its agent is
-    /// silent.
+    /// Applies a status that was read directly from a rank's engine because its agent is
+    /// silent. The read was begun at `started`; `placed` holds the rank's experts by set and
+    /// is empty if they were not read.
     pub fn handle_direct_status(
         &mut self,
         now: Duration,
+        started: Duration,
         status: RankStatus,
-        last_order: Option<OrderId>,
+        placed: Vec<Vec<ExpertIndex>>,
     ) -> Vec<LeaderAction> {
-        match self.views.get_mut(status.rank) {
-            Some(Some(view)) => {
-                view.status = status;
-                view.last_order = last_order;
-            }
-            Some(unreported) => {
-                // Time zero makes the agent count as silent, so that the engine receives
-                // orders directly.
-                let reported = Duration::ZERO;
-                *unreported = Some(RankView { status, placed: Vec::new(), reported, last_order });
-            }
-            None => {}
-        }
+        let rank = status.rank;
+        self.record_versions(&status);
+        self.views.record_read(now, started, status, placed);
+        self.record_engine_presence(rank, started);
         self.advance(now)
     }
 
+    /// Returns whether the experts that a rank holds are not known.
+    pub fn lacks_placement(&self, rank: RankIndex) -> bool {
+        self.views.get(rank).is_none_or(|view| view.placed.is_empty())
+    }
+
     /// Returns the number of ranks whose status was never received.
     pub fn unreported_ranks(&self) -> usize {
-        self.views.iter().filter(|view| view.is_none()).count()
+        self.views.unknown()
     }
 
     /// Returns the time that each rank's work takes relative to a healthy engine; 1 for
     /// ranks that are not known.
     pub fn slowdowns(&self) -> Vec<f64> {
-        let views = self.views.iter();
-        views.map(|view| view.as_ref().map_or(1.0, |view| view.status.slowdown)).collect()
+        let slowdown = |rank| self.views.get(rank).map_or(1.0, |view| view.status.slowdown);
+        (0..self.views.size()).map(slowdown).collect()
     }
 
     /// Applies the outcome of an order.
@@ -278,6 +275,11 @@
         let Some(pending) = self.pending.remove(&id) else {
             return Vec::new();
         };
+        if pending.direct {
+            self.views.record_direct_order(now, pending.rank, id);
+        } else if outcome == OrderOutcome::Unknown {
+            self.views.suspect_agent(pending.via.unwrap_or(pending.rank), pending.first_sent);
+        }
         let mut actions = self.apply_outcome(now, id, &pending, outcome);
         actions.extend(self.advance(now));
         actions
@@ -289,7 +291,11 @@
         let late: Vec<OrderId> = self
             .pending
             .iter()
-            .filter(|(_, pending)| now >= pending.first_sent + outcome_timeout(&pending.order))
+            .filter(|(_, pending)| {
+                let agent = pending.via.unwrap_or(pending.rank);
+                let is_agent_silent = !pending.direct && self.views.is_silent(now, agent);
+                is_agent_silent || now >= pending.first_sent + outcome_timeout(&pending.order)
+            })
             .map(|(id, _)| *id)
             .collect();
         for id in late {
@@ -301,15 +307,17 @@
         actions
     }
 
-    /// Requests direct reads of ranks whose agents are silent, in the phases that need them.
+    /// Requests direct reads of ranks whose agents are silent, in turn.
     fn read_silent_ranks(&mut self, now: Duration) -> Vec<LeaderAction> {
-        let is_needed = matches!(self.phase, Phase::Fencing { .. } | Phase::CleaningUp { .. });
-        if !is_needed || now < self.statuses_read_at + STATUS_READ_INTERVAL {
+        let silent = self.views.silent(now);
+        let (next, last_read) = self.next_read;
+        let interval = DIRECT_READ_SPACING.max(DIRECT_READ_INTERVAL / silent.len().max(1) as u32);
+        let rank = silent.iter().copied().find(|rank| *rank >= next).or(silent.first().copied());
+        let Some(rank) = rank.filter(|_| now >= last_read + interval) else {
             return Vec::new();
-        }
-        self.statuses_read_at = now;
-        let silent = (0..self.views.len()).filter(|&rank| self.agent_silent(now, rank));
-        silent.map(|rank| LeaderAction::ReadStatus { rank }).collect()
+        };
+        self.next_read = (rank + 1, now);
+        vec![LeaderAction::ReadStatus { rank }]
     }
 
     /// Returns an order whose outcome is not known yet, with its rank.
@@ -319,7 +327,7 @@
 
     /// Returns the version of the map in use, as the first rank reports it.
     pub fn map_version(&self) -> Option<MapVersion> {
-        self.views.first()?.as_ref().map(|view| view.status.map)
+        self.views.get(0).map(|view| view.status.map)
     }
 
     /// Returns the formation that the leader acts in; `None` while the group is not formed.
@@ -332,25 +340,14 @@
         let Phase::Idle { since } = self.phase else {
             return None;
         };
-        if now < since || !self.all_current(now) {
-            return None;
-        }
-        let first = self.views.first()?.as_ref()?;
-        let version = first.status.map;
-        if self.views.iter().flatten().any(|view| view.status.map != version) {
+        if now < since || !self.views.all_current(now) {
             return None;
         }
-        if let Some((_, map)) = self.latest_map.as_ref().filter(|(ordered, _)| *ordered == version)
-        {
-            return Some(Arc::clone(map));
+        let version = self.views.common_version()?;
+        match &self.latest_map {
+            Some((ordered, map)) if *ordered == version => Some(Arc::clone(map)),
+            _ => self.views.placed_map().map(Arc::new),
         }
-        let sets = first.placed.len();
-        if sets == 0 || self.views.iter().flatten().any(|view| view.placed.len() != sets) {
-            return None;
-        }
-        let by_set = (0..sets)
-            .map(|set| self.views.iter().flatten().map(|view| view.placed[set].clone()).collect());
-        Some(Arc::new(by_set.collect()))
     }
 
     /// Begins a switch to a map; does nothing unless the leader is idle. `max_copy_time` is
@@ -364,6 +361,9 @@
         if !matches!(self.phase, Phase::Idle { .. }) {
             return Vec::new();
         }
+        if !self.raise_fence() {
+            return vec![LeaderAction::StepDown];
+        }
         let version = self.last_version + 1;
         self.last_version = version;
         let timeout = PREPARE_TIMEOUT + max_copy_time * COPY_TIME_FACTOR;
@@ -371,7 +371,7 @@
         let mut actions = vec![log_step("map-prepared", version, 0, detail)];
         let map = Arc::new(map);
         self.latest_map = Some((version, Arc::clone(&map)));
-        for rank in 0..self.views.len() {
+        for rank in 0..self.views.size() {
             let order = RankOrder::Prepare { mark: self.mark(), version, map: Arc::clone(&map) };
             actions.push(self.send(now, rank, order));
         }
@@ -386,19 +386,22 @@
 
     /// Returns the number of running requests in the group.
     pub fn running_requests(&self) -> u32 {
-        self.views.iter().flatten().map(|view| view.status.running).sum()
+        self.views.known().map(|view| view.status.running).sum()
     }
 
     /// Returns the number of ranks whose agents never reported or are silent.
     pub fn silent_ranks(&self, now: Duration) -> usize {
-        self.views
-            .iter()
-            .filter(|view| view.as_ref().is_none_or(|view| now >= view.reported + AGENT_SILENCE))
-            .count()
+        self.views.unknown() + self.views.silent(now).len()
+    }
+
+    /// Begins to use the next fence; returns false if the term has none left.
+    fn raise_fence(&mut self) -> bool {
+        self.fences_used += 1;
+        self.fences_used < FENCES_PER_TERM
     }
 
     fn mark(&self) -> OrderMark {
-        let fence = self.term * FENCES_PER_TERM + self.fences_used.min(FENCES_PER_TERM - 1);
+        let fence = self.term * FENCES_PER_TERM + self.fences_used;
         OrderMark { fence, epoch: self.epoch.unwrap_or(0) }
     }
 
@@ -415,10 +418,11 @@
     ) -> LeaderAction {
         let id = self.next_order;
         self.next_order += 1;
+        let direct = via.is_none() && self.views.is_silent(now, rank);
+        let (first_sent, last_sent) = (now, now);
         let pending =
-            PendingOrder { rank, order: order.clone(), via, first_sent: now, last_sent: now };
+            PendingOrder { rank, order: order.clone(), via, direct, first_sent, last_sent };
         self.pending.insert(id, pending);
-        let direct = via.is_none() && self.agent_silent(now, rank);
         LeaderAction::Order { rank, id, order, direct, via }
     }
 
@@ -432,7 +436,7 @@
             {
                 continue;
             }
-            if agent_silent(views, now, pending.rank) {
+            if pending.direct || views.is_silent(now, pending.via.unwrap_or(pending.rank)) {
                 continue;
             }
             pending.last_sent = now;
@@ -447,36 +451,9 @@
         actions
     }
 
-    fn agent_silent(&self, now: Duration, rank: RankIndex) -> bool {
-        agent_silent(&self.views, now, rank)
-    }
-
-    /// Returns whether every agent reported recently enough to be presumed running.
-    fn all_reported_recently(&self, now: Duration) -> bool {
-        let max_gap = MAX_REPORT_GAP.max(REPORT_GAP_PER_RANK * self.views.len() as u32);
-        self.views
-            .iter()
-            .all(|view| view.as_ref().is_some_and(|view| now < view.reported + max_gap))
-    }
-
-    fn all_current(&self, now: Duration) -> bool {
-        self.views
-            .iter()
-            .all(|view| view.as_ref().is_some_and(|view| now < view.reported + MAX_STATUS_AGE))
-    }
-
-    /// Returns the formation if all ranks report the same one as open.
-    fn formed_epoch(&self) -> Option<GroupEpoch> {
-        let first = self.views.first()?.as_ref()?.status.epoch;
-        let formed = self.views.iter().all(|view| {
-            view.as_ref().is_some_and(|view| view.status.epoch == first && view.status.open)
-        });
-        formed.then_some(first)
-    }
-
     /// Advances the protocol as far as the known statuses allow.
     fn advance(&mut self, now: Duration) -> Vec<LeaderAction> {
-        let formed = self.formed_epoch();
+        let formed = self.views.formed_epoch();
         if formed.is_none() || formed != self.epoch {
             return self.handle_formation_change(now, formed);
         }
@@ -521,8 +498,7 @@
             // abandoned only when a rank reports that it broke.
             let broken = self
                 .views
-                .iter()
-                .flatten()
+                .known()
                 .any(|view| Some(view.status.epoch) != self.epoch || !view.status.open);
             if !broken {
                 return Vec::new();
@@ -542,12 +518,14 @@
 
     /// Raises the fence and sends it to every rank.
     fn begin_fencing(&mut self, now: Duration, reason: &str) -> Vec<LeaderAction> {
-        self.fences_used += 1;
+        if !self.raise_fence() {
+            return vec![LeaderAction::StepDown];
+        }
         // The fencing order disarms a version that is never armed, so that carrying it
         // out late cannot undo a later switch.
         self.last_version += 1;
         self.pending.clear();
-        let size = self.views.len();
+        let size = self.views.size();
         self.phase = Phase::Fencing { confirmed: vec![None; size] };
         let mut actions = vec![log_step("settling", self.last_version, 0, reason.to_string())];
         self.fencing_sent_at = now;
@@ -605,10 +583,12 @@
         needed: &[OrderId],
         started: Duration,
     ) -> Vec<LeaderAction> {
-        let current = self.views.iter().zip(needed).all(|(view, needed)| {
-            view.as_ref().is_some_and(|view| view.last_order.is_some_and(|order| order >= *needed))
-        });
-        if !current && now >= started + CLEAN_UP_TIMEOUT {
+        let current = self.views.all(|view| view.last_order >= Some(needed[view.status.rank]));
+        let read_lag = match self.views.silent(now).is_empty() {
+            true => Duration::ZERO,
+            false => self.views.read_lag(),
+        };
+        if !current && now >= started + CLEAN_UP_TIMEOUT + read_lag {
             // An agent that was silent reports again, and does not know of the orders that
             // were sent to its engine directly.
             return self.begin_fencing(now, "no status of a rank was read after its orders");
@@ -616,12 +596,8 @@
         if !current || !self.pending.is_empty() {
             return Vec::new();
         }
-        let statuses: Vec<RankStatus> =
-            self.views.iter().flatten().map(|view| view.status.clone()).collect();
-        let armed: Vec<(RankIndex, MapVersion)> =
-            statuses.iter().filter_map(|status| Some((status.rank, status.armed?))).collect();
-        let held: Vec<(RankIndex, PassNumber)> =
-            statuses.iter().filter_map(|status| Some((status.rank, status.held?))).collect();
+        let armed = self.views.armed();
+        let held = self.views.held();
         if held.is_empty() && armed.is_empty() {
             self.phase = Phase::Idle { since: now };
             return vec![log_step("settled", self.last_version, 0, String::new())];
@@ -630,7 +606,7 @@
             // The armed ranks were released together and switch at the next pass.
             return Vec::new();
         }
-        let complete = armed.len() == statuses.len()
+        let complete = armed.len() == self.views.size()
             && armed.iter().all(|(_, version)| *version == armed[0].1);
         let mut actions = Vec::new();
         if armed.is_empty() || complete {
@@ -655,8 +631,7 @@
         started: Duration,
         timeout: Duration,
     ) -> Vec<LeaderAction> {
-        let prepared =
-            self.views.iter().flatten().all(|view| view.status.prepared == Some(version));
+        let prepared = self.views.all(|view| view.status.prepared == Some(version));
         if prepared {
             return self.begin_holding(now, version, 0);
         }
@@ -672,14 +647,8 @@
         if !self.has_hold_after(since) {
             return Vec::new();
         }
-        let held: Vec<(RankIndex, PassNumber)> = self
-            .views
-            .iter()
-            .flatten()
-            .filter_map(|view| Some((view.status.rank, view.status.held?)))
-            .collect();
         let mut actions = Vec::new();
-        for (rank, pass) in held {
+        for (rank, pass) in self.views.held() {
             let is_pending = self.pending.values().any(|pending| {
                 pending.rank == rank && matches!(pending.order, RankOrder::Release { .. })
             });
@@ -701,9 +670,8 @@
     /// holds a pass.
     fn has_hold_after(&self, since: Duration) -> bool {
         self.views
-            .iter()
-            .flatten()
-            .any(|view| view.status.held.is_some() && view.reported > since + RELEASE_INTERVAL)
+            .known()
+            .any(|view| view.status.held.is_some() && view.as_of > since + RELEASE_INTERVAL)
     }
 
     /// Aborts a switch before any rank was armed.
@@ -721,10 +689,10 @@
         version: MapVersion,
         retries: u32,
     ) -> Vec<LeaderAction> {
-        let Some(view) = &self.views[self.own_rank] else {
+        let Some(view) = self.views.get(self.own_rank) else {
             return self.abort(now, version, "the status of the leader's own rank is not known");
         };
-        let ahead = if now < view.reported + NEXT_PASS_STATUS_AGE { 1 } else { 2 };
+        let ahead = if now < view.as_of + NEXT_PASS_STATUS_AGE { 1 } else { 2 };
         let pass = view.status.pass + ahead + u64::from(retries);
         let (holder, relay) = self.choose_hold_ranks(now);
         self.holder = holder;
@@ -735,10 +703,10 @@
 
     /// Returns the rank that holds a pass, and the one whose agent sends it the order.
     fn choose_hold_ranks(&self, now: Duration) -> (RankIndex, Option<RankIndex>) {
-        let size = self.views.len();
-        let mut others = (1..size).map(|step| (self.own_rank + step) % size).filter(|&rank| {
-            self.views[rank].as_ref().is_some_and(|view| now < view.reported + MAX_STATUS_AGE)
-        });
+        let size = self.views.size();
+        let mut others = (1..size)
+            .map(|step| (self.own_rank + step) % size)
+            .filter(|&rank| self.views.has_current_agent(now, rank));
         match (others.next(), others.next()) {
             (Some(holder), Some(relay)) => (holder, Some(relay)),
             _ => (self.own_rank, None),
@@ -754,7 +722,7 @@
     ) -> Vec<LeaderAction> {
         let id = self.next_order;
         self.next_order += 1;
-        let mut present = vec![false; self.views.len()];
+        let mut present = vec![false; self.views.size()];
         present[self.own_rank] = true;
         let check = PresenceCheck { id, present, held_at: now, sent_at: None };
         self.phase = Phase::Checking { version, pass, check };
@@ -775,11 +743,21 @@
             return Vec::new();
         }
         check.present[rank] = true;
-        if !check.present.iter().all(|present| *present) {
-            return Vec::new();
+        let (version, pass, check) = (*version, *pass, check.clone());
+        self.continue_presence_check(now, version, pass, check)
+    }
+
+    /// Records that an engine answered a read that was begun at `started` while a presence
+    /// check waits for the rank's agent; the engine is then ordered directly.
+    fn record_engine_presence(&mut self, rank: RankIndex, started: Duration) {
+        let Phase::Checking { check, .. } = &mut self.phase else {
+            return;
+        };
+        let is_missing = check.present.get(rank) == Some(&false);
+        if is_missing && check.sent_at.is_some_and(|_| started >= check.held_at) {
+            check.present[rank] = true;
+            self.views.suspect_agent(rank, check.held_at);
         }
-        let (version, pass) = (*version, *pass);
-        self.begin_arming(now, version, pass)
     }
 
     /// Sends the presence check again when due, and aborts the switch after the timeout.
@@ -790,6 +768,9 @@
         pass: PassNumber,
         mut check: PresenceCheck,
     ) -> Vec<LeaderAction> {
+        if check.present.iter().all(|present| *present) {
+            return self.begin_arming(now, version, pass);
+        }
         if now >= check.held_at + CHECK_TIMEOUT {
             let silent = check.present.iter().position(|present| !present).unwrap_or(self.own_rank);
             let reason = format!("the agent of rank {silent} did not answer the presence check");
@@ -800,9 +781,18 @@
             return Vec::new();
         }
         check.sent_at = Some(now);
-        let id = check.id;
+        let mut actions = vec![LeaderAction::CheckPresence { id: check.id }];
+        let missing = (0..check.present.len()).filter(|&rank| !check.present[rank]);
+        let unanswered: Vec<RankIndex> = missing
+            .filter(|&rank| {
+                self.views.is_silent(now, rank) || now >= check.held_at + DIRECT_CHECK_DELAY
+            })
+            .collect();
+        if unanswered.len() <= self.views.silent(now).len() + MAX_DIRECT_CHECKS {
+            actions.extend(unanswered.into_iter().map(|rank| LeaderAction::ReadStatus { rank }));
+        }
         self.phase = Phase::Checking { version, pass, check };
-        vec![LeaderAction::CheckPresence { id }]
+        actions
     }
 
     /// Aborts a switch before any rank was armed, and releases the pass if it is held.
@@ -825,7 +815,7 @@
         version: MapVersion,
         pass: PassNumber,
     ) -> Vec<LeaderAction> {
-        let size = self.views.len();
+        let size = self.views.size();
         self.phase = Phase::Arming { version, pass, armed: vec![false; size], started: now };
         let mut actions = Vec::new();
         for rank in 0..size {
@@ -858,14 +848,20 @@
         started: Duration,
         sent: Duration,
     ) -> Vec<LeaderAction> {
-        if self.views.iter().flatten().all(|view| view.status.map == version) {
+        let in_use = |rank| {
+            self.views.is_silent(now, rank)
+                || self.views.get(rank).is_some_and(|view| view.status.map == version)
+        };
+        if !self.views.is_silent(now, self.own_rank) && (0..self.views.size()).all(in_use) {
+            self.views.assume_switched(now, version);
             self.completed_switches += 1;
             self.phase = Phase::Idle { since: now };
             return vec![log_step("map-in-force", version, pass, String::new())];
         }
-        let held = self.views[self.own_rank]
-            .as_ref()
-            .is_some_and(|view| view.status.held == Some(pass) && view.reported > sent);
+        let held = self
+            .views
+            .get(self.holder)
+            .is_some_and(|view| view.status.held == Some(pass) && view.as_of > sent);
         if held && now >= sent + RELEASE_INTERVAL {
             return self.release_pass(now, version, pass);
         }
@@ -884,7 +880,8 @@
         pending: &PendingOrder,
         outcome: OrderOutcome,
     ) -> Vec<LeaderAction> {
-        if outcome == OrderOutcome::Fenced {
+        let is_outdated = pending.order.mark().fence < self.mark().fence;
+        if outcome == OrderOutcome::Fenced && !is_outdated {
             return vec![LeaderAction::StepDown];
         }
         let done = outcome == OrderOutcome::Done;
@@ -909,8 +906,9 @@
                 let (version, map) = (*version, Arc::clone(map));
                 if outcome != OrderOutcome::Unknown {
                     let rank = pending.rank;
-                    let taken = self.views[rank]
-                        .as_ref()
+                    let taken = self
+                        .views
+                        .get(rank)
                         .is_some_and(|view| view.status.prepared == Some(version));
                     if taken {
                         return Vec::new();
@@ -922,16 +920,15 @@
             }
             (Phase::Holding { version, pass, retries }, RankOrder::Hold { .. }) => {
                 let (version, pass, retries) = (*version, *pass, *retries);
-                let held = self.views[self.holder]
-                    .as_ref()
-                    .is_some_and(|view| view.status.held == Some(pass));
+                let held =
+                    self.views.get(self.holder).is_some_and(|view| view.status.held == Some(pass));
                 match outcome {
                     _ if done || held => self.begin_presence_check(now, version, pass),
                     OrderOutcome::Refused if retries < MAX_HOLD_RETRIES => {
                         self.begin_holding(now, version, retries + 1)
                     }
                     OrderOutcome::Refused => self.abort(now, version, "no pass could be held"),
-                    _ if self.all_reported_recently(now) && retries < MAX_HOLD_RETRIES => {
+                    _ if self.views.all_reported_recently(now) && retries < MAX_HOLD_RETRIES => {
                         self.phase = Phase::Holding { version, pass, retries: retries + 1 };
                         vec![self.send_via(now, pending.rank, pending.via, pending.order.clone())]
                     }
@@ -983,15 +980,6 @@
     }
 }
 
-/// Returns whether two statuses of a rank name the same map of the same formation.
-fn same_map(before: &RankStatus, after: &RankStatus) -> bool {
-    (before.epoch, before.map) == (after.epoch, after.map)
-}
-
-fn agent_silent(views: &[Option<RankView>], now: Duration, rank: RankIndex) -> bool {
-    views[rank].as_ref().is_some_and(|view| now >= view.reported + AGENT_SILENCE)
-}
-
 fn log_step(
     event: &'static str,
     version: MapVersion,
--- a/crates/core/tests/expert_plans.rs
+++ b/crates/core/tests/expert_plans.rs
@@ -231,6 +231,7 @@
         step_time: Duration::from_micros(4_550),
         time_per_request: Duration::from_micros(905),
         expert_share: 0.85,
+        report_lag: Duration::from_millis(200),
         experts: Some(LAYOUT),
     };
     let target = Duration::from_millis(120);
@@ -258,6 +259,7 @@
         step_time: Duration::from_millis(2),
         time_per_request: Duration::from_micros(500),
         expert_share: 0.85,
+        report_lag: Duration::from_millis(200),
         experts: Some(layout),
     };
     let target = Duration::from_millis(120);
--- a/crates/core/tests/stream_gate.rs
+++ b/crates/core/tests/stream_gate.rs
@@ -24,6 +24,7 @@
         step_time: Duration::from_micros(4_550),
         time_per_request: Duration::from_micros(905),
         expert_share: 0.85,
+        report_lag: Duration::from_millis(200),
         experts: None,
     }
 }
--- a/crates/rank-agent/src/dispatch.rs
+++ b/crates/rank-agent/src/dispatch.rs
@@ -8,12 +8,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use cuminpick::experts::ExpertIndex;
 use cuminpick::experts::RankIndex;
 use cuminpick::experts::diff_maps;
 use cuminpick::orders::LeaderTerm;
 use cuminpick::orders::OrderId;
 use cuminpick::orders::RankOrder;
 use cuminpick_platform::engine::EngineClient;
+use cuminpick_platform::engine::EngineError;
+use cuminpick_platform::engine::GroupReport;
 use slog::o;
 
 use crate::daemon::agent_port;
@@ -263,9 +266,6 @@
         o!("order" => order.name(), "engine" => engine.to_string(),
            "outcome" => format!("{outcome:?}")),
     );
-    if let Some(leadership) = &mut agent.state.borrow_mut().leadership {
-        leadership.direct_orders.insert(engine, id);
-    }
     record_outcome(&agent, term, id, outcome).await;
 }
 
@@ -293,34 +293,76 @@
     engine_of_agent(agent, agent_address)
 }
 
-/// Reads the status of a rank whose agent is silent directly from its engine.
+/// Reads the status of a rank whose agent is silent directly from its engine, and the experts
+/// that it holds if they are not known. Does nothing while an earlier read of the engine is
+/// in progress.
 pub(crate) async fn read_engine_directly(agent: Rc<Agent>, engine: SocketAddr) {
-    let last_order = {
-        let state = agent.state.borrow();
-        state
-            .leadership
-            .as_ref()
-            .and_then(|leadership| leadership.direct_orders.get(&engine).copied())
-    };
-    let mut client = EngineClient::new(engine);
-    match client.report().await {
-        Ok(Some(report)) => {
+    let started = agent.now();
+    {
+        let mut state = agent.state.borrow_mut();
+        match &mut state.leadership {
+            Some(known) if !known.reads_in_progress.contains(&engine) => {
+                known.reads_in_progress.push(engine);
+            }
+            _ => return,
+        }
+    }
+    let read = read_engine(&agent, engine).await;
+    if let Some(leadership) = &mut agent.state.borrow_mut().leadership {
+        leadership.reads_in_progress.retain(|reading| *reading != engine);
+    }
+    match read {
+        Ok(Some((report, placed))) => {
             let actions = {
                 let now = agent.now();
                 let mut state = agent.state.borrow_mut();
                 let Some(leadership) = &mut state.leadership else {
                     return;
                 };
+                leadership.unread_engines.retain(|unread| *unread != engine);
                 leadership.rank_engines.insert(report.status.rank, engine);
-                leadership.leader.handle_direct_status(now, report.status, last_order)
+                leadership.leader.handle_direct_status(now, started, report.status, placed)
             };
             execute_actions(&agent, actions).await;
         }
         Ok(None) => {}
-        Err(error) => {
-            let detail = error.to_string();
-            let engine = engine.to_string();
-            agent.journal.warn("engine-unread", o!("engine" => engine, "error" => detail));
+        Err(error) => log_unread_engine(&agent, engine, &error),
+    }
+}
+
+/// Logs the first of several failed direct reads of an engine in a row.
+fn log_unread_engine(agent: &Agent, engine: SocketAddr, error: &EngineError) {
+    if let Some(leadership) = &mut agent.state.borrow_mut().leadership {
+        if leadership.unread_engines.contains(&engine) {
+            return;
+        }
+        leadership.unread_engines.push(engine);
+    }
+    let detail = error.to_string();
+    agent.journal.warn("engine-unread", o!("engine" => engine.to_string(), "error" => detail));
+}
+
+/// Reads an engine's report, and the experts of its rank if the leader does not know them and
+/// they belong to the map of the report. Returns `None` if it is not a rank of a group.
+async fn read_engine(
+    agent: &Agent,
+    engine: SocketAddr,
+) -> Result<Option<(GroupReport, Vec<Vec<ExpertIndex>>)>, EngineError> {
+    let mut client = EngineClient::new(engine);
+    let Some(report) = client.report().await? else {
+        return Ok(None);
+    };
+    let lacks_placement = {
+        let state = agent.state.borrow();
+        let leadership = state.leadership.as_ref();
+        leadership.is_some_and(|known| known.leader.lacks_placement(report.status.rank))
+    };
+    let mut placed = Vec::new();
+    if lacks_placement {
+        let (version, experts) = client.placed_experts().await?;
+        if version == report.status.map {
+            placed = experts;
         }
     }
+    Ok(Some((report, placed)))
 }
--- a/crates/rank-agent/src/group.rs
+++ b/crates/rank-agent/src/group.rs
@@ -117,6 +117,7 @@
         (model.experts, &mut agent.state.borrow_mut().leadership)
     {
         leadership.layout = Some(layout);
+        leadership.leader.set_report_lag(model.report_lag);
         leadership.pass_model = event_gap.map(|event_gap| (model, event_gap));
         leadership.demand = Some(DemandMeter::new(layout, agent.tuning.demand));
     }
--- a/crates/rank-agent/src/lead.rs
+++ b/crates/rank-agent/src/lead.rs
@@ -81,10 +81,12 @@
     reported_slow: bool,
     /// Addresses of the service's engines.
     pub(crate) engines: Vec<SocketAddr>,
-    /// Last order that was sent to each engine directly.
-    pub(crate) direct_orders: FastMap<SocketAddr, OrderId>,
     /// Engines that were read directly, by rank, until the rank's agent reports.
     pub(crate) rank_engines: FastMap<RankIndex, SocketAddr>,
+    /// Engines that are being read directly.
+    pub(crate) reads_in_progress: Vec<SocketAddr>,
+    /// Engines whose last direct read failed.
+    pub(crate) unread_engines: Vec<SocketAddr>,
     /// Agents that lack the base map of an order, and when the first of them reported it.
     pub(crate) missing_base: Option<(Duration, Vec<(SocketAddr, OrderId)>)>,
     /// Time of the next plan at the earliest.
@@ -102,6 +104,8 @@
     pub fn new(leader: GroupLeader, now: Duration) -> Leadership {
         Leadership {
             rank_engines: FastMap::default(),
+            reads_in_progress: Vec::new(),
+            unread_engines: Vec::new(),
             missing_base: None,
             plan_due: now,
             started_at: now,
@@ -114,7 +118,6 @@
             gateways: Vec::new(),
             reported_slow: false,
             engines: Vec::new(),
-            direct_orders: FastMap::default(),
             agents: FastMap::default(),
         }
     }
