Log the first event and the place of the longest pause of a stream

Cause: the log of a late stream did not tell whether its first event or a pause was late, nor when the pause was. Change: stream-ended gives first_event_ms and longest_pause_after, the number of events before the longest pause. No decision changes, nothing measured.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -38,6 +38,7 @@
 /// Starts a task that relays `stream`, and returns the body that the caller reads.
 pub fn start_relay(exchange: Exchange, stream: OpenStream, log: RequestLog) -> AnswerBody {
     let (sender, receiver) = mpsc::channel(EVENT_CHANNEL_CAPACITY);
+    let first_event = log.age();
     let relay = Relay {
         event_order: EventOrder::after(exchange.caller_last_event),
         exchange,
@@ -46,6 +47,8 @@
         events_sent: 0,
         last_event_at: None,
         longest_gap: Duration::ZERO,
+        longest_gap_after: 0,
+        first_event,
     };
     tokio::task::spawn_local(relay.run(stream));
     AnswerBody::Events(receiver)
@@ -59,6 +62,10 @@
     events_sent: u32,
     last_event_at: Option<Instant>,
     longest_gap: Duration,
+    /// Number of events before the longest gap.
+    longest_gap_after: u32,
+    /// Time from the request's arrival to its first event.
+    first_event: Duration,
 }
 
 impl Relay {
@@ -149,7 +156,10 @@
         let now = Instant::now();
         if let Some(last) = self.last_event_at.replace(now) {
             let gap = now - last;
-            self.longest_gap = self.longest_gap.max(gap);
+            if gap > self.longest_gap {
+                self.longest_gap = gap;
+                self.longest_gap_after = self.events_sent;
+            }
             let since_start = self.exchange.gateway.now();
             let mut meters = self.exchange.gateway.event_gaps.borrow_mut();
             meters.entry(self.exchange.service.clone()).or_default().record(since_start, gap);
@@ -200,6 +210,8 @@
             "stream-ended",
             self.exchange.attempt_id(),
             o!("events" => self.events_sent,
+               "first_event_ms" => self.first_event.as_millis() as u64,
+               "longest_pause_after" => self.longest_gap_after,
                "longest_pause_ms" => self.longest_gap.as_millis() as u64,
                "attempts" => self.exchange.retry_state.sent + 1),
         );
