Move running streams off a rank that delays its group

Cause: a rank that turns slow gets no new streams and the map takes experts off it, but the streams that it runs hold up every pass until they end.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -18,7 +18,7 @@
 
 /// Share of the longest accepted event gap that a pass may take by the cost model; the
 /// rest is for reading prompts and for shifts in expert demand.
-const PASS_TIME_SHARE: f64 = 0.85;
+pub(crate) const PASS_TIME_SHARE: f64 = 0.85;
 /// Fewest streams per rank that are admitted at any measured event gap, so that a stall
 /// does not close the gate.
 const MIN_STREAMS_PER_RANK: f64 = 3.0;
--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -258,6 +258,22 @@
             .extend(slow_servers.into_iter().map(|(address, slowdown)| (address, (slowdown, now))));
     }
 
+    /// Returns the slowdown and the requests in flight, over all gateways, of a server that
+    /// is avoided because it is slow; `None` unless most servers of its service are not.
+    pub fn slow_server(&self, now: Duration, id: &str) -> Option<(f64, u32)> {
+        let backend = self.backends.get(id)?;
+        let slowdown = self.slowdown(now, backend);
+        if slowdown < AVOIDED_SLOWDOWN {
+            return None;
+        }
+        let service = &backend.record.service;
+        let servers = self.backends.values().filter(|other| other.record.service == *service);
+        let (healthy, avoided): (Vec<&Backend>, Vec<&Backend>) =
+            servers.partition(|other| self.is_available(other) && self.is_healthy(now, other));
+        (healthy.len() > avoided.len())
+            .then_some((slowdown, backend.in_flight + backend.others_in_flight))
+    }
+
     /// Records which other gateways are registered in the store.
     pub fn set_registered_gateways(&mut self, names: impl Iterator<Item = MemberId>) {
         self.registered_gateways = names.collect();
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,7 +21,8 @@
 //!   [`event_stream`] splits streams into complete events, and [`deadlines`] recognises
 //!   requests that return after a refusal. [`admission`] delays streams that would slow
 //!   their group too much, and [`breaker`] delays requests while a service refuses all.
-//!   [`silence`] detects servers that send nothing any more, [`crash_detection`] finds the
+//!   [`silence`] detects servers that send nothing any more, [`relocation`] those that are
+//!   too slow for their group, [`crash_detection`] finds the
 //!   requests that were at a crashed server, and [`quarantine`] decides which of them are
 //!   refused for a time because servers keep crashing while running them.
 //! - For groups of ranks, [`demand`] estimates the load of experts, [`experts`] plans expert
@@ -75,6 +76,7 @@
 pub mod rank_views;
 pub mod rate;
 pub mod refusal;
+pub mod relocation;
 pub mod replay;
 mod request;
 pub mod retry;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -11,6 +11,7 @@
 use bytes::BytesMut;
 use cuminpick::balance::BalanceChoice;
 use cuminpick::ids::RequestDigest;
+use cuminpick::relocation::delays_group;
 use cuminpick::retry::AttemptFailure;
 use cuminpick_platform::call::CallError;
 use cuminpick_platform::call::ClientConnection;
@@ -302,29 +303,45 @@
 }
 
 /// Waits for `work`, but fails when its server sends no events while other servers of the
-/// service do.
-pub async fn fail_if_silent<T>(
+/// service do, or is so slow that it delays their events.
+pub async fn fail_if_degraded<T>(
     gateway: &Gateway,
     service: &str,
     server: &str,
     work: impl Future<Output = Result<T, FailedAttempt>>,
 ) -> Result<T, FailedAttempt> {
     let since = gateway.now();
-    let silent = async {
+    let degraded = async {
         loop {
             tokio::time::sleep(SILENCE_CHECK_INTERVAL).await;
             let now = gateway.now();
+            if delays_other_servers(gateway, service, server, now) {
+                return "the server is slow and delays its group";
+            }
             let meters = gateway.event_gaps.borrow();
             let active =
                 meters.get(service).is_some_and(|meter| meter.is_active(now, ACTIVE_WINDOW));
             if gateway.silence_detector.borrow().is_silent(now, server, since, active) {
-                return;
+                return "the server is silent while others send events";
             }
         }
     };
     tokio::select! {
         biased;
         result = work => result,
-        () = silent => Err(FailedAttempt::broken("the server is silent while others send events")),
+        reason = degraded => Err(FailedAttempt::broken(reason)),
     }
 }
+
+/// Returns whether a server is so slow that its streams delay those of its whole group.
+fn delays_other_servers(gateway: &Gateway, service: &str, server: &str, now: Duration) -> bool {
+    let Some((slowdown, streams)) = gateway.balance.borrow().slow_server(now, server) else {
+        return false;
+    };
+    let Some(table) = gateway.routing_table() else {
+        return false;
+    };
+    let model = table.service(service).and_then(|spec| spec.engine.as_ref());
+    let target = table.shortest_event_gap(service);
+    model.zip(target).is_some_and(|(model, target)| delays_group(model, slowdown, streams, target))
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -15,7 +15,7 @@
 use crate::answer::AnswerBody;
 use crate::answer::StreamAborted;
 use crate::attempt::FailedAttempt;
-use crate::attempt::fail_if_silent;
+use crate::attempt::fail_if_degraded;
 use crate::serve::Exchange;
 use crate::serve::OpenStream;
 use crate::serve::RequestLog;
@@ -219,7 +219,7 @@
 }
 
 /// Reads the next bytes of a stream. If another server may resume it, reading fails when
-/// this one is silent.
+/// this one is silent or delays its group.
 async fn read_stream(
     exchange: &Exchange,
     stream: &mut OpenStream,
@@ -228,7 +228,7 @@
     let resumable = exchange.route.repeat == RepeatRule::ResumableStream;
     let next_bytes = stream.answer.next_bytes();
     let read = if resumable && exchange.retry_state.may_retry_after_failure() {
-        fail_if_silent(gateway, &exchange.service, &stream.choice.server, next_bytes).await
+        fail_if_degraded(gateway, &exchange.service, &stream.choice.server, next_bytes).await
     } else {
         next_bytes.await
     };
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -54,7 +54,7 @@
 use crate::attempt::CallerMessage;
 use crate::attempt::FailedAttempt;
 use crate::attempt::OpenAnswer;
-use crate::attempt::fail_if_silent;
+use crate::attempt::fail_if_degraded;
 use crate::attempt::send_attempt;
 use crate::attempt::with_timeout;
 use crate::crash_tracking::CONFIRMING_HOLD_TIME;
@@ -613,7 +613,7 @@
         };
         let attempt = unless_quarantined(gateway, digest, attempt);
         let result = if streaming && retryable {
-            fail_if_silent(gateway, &self.service, &choice.server, attempt).await
+            fail_if_degraded(gateway, &self.service, &choice.server, attempt).await
         } else {
             with_timeout(timeout, attempt).await
         };
