Let a former leader that restarts claim again at once

Cause: after all processes stopped, each agent found the claim of the former leader in the store, took it for new and waited 0.7 to 0.95 s for its holder. Change: the holder's own next process claims at its first attempt. Others wait 450 ms, as long as for a silent leader, and for three calls of the store at the pace of the last one. The decision moved to a module without I/O (election).

--- /dev/null
+++ b/crates/core/src/election.rs
@@ -0,0 +1,79 @@
+//! Decides when a process claims the leadership of its group.
+//!
+//! A claim is a conditional write to a store; its revision is the leader's term. A claim
+//! does not expire, so a process that starts cannot tell from the store whether the holder
+//! still runs: it waits for a message of that leader before it claims in its place, unless
+//! the holder was an earlier process on its own VM.
+
+use std::time::Duration;
+
+use crate::orders::LeaderTerm;
+
+/// Silence after which a leader is replaced; several beacon intervals.
+pub const LEADER_TIMEOUT: Duration = Duration::from_millis(450);
+/// Delay after a claim that failed; a random delay is added.
+const CLAIM_RETRY_DELAY: Duration = Duration::from_millis(700);
+/// Store calls that a new leader makes before its first message: it lists the engines and
+/// the gateways, and its claim has to be answered.
+const CALLS_BEFORE_MESSAGE: u32 = 3;
+
+/// A claim that lies in the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct KnownClaim {
+    /// Term of the claim.
+    pub term: LeaderTerm,
+    /// Whether an earlier process on this VM made it, and so no longer leads.
+    pub is_own_earlier: bool,
+}
+
+/// State of the election as one process sees it.
+#[derive(Debug, Clone)]
+pub struct LeaderElection {
+    silent_since: Duration,
+    /// Delay that is due before the next claim.
+    claim_delay: Duration,
+    seen_term: Option<LeaderTerm>,
+}
+
+impl LeaderElection {
+    /// Returns the state of a process that starts at `now`. `jitter` is a random delay that
+    /// keeps the ranks from claiming at the same time.
+    pub fn new(now: Duration, jitter: Duration) -> LeaderElection {
+        LeaderElection { silent_since: now, claim_delay: jitter, seen_term: None }
+    }
+
+    /// Records that the leader was heard at `heard`, or that this process leads.
+    pub fn record_leader(&mut self, heard: Duration) {
+        self.silent_since = self.silent_since.max(heard);
+    }
+
+    /// Returns whether the store should be read for a claim; `was_heard` says whether any
+    /// leader was heard since the start.
+    pub fn is_due(&self, now: Duration, was_heard: bool) -> bool {
+        let timeout = if was_heard { LEADER_TIMEOUT } else { Duration::ZERO };
+        now >= self.silent_since + timeout + self.claim_delay
+    }
+
+    /// Decides whether to claim, given the claim in the store and the term of the last leader
+    /// that was heard. A claim that is seen for the first time is given time to be heard.
+    pub fn may_claim(&mut self, existing: Option<KnownClaim>, known_term: LeaderTerm) -> bool {
+        let Some(claim) = existing else {
+            return true;
+        };
+        let is_new = self.seen_term.replace(claim.term) != Some(claim.term);
+        claim.is_own_earlier || !is_new || claim.term <= known_term
+    }
+
+    /// Sets the time of the next attempt after a claim was left to its holder. `call_time` is
+    /// the time that the store took to answer.
+    pub fn record_wait(&mut self, now: Duration, call_time: Duration, jitter: Duration) {
+        self.silent_since = now;
+        self.claim_delay = LEADER_TIMEOUT + call_time * CALLS_BEFORE_MESSAGE + jitter;
+    }
+
+    /// Sets the time of the next attempt after a claim was made or failed.
+    pub fn record_claim(&mut self, now: Duration, jitter: Duration) {
+        self.silent_since = now;
+        self.claim_delay = CLAIM_RETRY_DELAY + jitter;
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,7 +25,7 @@
 //!   too slow for their group, [`crash_detection`] finds the
 //!   requests that were at a crashed server, and [`quarantine`] decides which of them are
 //!   refused for a time because servers keep crashing while running them.
-//! - For groups of ranks, [`demand`] estimates the load of experts, [`experts`] plans expert
+//! - For groups of ranks, [`election`] selects the process that leads; [`demand`] estimates the load of experts, [`experts`] plans expert
 //!   maps and [`switch`] puts them in force by [`orders`], from what [`rank_views`] knows of
 //!   the ranks. [`expert_counts`] and [`updates`]
 //!   are messages between processes.
@@ -58,6 +58,7 @@
 pub mod crash_detection;
 pub mod deadlines;
 pub mod demand;
+pub mod election;
 pub mod entry;
 pub mod entry_assignment;
 pub mod entry_event;
--- a/crates/rank-agent/src/elect.rs
+++ b/crates/rank-agent/src/elect.rs
@@ -7,6 +7,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use cuminpick::election::KnownClaim;
+use cuminpick::election::LEADER_TIMEOUT;
+use cuminpick::election::LeaderElection;
 use cuminpick::switch::GroupLeader;
 use cuminpick_platform::records::LeaderRecord;
 use cuminpick_platform::store::LEADER_KIND;
@@ -14,7 +17,6 @@
 use cuminpick_platform::store::StoreClient;
 use cuminpick_platform::store::StoreError;
 use cuminpick_platform::store::StoreObject;
-use cuminpick_platform::store::StoreRevision;
 use slog::o;
 
 use crate::lead::Leadership;
@@ -24,20 +26,14 @@
 
 /// Interval at which the leader's silence is checked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// Silence after which a leader is replaced; several beacon intervals.
-const LEADER_TIMEOUT: Duration = Duration::from_millis(450);
 /// Maximum random delay before a claim, so that the ranks do not claim at the same time.
 const MAX_CLAIM_JITTER: Duration = Duration::from_millis(250);
-/// Minimum delay between two attempts to claim; a random delay is added.
-const CLAIM_RETRY_DELAY: Duration = Duration::from_millis(700);
 
 /// Watches the leader, and claims the leadership when it is silent; runs as long as the
 /// process.
 pub async fn watch_leader(agent: Rc<Agent>) {
     let store = StoreClient::new(agent.settings.store);
-    let mut silent_since = agent.now();
-    let mut claim_delay = agent.jitter(MAX_CLAIM_JITTER);
-    let mut seen_revision = None;
+    let mut election = LeaderElection::new(agent.now(), agent.jitter(MAX_CLAIM_JITTER));
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
         let now = agent.now();
@@ -49,50 +45,51 @@
                 state.leadership.is_some(),
             )
         };
-        if leading {
-            silent_since = now;
-            continue;
-        }
-        silent_since = silent_since.max(last_heard.unwrap_or_default());
+        election.record_leader(if leading { now } else { last_heard.unwrap_or_default() });
         let Some(rank) = rank else {
             continue;
         };
-        let timeout = if last_heard.is_some() { LEADER_TIMEOUT + claim_delay } else { claim_delay };
-        if now < silent_since + timeout {
+        if leading || !election.is_due(now, last_heard.is_some()) {
             continue;
         }
-        if let Err(error) = claim_leadership(&agent, &store, &rank, &mut seen_revision).await {
+        if let Err(error) = claim_leadership(&agent, &store, &rank, &mut election).await {
             let detail = error.to_string();
             agent.journal.note("claim-failed", None, o!("error" => detail));
+            election.record_claim(agent.now(), agent.jitter(MAX_CLAIM_JITTER));
         }
-        silent_since = agent.now();
-        claim_delay = CLAIM_RETRY_DELAY + agent.jitter(MAX_CLAIM_JITTER);
     }
 }
 
-/// Claims the leadership, unless the known leader was heard in the meantime or another claim
-/// appeared since the last attempt, whose holder needs time to send its first beacon.
+/// Claims the leadership, unless the known leader was heard in the meantime or the claim in
+/// the store is left to its holder.
 async fn claim_leadership(
     agent: &Rc<Agent>,
     store: &StoreClient,
     rank: &OwnRank,
-    seen_revision: &mut Option<StoreRevision>,
+    election: &mut LeaderElection,
 ) -> Result<(), StoreError> {
     let record =
         LeaderRecord { holder: agent.settings.node.clone(), incarnation: agent.incarnation };
+    let started = agent.now();
     let existing = store.get(LEADER_KIND, &rank.group, ReadMode::Linearizable).await?;
-    let known_term = agent.state.borrow().leader.map_or(0, |leader| leader.term);
-    let is_leader_alive = agent
-        .state
-        .borrow()
-        .leader
-        .is_some_and(|leader| agent.now() < leader.last_heard + LEADER_TIMEOUT);
-    let revision = existing.as_ref().map(|object| object.revision);
-    let is_new_claim = revision.is_some() && revision != *seen_revision;
-    *seen_revision = revision;
-    if is_leader_alive || is_new_claim && revision > Some(known_term) {
+    let now = agent.now();
+    let jitter = agent.jitter(MAX_CLAIM_JITTER);
+    let known_leader = agent.state.borrow().leader;
+    let known_term = known_leader.map_or(0, |leader| leader.term);
+    if known_leader.is_some_and(|leader| now < leader.last_heard + LEADER_TIMEOUT) {
+        return Ok(());
+    }
+    let claim = existing.as_ref().map(|object| KnownClaim {
+        term: object.revision,
+        is_own_earlier: LeaderRecord::decode(object).is_ok_and(|claim| {
+            claim.holder == record.holder && claim.incarnation != record.incarnation
+        }),
+    });
+    if !election.may_claim(claim, known_term) {
+        election.record_wait(now, now.saturating_sub(started), jitter);
         return Ok(());
     }
+    election.record_claim(now, jitter);
     let written = write_claim(store, rank, &record, existing).await?;
     agent.journal.note(
         "leadership-claimed",
