Drop the records of servers whose address a later server has

Cause: after all machines stopped, engines come back under new ids while the records of the former ones stay in the store for three heartbeats (3.6 s). Both were candidates: of 24 for 12 engines half were gone. Requests for them got 421 from the engine that now has the address. Change: a record is dropped when a later server is recorded at its address. A 421 no longer counts as a refusal of the service, and its server is avoided for 5 s, until its record has expired.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -5,6 +5,7 @@
 //! gateway's own requests and failures. It chooses a server that has few requests in
 //! flight per slot, counted over all gateways.
 
+use std::cmp::Ordering;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -44,6 +45,9 @@
 /// Requests in flight per slot at which a server counts as full; engines queue up to
 /// twice their slots.
 const MAX_REQUESTS_PER_SLOT: u32 = 3;
+/// Time for which a server is avoided whose address another server has; its record expires
+/// within a few heartbeats.
+const REPLACED_AVOIDANCE_PERIOD: Duration = Duration::from_secs(5);
 /// Age after which a reported slowdown no longer counts; five messages of the group's
 /// leader.
 const MAX_SLOWDOWN_AGE: Duration = Duration::from_secs(1);
@@ -131,6 +135,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct BalanceTable {
     backends: FastMap<ServerId, Backend>,
+    /// Server that was last recorded at each address.
+    by_address: FastMap<SocketAddr, ServerId>,
     zones_out: FastSet<ZoneName>,
     peer_counts: FastMap<MemberId, PeerCounts>,
     registered_gateways: FastSet<MemberId>,
@@ -166,8 +172,15 @@
         self.store_reconnected_at = Some(now);
     }
 
-    /// Inserts or updates the record of a server.
+    /// Inserts or updates the record of a server, unless a later server is known at its
+    /// address. Earlier servers at the address are removed: the records of servers that
+    /// crashed stay for some heartbeats.
     pub fn upsert(&mut self, now: Duration, record: ServerRecord) {
+        if self.is_replaced(&record) {
+            self.backends.remove(&record.id);
+            return;
+        }
+        self.by_address.insert(record.address, record.id.clone());
         let cold_until = now + record.cold_remaining;
         match self.backends.get_mut(&record.id) {
             Some(backend) => {
@@ -195,13 +208,31 @@
         }
     }
 
+    /// Returns whether a later server is known at the address of `record`; removes an earlier
+    /// one.
+    fn is_replaced(&mut self, record: &ServerRecord) -> bool {
+        let Some(id) = self.by_address.get(&record.address).filter(|id| **id != record.id) else {
+            return false;
+        };
+        let other = self.backends.get(id).filter(|other| other.record.address == record.address);
+        let order = other.map(|other| other.record.started_ms.cmp(&record.started_ms));
+        if order == Some(Ordering::Less) {
+            self.backends.remove(id);
+        }
+        order == Some(Ordering::Greater)
+    }
+
     /// Removes a server, or marks it as missing shortly after a reconnect to the store.
     pub fn remove(&mut self, now: Duration, id: &str) {
         let may_have_lapsed = self
             .store_reconnected_at
             .is_some_and(|reconnected_at| now < reconnected_at + LAPSED_RECORD_GRACE);
         if !may_have_lapsed {
-            self.backends.remove(id);
+            if let Some(backend) = self.backends.remove(id)
+                && self.by_address.get(&backend.record.address).is_some_and(|last| last == id)
+            {
+                self.by_address.remove(&backend.record.address);
+            }
             return;
         }
         if let Some(backend) = self.backends.get_mut(id) {
@@ -428,6 +459,13 @@
         }
     }
 
+    /// Avoids a server at whose address another one answers.
+    pub fn avoid_replaced(&mut self, now: Duration, id: &str) {
+        if let Some(backend) = self.backends.get_mut(id) {
+            backend.avoid_until = now + REPLACED_AVOIDANCE_PERIOD;
+        }
+    }
+
     fn is_available(&self, backend: &Backend) -> bool {
         backend.record.state == ServerState::Ready && !self.zones_out.contains(&backend.record.zone)
     }
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -101,6 +101,8 @@
     NotConnected,
     /// The server states that it did not run the request.
     NotRun,
+    /// Another server answers at the address, and did not run the request.
+    Replaced,
     /// The connection broke, the answer was invalid, or none came in time.
     Broken,
     /// The server answered with a failure.
@@ -132,7 +134,7 @@
     pub fn record_failure(&mut self, failure: AttemptFailure) {
         match failure {
             AttemptFailure::NotConnected => self.failed_connects += 1,
-            AttemptFailure::NotRun => self.sent += 1,
+            AttemptFailure::NotRun | AttemptFailure::Replaced => self.sent += 1,
             AttemptFailure::Broken | AttemptFailure::Failed => {
                 self.sent += 1;
                 self.may_have_run = true;
--- a/crates/core/tests/balance_choice.rs
+++ b/crates/core/tests/balance_choice.rs
@@ -229,3 +229,40 @@
     }
     assert!(sent <= 38, "{sent} requests in a second to a server that tolerates 38");
 }
+
+/// All servers stopped and started again under other ids: their former records stay in the
+/// store until they expire, and requests for them reach the wrong server.
+#[test]
+fn replaced_servers() {
+    let at = |id: &str, port: u16, started_ms: u64| ServerRecord {
+        address: ([127, 0, 0, 1], port).into(),
+        started_ms,
+        ..record(id, "bole")
+    };
+    let mut table = BalanceTable::default();
+    table.replace_all(START, vec![at("old-a", 9_000, 1), at("old-b", 9_001, 1)]);
+    table.upsert(START, at("new-a", 9_000, 2));
+    table.upsert(START, at("new-b", 9_001, 2));
+    let listing = vec![
+        at("new-a", 9_000, 2),
+        at("old-a", 9_000, 1),
+        at("new-b", 9_001, 2),
+        at("old-b", 9_001, 1),
+    ];
+    table.replace_all(START, listing);
+    for round in 0..20 {
+        let server = chosen(&table, START).unwrap();
+        assert!(server.starts_with("new-"), "round {round} chose {server}");
+        table.start_request(START, &server);
+    }
+}
+
+/// A server at whose address another one answers is avoided until its record has expired.
+#[test]
+fn wrong_server() {
+    let mut table = table(&["a", "b"]);
+    table.avoid_replaced(START, "a");
+    table.start_request(START, "b");
+    let later = START + Duration::from_secs(4);
+    assert_eq!(chosen(&table, later), Ok("b".to_string()));
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -178,11 +178,11 @@
     let head = &answer.head;
     if head.not_run {
         let detail = format!("the server did not run the request, status {}", head.status.as_u16());
-        return Err(FailedAttempt {
-            failure: AttemptFailure::NotRun,
-            detail,
-            connection_lost: false,
-        });
+        let failure = match head.from_other_server {
+            true => AttemptFailure::Replaced,
+            false => AttemptFailure::NotRun,
+        };
+        return Err(FailedAttempt { failure, detail, connection_lost: false });
     }
     if head.attempt_id.is_some() && head.attempt_id != message.attempt_id {
         return Err(FailedAttempt::broken("the answer belongs to another request"));
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -659,8 +659,13 @@
         self.retry_state.record_failure(failed.failure);
         self.last_failure = Some(failed.failure);
         self.tried_servers.push(server.to_string());
-        if failed.failure != AttemptFailure::Failed {
-            self.gateway.balance.borrow_mut().avoid(self.gateway.now(), server);
+        let now = self.gateway.now();
+        match failed.failure {
+            AttemptFailure::Failed => {}
+            AttemptFailure::Replaced => {
+                self.gateway.balance.borrow_mut().avoid_replaced(now, server)
+            }
+            _ => self.gateway.balance.borrow_mut().avoid(now, server),
         }
         if self.route.streaming && failed.failure == AttemptFailure::NotRun {
             record_stream_refusal(&self.gateway, &self.service);
@@ -680,7 +685,9 @@
     fn final_refusal(&self, reason: &'static str) -> Refusal {
         let kind = match self.last_failure {
             Some(AttemptFailure::NotRun) => RefusalKind::Overloaded,
-            Some(AttemptFailure::NotConnected) | None => RefusalKind::NoServer,
+            Some(AttemptFailure::NotConnected | AttemptFailure::Replaced) | None => {
+                RefusalKind::NoServer
+            }
             Some(_) if self.retry_state.repeat == RepeatRule::AtMostOnce => {
                 RefusalKind::OutcomeUnknown
             }
@@ -770,6 +777,7 @@
     match failure {
         AttemptFailure::NotConnected => "not-connected",
         AttemptFailure::NotRun => "not-run",
+        AttemptFailure::Replaced => "replaced",
         AttemptFailure::Broken => "broken",
         AttemptFailure::Failed => "failed",
     }
