Refuse streams at once while a rank is known to be lost

Cause: in an outage of a group each stream waited up to 1.4 s at the gate, was told 2.5 s, came back within the outage and waited again. A connection that is refused proves the loss of a rank after 15 ms, but streams were sent into the stalled group for 1.5 s more; and gateways see the rank register again 0.6 s before the group is open, and did not use it. Change: a lost server (crashed, or not reachable) and a stop of the service's events for 0.3 s open the breaker. While a rank is lost and has not registered, streams are refused at once. When it has, streams that can start after form_ms wait, and others are told that time. The duration of earlier outages sets Retry-After, with callers spread over a second after the expected end. While the cause of an outage is unknown streams wait as before.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use crate::ids::RequestId;
+use crate::outage::OutageOutlook;
 use crate::queue::FairQueue;
 use crate::queue::WaitingRequest;
 use crate::rate::PlacementRate;
@@ -162,8 +163,15 @@
         /// Streams that can no longer begin on time; they count towards `total` too.
         overdue: u32,
     },
-    /// The servers refuse all streams; this many may be sent as probes.
-    Outage(u32),
+    /// The servers refuse all streams.
+    Outage {
+        /// Streams that may be sent as probes.
+        probes: u32,
+        /// When streams can be served again.
+        outlook: OutageOutlook,
+        /// Time after which a refused stream should return.
+        retry_after: Duration,
+    },
 }
 
 /// Decision of the gate on a waiting stream.
@@ -182,7 +190,8 @@
     overdue: FairQueue,
     waiting_streams: Vec<GateRequest>,
     rate: PlacementRate,
-    outage: bool,
+    /// Time after which a stream that is refused during the current outage should return.
+    outage_retry_after: Option<Duration>,
     /// Time until which callers that were refused during an outage may still retry.
     recovering_until: Duration,
 }
@@ -194,7 +203,7 @@
             overdue: FairQueue::new(QUEUE_CAPACITY),
             waiting_streams: Vec::new(),
             rate: PlacementRate::default(),
-            outage: false,
+            outage_retry_after: None,
             recovering_until: Duration::ZERO,
         }
     }
@@ -220,8 +229,8 @@
 
     /// Returns the time after which the caller of a refused stream should retry.
     pub fn retry_after(&self) -> Duration {
-        if self.outage {
-            return OUTAGE_RETRY_AFTER;
+        if let Some(retry_after) = self.outage_retry_after {
+            return retry_after;
         }
         let waiting = self.on_time.len() + self.overdue.len();
         self.rate.expected_wait(waiting).unwrap_or(MIN_RETRY_AFTER).max(MIN_RETRY_AFTER)
@@ -237,17 +246,24 @@
 
     /// Admits streams up to the capacity, and refuses those that cannot complete in time.
     ///
-    /// During an outage streams wait until their latest start: the rate of admissions so
-    /// far does not say when the service is back. For a few seconds after an outage, when
+    /// During an outage streams wait until their latest start, unless the service is known
+    /// not to be back by then: the rate of admissions so far does not say when it is. For a
+    /// few seconds after an outage, when
     /// many streams are overdue, overdue streams only get the capacity that is given for
     /// them.
     pub fn process_queue(&mut self, now: Duration, capacity: GateCapacity) -> Vec<GateDecision> {
-        let (capacity, mut overdue, outage) = match capacity {
-            GateCapacity::Streams { total, overdue } => (total, overdue, false),
-            GateCapacity::Outage(probes) => (probes, probes, true),
+        let was_out = self.outage_retry_after.is_some();
+        let (capacity, mut overdue, outlook) = match capacity {
+            GateCapacity::Streams { total, overdue } => {
+                self.outage_retry_after = None;
+                (total, overdue, None)
+            }
+            GateCapacity::Outage { probes, outlook, retry_after } => {
+                self.outage_retry_after = Some(retry_after);
+                (probes, probes, Some(outlook))
+            }
         };
-        if outage != self.outage {
-            self.outage = outage;
+        if outlook.is_some() != was_out {
             self.rate = PlacementRate::default();
             self.recovering_until = now + RECOVERY_PERIOD;
         }
@@ -279,9 +295,10 @@
             self.rate.record_placement(now);
             decisions.push(GateDecision::Admit(request));
         }
-        if !self.outage {
-            decisions.extend(self.refuse_unservable(now));
-        }
+        decisions.extend(match outlook {
+            Some(outlook) => self.refuse_until_return(outlook),
+            None => self.refuse_unservable(now),
+        });
         decisions
     }
 
@@ -294,6 +311,26 @@
         self.overdue.push(queue_priority(stream.priority), &stream.organisation, waiting);
     }
 
+    /// Refuses the streams that the service cannot serve before their latest start.
+    fn refuse_until_return(&mut self, outlook: OutageOutlook) -> Vec<GateDecision> {
+        let retry = self.retry_after();
+        let is_hopeless = |stream: &GateRequest| match outlook {
+            OutageOutlook::Forming(formed_at) => stream.latest_start < formed_at,
+            OutageOutlook::RankLost => true,
+            OutageOutlook::Unknown => false,
+        };
+        let hopeless: Vec<RequestId> = self
+            .waiting_streams
+            .iter()
+            .filter(|stream| is_hopeless(stream))
+            .map(|stream| stream.request)
+            .collect();
+        for request in &hopeless {
+            self.remove(*request);
+        }
+        hopeless.into_iter().map(|request| GateDecision::Refuse(request, retry)).collect()
+    }
+
     /// Refuses overdue streams whose expected wait passes their latest start.
     fn refuse_unservable(&mut self, now: Duration) -> Vec<GateDecision> {
         let retry = self.retry_after();
@@ -325,11 +362,6 @@
 /// Shortest time after which a refused stream may be retried; a few passes.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(400);
 
-/// Time after which a stream that was refused during an outage should be retried. Crashed
-/// servers are back after a few seconds; a caller retries earlier if this is more than a
-/// third of the time that it has left.
-pub const OUTAGE_RETRY_AFTER: Duration = Duration::from_millis(2_500);
-
 /// Time after an outage within which callers that waited or were refused during it retry;
 /// the deadline of a caller.
 const RECOVERY_PERIOD: Duration = Duration::from_secs(8);
--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -16,6 +16,7 @@
 use crate::ids::FastSet;
 use crate::ids::MemberId;
 use crate::ids::ServerId;
+use crate::ids::ServiceName;
 use crate::ids::ZoneName;
 use crate::routing::ServerRecord;
 use crate::routing::ServerState;
@@ -174,22 +175,25 @@
 
     /// Inserts or updates the record of a server, unless a later server is known at its
     /// address. Earlier servers at the address are removed: the records of servers that
-    /// crashed stay for some heartbeats.
-    pub fn upsert(&mut self, now: Duration, record: ServerRecord) {
+    /// crashed stay for some heartbeats. Returns whether the server was not known since it
+    /// started.
+    pub fn upsert(&mut self, now: Duration, record: ServerRecord) -> bool {
         if self.is_replaced(&record) {
             self.backends.remove(&record.id);
-            return;
+            return false;
         }
         self.by_address.insert(record.address, record.id.clone());
         let cold_until = now + record.cold_remaining;
         match self.backends.get_mut(&record.id) {
             Some(backend) => {
-                if backend.record.started_ms != record.started_ms {
+                let is_new = backend.record.started_ms != record.started_ms;
+                if is_new {
                     backend.avoid_until = Duration::ZERO;
                 }
                 backend.record = record;
                 backend.cold_until = cold_until;
                 backend.missing_since = None;
+                is_new
             }
             None => {
                 let reported =
@@ -204,10 +208,16 @@
                     record: record.clone(),
                 };
                 self.backends.insert(record.id, backend);
+                true
             }
         }
     }
 
+    /// Returns the service of a server, if the server is known.
+    pub fn service_of(&self, id: &str) -> Option<ServiceName> {
+        self.backends.get(id).map(|backend| backend.record.service.clone())
+    }
+
     /// Returns whether a later server is known at the address of `record`; removes an earlier
     /// one.
     fn is_replaced(&mut self, record: &ServerRecord) -> bool {
--- a/crates/core/src/breaker.rs
+++ b/crates/core/src/breaker.rs
@@ -39,6 +39,12 @@
         self.consecutive_refusals == REFUSALS_TO_OPEN
     }
 
+    /// Opens the breaker: the service is known to be out. The first probe is due at once.
+    pub fn trip(&mut self, now: Duration) {
+        self.consecutive_refusals = self.consecutive_refusals.max(REFUSALS_TO_OPEN);
+        self.next_probe_at = now;
+    }
+
     /// Records that a server serves a request; returns whether this closes the breaker.
     pub fn record_success(&mut self) -> bool {
         let was_open = self.consecutive_refusals >= REFUSALS_TO_OPEN;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,7 +20,8 @@
 //!   [`balance`] chooses a backend server, [`retry`] decides on further attempts,
 //!   [`event_stream`] splits streams into complete events, and [`deadlines`] recognises
 //!   requests that return after a refusal. [`admission`] delays streams that would slow
-//!   their group too much, and [`breaker`] delays requests while a service refuses all.
+//!   their group too much, and [`breaker`] delays requests while a service refuses all;
+//!   [`outage`] estimates for how long.
 //!   [`silence`] detects servers that send nothing any more, [`relocation`] those that are
 //!   too slow for their group, [`crash_detection`] finds the
 //!   requests that were at a crashed server, and [`quarantine`] decides which of them are
@@ -72,6 +73,7 @@
 pub mod limit;
 pub mod member;
 pub mod orders;
+pub mod outage;
 pub mod quarantine;
 pub mod queue;
 pub mod rank_views;
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -89,6 +89,8 @@
     pub expert_share: f64,
     /// Age of the state in an engine's reports to other VMs; zero if it is not known.
     pub report_lag: Duration,
+    /// Time that a group of ranks takes to form once all of them run.
+    pub form_time: Duration,
     /// Expert layout; `None` when the model has no experts.
     pub experts: Option<ExpertLayout>,
 }
--- a/crates/core/tests/expert_plans.rs
+++ b/crates/core/tests/expert_plans.rs
@@ -232,6 +232,7 @@
         time_per_request: Duration::from_micros(905),
         expert_share: 0.85,
         report_lag: Duration::from_millis(200),
+        form_time: Duration::from_millis(600),
         experts: Some(LAYOUT),
     };
     let target = Duration::from_millis(120);
@@ -260,6 +261,7 @@
         time_per_request: Duration::from_micros(500),
         expert_share: 0.85,
         report_lag: Duration::from_millis(200),
+        form_time: Duration::from_millis(600),
         experts: Some(layout),
     };
     let target = Duration::from_millis(120);
--- a/crates/core/tests/relocated_streams.rs
+++ b/crates/core/tests/relocated_streams.rs
@@ -20,6 +20,7 @@
         time_per_request: Duration::from_micros(905),
         expert_share: 0.85,
         report_lag: Duration::from_millis(200),
+        form_time: Duration::from_millis(600),
         experts: None,
     }
 }
--- a/crates/core/tests/service_outage.rs
+++ b/crates/core/tests/service_outage.rs
@@ -10,6 +10,9 @@
 use cuminpick::admission::StreamGate;
 use cuminpick::breaker::BreakerState;
 use cuminpick::breaker::CircuitBreaker;
+use cuminpick::outage::OUTAGE_RETRY_AFTER;
+use cuminpick::outage::OutageEstimate;
+use cuminpick::outage::OutageOutlook;
 
 /// Deadline that callers set for a stream.
 const DEADLINE: Duration = Duration::from_secs(8);
@@ -57,8 +60,8 @@
         }
         let capacity = match breaker.state(now) {
             BreakerState::Closed => capacity_of(u32::MAX),
-            BreakerState::HalfOpen => GateCapacity::Outage(1),
-            BreakerState::Open => GateCapacity::Outage(0),
+            BreakerState::HalfOpen => during_outage(1, OutageOutlook::Unknown),
+            BreakerState::Open => during_outage(0, OutageOutlook::Unknown),
         };
         for decision in gate.process_queue(now, capacity) {
             let refused = match decision {
@@ -133,3 +136,74 @@
 fn capacity_of(total: u32) -> GateCapacity {
     GateCapacity::Streams { total, overdue: total }
 }
+
+fn during_outage(probes: u32, outlook: OutageOutlook) -> GateCapacity {
+    GateCapacity::Outage { probes, outlook, retry_after: OUTAGE_RETRY_AFTER }
+}
+
+/// A rank is gone and has not registered again: no stream is held, since the group cannot
+/// form before its latest start.
+#[test]
+fn lost_rank() {
+    let mut gate = StreamGate::default();
+    let now = Duration::from_secs(3);
+    assert!(gate.enqueue(gate_request(1, now)));
+    let decisions = gate.process_queue(now, during_outage(0, OutageOutlook::RankLost));
+    assert_eq!(decisions, [GateDecision::Refuse(1, OUTAGE_RETRY_AFTER)]);
+}
+
+/// The lost rank has registered again: streams that can start once the group has formed
+/// wait for it, others are refused.
+#[test]
+fn forming_group() {
+    let mut gate = StreamGate::default();
+    let now = Duration::from_secs(3);
+    assert!(gate.enqueue(gate_request(1, now)));
+    assert!(gate.enqueue(gate_request(2, now - Duration::from_secs(1))));
+    let formed_at = now + Duration::from_millis(600);
+    let decisions = gate.process_queue(now, during_outage(0, OutageOutlook::Forming(formed_at)));
+    assert_eq!(decisions, [GateDecision::Refuse(2, OUTAGE_RETRY_AFTER)]);
+    let decisions = gate.process_queue(formed_at, capacity_of(5));
+    assert_eq!(decisions, [GateDecision::Admit(1)]);
+}
+
+#[test]
+fn outage_outlook() {
+    let second = Duration::from_secs(1);
+    let mut estimate = OutageEstimate::default();
+    assert_eq!(estimate.outlook(second), OutageOutlook::Unknown);
+    estimate.record_lost_server(second);
+    assert_eq!(estimate.outlook(second * 2), OutageOutlook::RankLost);
+    estimate.record_new_server(second * 6, Duration::from_millis(600));
+    let formed_at = Duration::from_millis(6_600);
+    assert_eq!(estimate.outlook(second * 6), OutageOutlook::Forming(formed_at));
+    assert_eq!(estimate.retry_after(second * 6, 0.0), Duration::from_millis(600));
+    assert_eq!(estimate.outlook(second * 8), OutageOutlook::Unknown);
+}
+
+/// The second outage is expected to take as long as the first one, and callers return
+/// spread over the time after its end.
+#[test]
+fn learned_duration() {
+    let second = Duration::from_secs(1);
+    let mut estimate = OutageEstimate::default();
+    estimate.record_lost_server(second);
+    assert_eq!(estimate.retry_after(second * 2, 0.0), OUTAGE_RETRY_AFTER);
+    estimate.record_service(second * 5, true);
+    estimate.record_lost_server(second * 20);
+    assert_eq!(estimate.retry_after(second * 22, 0.0), second * 2);
+    assert_eq!(estimate.retry_after(second * 22, 1.0), second * 3);
+    assert_eq!(estimate.retry_after(second * 30, 0.0), OUTAGE_RETRY_AFTER);
+}
+
+/// A server that was lost while the group went on leaves no estimate behind.
+#[test]
+fn spare_server() {
+    let second = Duration::from_secs(1);
+    let mut estimate = OutageEstimate::default();
+    estimate.record_lost_server(second);
+    estimate.record_service(second * 2, false);
+    assert_eq!(estimate.outlook(second * 2), OutageOutlook::Unknown);
+    estimate.record_lost_server(second * 3);
+    assert_eq!(estimate.retry_after(second * 3, 0.0), OUTAGE_RETRY_AFTER);
+}
--- a/crates/core/tests/stream_gate.rs
+++ b/crates/core/tests/stream_gate.rs
@@ -12,6 +12,8 @@
 use cuminpick::admission::StreamGate;
 use cuminpick::admission::overdue_capacity;
 use cuminpick::admission::stream_limit;
+use cuminpick::outage::OUTAGE_RETRY_AFTER;
+use cuminpick::outage::OutageOutlook;
 use cuminpick::routing::EngineModel;
 
 const TARGET: Duration = Duration::from_millis(120);
@@ -25,6 +27,7 @@
         time_per_request: Duration::from_micros(905),
         expert_share: 0.85,
         report_lag: Duration::from_millis(200),
+        form_time: Duration::from_millis(600),
         experts: None,
     }
 }
@@ -103,7 +106,12 @@
 fn overdue_wait_after_outage() {
     let mut gate = StreamGate::default();
     gate.enqueue(gate_request(1, Duration::ZERO));
-    assert!(gate.process_queue(Duration::ZERO, GateCapacity::Outage(0)).is_empty());
+    let outage = GateCapacity::Outage {
+        probes: 0,
+        outlook: OutageOutlook::Unknown,
+        retry_after: OUTAGE_RETRY_AFTER,
+    };
+    assert!(gate.process_queue(Duration::ZERO, outage).is_empty());
     let later = Duration::from_millis(300);
     let without_overdue = GateCapacity::Streams { total: 9, overdue: 0 };
     assert!(gate.process_queue(later, without_overdue).is_empty());
--- a/crates/gateway/src/crash_tracking.rs
+++ b/crates/gateway/src/crash_tracking.rs
@@ -36,6 +36,7 @@
 use tokio::io::AsyncReadExt;
 
 use crate::attempt::FailedAttempt;
+use crate::gate::record_lost_server;
 use crate::state::Gateway;
 
 /// Delay before a write, so that simultaneous crashes are written together. It is a sixth
@@ -246,6 +247,10 @@
         return;
     }
     let now = gateway.now();
+    let service = gateway.balance.borrow().service_of(&incarnation.server);
+    if let Some(service) = service {
+        record_lost_server(gateway, &service);
+    }
     gateway.journal.note(
         "server-ended",
         None,
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -12,7 +12,6 @@
 use cuminpick::admission::GateDecision;
 use cuminpick::admission::GateRequest;
 use cuminpick::admission::GroupLoad;
-use cuminpick::admission::OUTAGE_RETRY_AFTER;
 use cuminpick::admission::StreamGate;
 use cuminpick::admission::overdue_capacity;
 use cuminpick::admission::stream_limit;
@@ -20,6 +19,7 @@
 use cuminpick::breaker::CircuitBreaker;
 use cuminpick::ids::FastMap;
 use cuminpick::ids::RequestId;
+use cuminpick::outage::OutageEstimate;
 use slog::o;
 use tokio::sync::oneshot;
 
@@ -28,11 +28,16 @@
 /// Interval at which the queues are processed; a pass takes 40 ms or more.
 const QUEUE_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Time without events after which a service that has lost a server counts as stalled;
+/// several passes.
+const STALL_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Admission state of one service, and the streams that wait for it.
 #[derive(Default)]
 pub struct ServiceGate {
     stream_gate: StreamGate,
     breaker: CircuitBreaker,
+    outage: OutageEstimate,
     share: CapacityShare,
     waiters: FastMap<RequestId, oneshot::Sender<Option<Duration>>>,
 }
@@ -100,8 +105,10 @@
 /// servers refuse all streams.
 pub fn outage_retry_after(gateway: &Gateway, service: &str) -> Option<Duration> {
     let gates = gateway.gates.borrow();
-    let breaker = &gates.get(service)?.breaker;
-    (breaker.state(gateway.now()) != BreakerState::Closed).then_some(OUTAGE_RETRY_AFTER)
+    let gate = gates.get(service)?;
+    let now = gateway.now();
+    let is_out = gate.breaker.state(now) != BreakerState::Closed;
+    is_out.then(|| gate.outage.retry_after(now, gateway.random_share()))
 }
 
 /// Records that a server of `service` refused a stream.
@@ -115,12 +122,58 @@
 
 /// Records that a server of `service` serves a stream.
 pub fn record_stream_success(gateway: &Gateway, service: &str) {
+    let now = gateway.now();
     let mut gates = gateway.gates.borrow_mut();
-    if gates.entry(service.to_string()).or_default().breaker.record_success() {
+    let gate = gates.entry(service.to_string()).or_default();
+    let was_out = gate.breaker.record_success();
+    gate.outage.record_service(now, was_out);
+    if was_out {
         gateway.journal.note("service-back", None, o!("service" => service.to_string()));
     }
 }
 
+/// Records that a server of `service` crashed or cannot be reached.
+pub fn record_lost_server(gateway: &Gateway, service: &str) {
+    let now = gateway.now();
+    gateway
+        .gates
+        .borrow_mut()
+        .entry(service.to_string())
+        .or_default()
+        .outage
+        .record_lost_server(now);
+}
+
+/// Records that a server of `service` has registered since it started.
+pub fn record_new_server(gateway: &Gateway, service: &str) {
+    let Some(table) = gateway.routing_table() else {
+        return;
+    };
+    let model = table.service(service).and_then(|spec| spec.engine.as_ref());
+    if let (Some(model), Some(gate)) = (model, gateway.gates.borrow_mut().get_mut(service)) {
+        gate.outage.record_new_server(gateway.now(), model.form_time);
+    }
+}
+
+/// Opens the breaker of a service that has lost a server if its events have stopped: the
+/// ranks of its group wait for the lost one before they refuse anything.
+fn trip_if_stalled(gateway: &Gateway, service: &str, gate: &mut ServiceGate, now: Duration) {
+    let is_stalled =
+        gate.outage.is_rank_lost()
+            && gate.breaker.state(now) == BreakerState::Closed
+            && gateway.balance.borrow().service_load(service).own_in_flight > 0
+            && gateway.event_gaps.borrow().get(service).is_some_and(|meter| {
+                meter.mean(now).is_some() && !meter.is_active(now, STALL_TIMEOUT)
+            });
+    if is_stalled {
+        gate.breaker.trip(now);
+        gateway.journal.warn(
+            "service-stalled",
+            o!("service" => service.to_string(), "reason" => "a server is lost and no events arrive"),
+        );
+    }
+}
+
 /// Processes the queues of all services at regular intervals, for as long as the process
 /// runs.
 pub async fn process_gate_queues(gateway: Rc<Gateway>) {
@@ -146,13 +199,19 @@
     let Some(gate) = gates.get_mut(service) else {
         return;
     };
+    trip_if_stalled(gateway, service, gate, now);
+    let outage = |probes| GateCapacity::Outage {
+        probes,
+        outlook: gate.outage.outlook(now),
+        retry_after: gate.outage.retry_after(now, gateway.random_share()),
+    };
     let gate_capacity = match gate.breaker.state(now) {
         BreakerState::Closed => {
             let overdue = gate.share.allowance(now, capacity.overdue, gateways);
             GateCapacity::Streams { total: capacity.total, overdue }
         }
-        BreakerState::HalfOpen => GateCapacity::Outage(1),
-        BreakerState::Open => GateCapacity::Outage(0),
+        BreakerState::HalfOpen => outage(1),
+        BreakerState::Open => outage(0),
     };
     for decision in gate.stream_gate.process_queue(now, gate_capacity) {
         let (request, retry_after) = match decision {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -66,6 +66,7 @@
 use crate::crash_tracking::unless_quarantined;
 use crate::framing::HeadBytes;
 use crate::gate::outage_retry_after;
+use crate::gate::record_lost_server;
 use crate::gate::record_stream_refusal;
 use crate::gate::record_stream_success;
 use crate::gate::wait_for_admission;
@@ -667,8 +668,14 @@
             }
             _ => self.gateway.balance.borrow_mut().avoid(now, server),
         }
-        if self.route.streaming && failed.failure == AttemptFailure::NotRun {
-            record_stream_refusal(&self.gateway, &self.service);
+        match failed.failure {
+            AttemptFailure::NotRun if self.route.streaming => {
+                record_stream_refusal(&self.gateway, &self.service);
+            }
+            AttemptFailure::NotConnected if self.route.streaming => {
+                record_lost_server(&self.gateway, &self.service);
+            }
+            _ => {}
         }
         self.gateway.metrics.count_attempt(failure_name(failed.failure), retry);
         self.gateway.journal.note(
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -130,6 +130,11 @@
     pub fn random_bits(&self) -> u64 {
         self.rng.borrow_mut().next_bits()
     }
+
+    /// Returns a random number from 0 to 1.
+    pub fn random_share(&self) -> f64 {
+        self.random_bits() as f64 / u64::MAX as f64
+    }
 }
 
 /// Counts a request as in flight at a server until it is dropped.
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -31,6 +31,7 @@
 use crate::crash_tracking::is_outdated;
 use crate::crash_tracking::record_registration;
 use crate::crash_tracking::remove_outdated_record;
+use crate::gate::record_new_server;
 use crate::state::Gateway;
 
 /// Maximum duration of a watch; bounds how long a store that hangs goes unnoticed.
@@ -200,7 +201,10 @@
                            "cold_ms" => record.cold_remaining.as_millis() as u64,
                            "revision" => event.object.revision),
                     );
-                    self.gateway.balance.borrow_mut().upsert(now, record);
+                    let service = record.service.clone();
+                    if self.gateway.balance.borrow_mut().upsert(now, record) {
+                        record_new_server(&self.gateway, &service);
+                    }
                 }
             }
             _ => {
