--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -21,11 +21,8 @@
 /// rest is for reading prompts and for shifts in expert demand.
 pub(crate) const PASS_TIME_SHARE: f64 = 0.85;
 /// Fewest streams per rank that are admitted at any measured event gap, so that a stall
-/// does not close the gate.
+/// does not close the gate, and the limit until a gap has been measured.
 const MIN_STREAMS_PER_RANK: f64 = 3.0;
-/// Expert load of the most loaded rank over the mean with the initial map of a group, as
-/// measured on the users' sites.
-const INITIAL_MAP_SKEW: f64 = 3.45;
 /// Age after which a measured event gap no longer predicts the next pass.
 const MAX_GAP_AGE: Duration = Duration::from_secs(1);
 /// Share of the longest accepted event gap up to which overdue streams are admitted; the
@@ -86,7 +83,7 @@
 ///
 /// The measured event gap divided by the pass time of evenly loaded ranks in the cost
 /// model gives the imbalance of the ranks, from which the limit follows. Without a
-/// measurement, the imbalance of a group's initial map is assumed.
+/// measurement the limit is the smallest one.
 pub fn stream_limit(model: &EngineModel, load: &GroupLoad, target: Duration) -> Option<u32> {
     let step_time = model.step_time.as_secs_f64();
     let time_per_request = model.time_per_request.as_secs_f64();
@@ -96,12 +93,12 @@
     }
     let per_rank = f64::from(load.streams) / ranks;
     let steps = f64::from(model.steps_per_pass);
-    let imbalance = load.event_gap.map_or_else(
-        || 1.0 + model.expert_share * (INITIAL_MAP_SKEW - 1.0),
-        |gap| gap.as_secs_f64() / model.pass_seconds(per_rank, 1.0),
-    );
-    let max_step_time = target.as_secs_f64() * PASS_TIME_SHARE / (steps * imbalance);
-    let max_per_rank = ((max_step_time - step_time) / time_per_request).max(MIN_STREAMS_PER_RANK);
+    let measured = load.event_gap.map(|gap| {
+        let imbalance = gap.as_secs_f64() / model.pass_seconds(per_rank, 1.0);
+        let max_step_time = target.as_secs_f64() * PASS_TIME_SHARE / (steps * imbalance);
+        (max_step_time - step_time) / time_per_request
+    });
+    let max_per_rank = measured.unwrap_or_default().max(MIN_STREAMS_PER_RANK);
     Some(((max_per_rank * ranks) as u32).min(load.slots))
 }
 
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -20,6 +20,7 @@
 use cuminpick::ids::FastMap;
 use cuminpick::ids::RequestId;
 use cuminpick::outage::OutageEstimate;
+use cuminpick::outage::OutageOutlook;
 use slog::o;
 use tokio::sync::oneshot;
 
@@ -42,6 +43,21 @@
     waiters: FastMap<RequestId, oneshot::Sender<Option<Duration>>>,
 }
 
+impl ServiceGate {
+    /// Returns what is known of the service's outage, as it appears in logs; `None` if it has
+    /// none.
+    fn describe_outage(&self, now: Duration) -> Option<&'static str> {
+        if self.breaker.state(now) == BreakerState::Closed {
+            return None;
+        }
+        Some(match self.outage.outlook(now) {
+            OutageOutlook::Forming(_) => "forming",
+            OutageOutlook::RankLost => "rank-lost",
+            OutageOutlook::Unknown => "unknown",
+        })
+    }
+}
+
 /// Waits until a stream is admitted. If it is refused, returns the time after which the
 /// caller may retry. `attempt` is the identifier of the request in the log.
 pub async fn wait_for_admission(
@@ -70,7 +86,9 @@
     drop(queued);
     let waited = gateway.now().saturating_sub(started);
     if !waited.is_zero() || retry_after.is_some() {
-        let capacity = service_capacity(gateway, service, gateway.now());
+        let now = gateway.now();
+        let capacity = service_capacity(gateway, service, now);
+        let outage = gateway.gates.borrow().get(service).and_then(|gate| gate.describe_outage(now));
         gateway.journal.note(
             "gate-passed",
             attempt,
@@ -78,6 +96,7 @@
                "waited_ms" => waited.as_millis() as u64, "room" => capacity.total,
                "room_overdue" => capacity.overdue, "streams" => capacity.streams,
                "pause_ms" => capacity.event_gap.map_or(-1, |gap| gap.as_millis() as i64),
+               "outage" => outage.unwrap_or("none"),
                "retry_ms" => retry_after.map_or(-1, |retry| retry.as_millis() as i64)),
         );
     }
