--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -24,6 +24,8 @@
 pub type AttemptNumber = u32;
 /// Hash of a request's content and organisation; the same for all its attempts.
 pub type RequestDigest = u64;
+/// Hash of the id of a prompt part, which requests of all callers may share.
+pub type PartDigest = u64;
 /// Version that the object API assigned to a change; increases over all objects.
 pub type ObjectVersion = u64;
 
@@ -58,8 +60,19 @@
         hasher.update((part.len() as u64).to_le_bytes());
         hasher.update(part);
     }
-    let hash = hasher.finalize();
-    hash.iter().take(size_of::<RequestDigest>()).fold(0, |bits, byte| bits << 8 | u64::from(*byte))
+    first_bits(hasher.finalize().as_slice())
+}
+
+/// Returns the digest of a prompt part by its id, in upper or lower case.
+///
+/// The hash is cryptographic, so that no caller can craft a part with the digest of another.
+pub fn digest_part(id: &str) -> PartDigest {
+    first_bits(Sha256::digest(id.to_ascii_lowercase()).as_slice())
+}
+
+/// Returns the first 64 bits of a hash.
+fn first_bits(hash: &[u8]) -> u64 {
+    hash.iter().take(size_of::<u64>()).fold(0, |bits, byte| bits << 8 | u64::from(*byte))
 }
 
 /// Mixes a 64-bit value; a step of the SplitMix64 generator.
--- a/crates/gateway/src/crash_tracking.rs
+++ b/crates/gateway/src/crash_tracking.rs
@@ -74,6 +74,11 @@
     format!("{digest:016x}")
 }
 
+/// Formats several digests as they appear in logs.
+pub fn format_digests(digests: &[u64]) -> String {
+    digests.iter().map(|digest| format_digest(*digest)).collect::<Vec<String>>().join(",")
+}
+
 /// An attempt that has reached a server; it counts as lost when it is dropped before an
 /// answer is recorded.
 pub struct AttemptGuard {
@@ -256,8 +261,7 @@
         None,
         o!("server" => incarnation.server.clone(), "born" => incarnation.started_ms,
            "proof" => proof, "requests" => suspects.len(),
-           "digests" => suspects.iter().map(|digest| format_digest(*digest)).collect::<Vec<_>>()
-               .join(",")),
+           "digests" => format_digests(&suspects)),
     );
     gateway.metrics.count_server_end(proof);
     for digest in suspects {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -18,6 +18,7 @@
 use cuminpick::event_stream::EventSplitter;
 use cuminpick::event_stream::StreamEvent;
 use cuminpick::ids::OrganisationName;
+use cuminpick::ids::PartDigest;
 use cuminpick::ids::RequestDigest;
 use cuminpick::ids::ServerId;
 use cuminpick::ids::ServiceName;
@@ -56,6 +57,7 @@
 use crate::attempt::send_attempt;
 use crate::attempt::with_timeout;
 use crate::crash_tracking::format_digest;
+use crate::crash_tracking::format_digests;
 use crate::crash_tracking::unless_quarantined;
 use crate::framing::HeadBytes;
 use crate::gate::outage_retry_after;
@@ -218,6 +220,7 @@
         route: route.clone(),
         service,
         digest,
+        shared_parts: head.shared_parts.into(),
         organisation,
         priority,
         cold_requests_per_second,
@@ -279,6 +282,8 @@
     pub retry_state: RetryState,
     /// Digest by which gateways attribute crashes to the request; equal for all its attempts.
     digest: RequestDigest,
+    /// Parts of the prompt that other requests may share.
+    shared_parts: Rc<[PartDigest]>,
     organisation: Option<OrganisationName>,
     priority: u8,
     /// Time between the caller's first try and this arrival, estimated from its deadline.
@@ -532,6 +537,7 @@
                "own_in_flight" => choice.own_in_flight,
                "others_in_flight" => choice.others_in_flight,
                "born" => choice.started_ms, "digest" => format_digest(self.digest),
+               "parts" => format_digests(&self.shared_parts),
                "candidates" => choice.candidates, "config" => self.table_version,
                "after_event" => after.map_or(-1, |event| event as i64),
                "age_ms" => self.arrived.elapsed().as_millis() as u64),
