--- a/crates/gateway/tests/fault_soak.rs
+++ b/crates/gateway/tests/fault_soak.rs
@@ -93,7 +93,13 @@
     /// when the connection fails.
     async fn exchange(&mut self, gateway: usize, seen: &mut ObservedAnswer) -> Option<()> {
         let time_left = Duration::from_secs(2);
-        let head = CallerHead { host: HOST, attempt_id: &seen.attempt, time_left, key: Some(KEY) };
+        let head = CallerHead {
+            host: HOST,
+            attempt_id: &seen.attempt,
+            time_left,
+            key: Some(KEY),
+            prompt_parts: &[],
+        };
         let mut request = Request::builder()
             .method(Method::POST)
             .uri(&seen.path)
--- a/crates/gateway/tests/leaving_callers.rs
+++ b/crates/gateway/tests/leaving_callers.rs
@@ -31,6 +31,7 @@
         attempt_id: attempt,
         time_left: Duration::from_secs(7),
         key: Some(KEY),
+        prompt_parts: &[],
     };
     let mut request = Request::builder().method("POST").uri(path).body(Full::default()).unwrap();
     *request.headers_mut() = encode_caller(&head);
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -381,7 +381,22 @@
         key: Option<&str>,
     ) -> CallResult {
         let time_left = Duration::from_secs(3);
-        let head = CallerHead { host: HOST, attempt_id: attempt, time_left, key };
+        let head =
+            CallerHead { host: HOST, attempt_id: attempt, time_left, key, prompt_parts: &[] };
+        call_site(self.caller_address_at(gateway), path, &head).await
+    }
+
+    /// Sends a request whose prompt has the given parts to a gateway.
+    pub(crate) async fn call_with_parts(
+        &self,
+        gateway: usize,
+        path: &str,
+        attempt: &str,
+        prompt_parts: &[&str],
+    ) -> CallResult {
+        let time_left = Duration::from_secs(3);
+        let head =
+            CallerHead { host: HOST, attempt_id: attempt, time_left, key: Some(KEY), prompt_parts };
         call_site(self.caller_address_at(gateway), path, &head).await
     }
 
@@ -398,7 +413,8 @@
         key: Option<&str>,
         time_left: Duration,
     ) -> CallResult {
-        let head = CallerHead { host: HOST, attempt_id: attempt, time_left, key };
+        let head =
+            CallerHead { host: HOST, attempt_id: attempt, time_left, key, prompt_parts: &[] };
         call_site(self.caller_address(), path, &head).await
     }
 
--- a/crates/standins/src/drills/gateways.rs
+++ b/crates/standins/src/drills/gateways.rs
@@ -341,6 +341,7 @@
                 attempt_id: &attempt,
                 time_left: CALLER_TIMEOUT,
                 key: Some(API_KEY),
+                prompt_parts: &[],
             };
             let answer = call_site(address, &path, &head).await;
             CheckedCall {
--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -1,8 +1,9 @@
 //! Stand-in for a backend server: a rank of a model group, or a plain service.
 //!
 //! The path of a request selects the answer: `/stream/N` returns a stream of N events,
-//! and a path with `/ends-servers/` crashes the server. Injected faults apply to the next
-//! requests, one fault each.
+//! and a path with `/ends-servers/` crashes the server. A prompt part whose id begins with
+//! `dead` crashes it as well, when the prompt has been read and the answer would begin.
+//! Injected faults apply to the next requests, one fault each.
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -62,6 +63,10 @@
 const LISTENER_CLOSE_DELAY: Duration = Duration::from_millis(4);
 /// Part of a path that makes the request crash the server.
 const CRASHING_PATH: &str = "/ends-servers/";
+/// Start of the ids of prompt parts that crash the server.
+const CRASHING_PART: &str = "dead";
+/// Time that a server takes to read a prompt.
+const PROMPT_TIME: Duration = Duration::from_millis(30);
 
 /// Fault that a request meets.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -271,6 +276,11 @@
             self.crash();
             return None;
         }
+        if head.prompt_parts.iter().any(|id| id.starts_with(CRASHING_PART)) {
+            tokio::time::sleep(PROMPT_TIME).await;
+            self.crash();
+            return None;
+        }
         let running = RunningGuard::begin(&self);
         let attempt = head.attempt_id.clone().unwrap_or_default();
         let mut headers =
