--- /dev/null
+++ b/crates/gateway/tests/server_limits.rs
@@ -0,0 +1,80 @@
+//! Servers that state how many requests a second they take from all gateways together.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use cuminpick_standins::site::engine::SiteEngine;
+use hyper::StatusCode;
+use support::KEY;
+use support::Site;
+
+/// Window over which the platform counts the requests of a server.
+const WINDOW: Duration = Duration::from_secs(4);
+/// Time after the first statement of a limit from which it must hold.
+const STABLE_TIME: Duration = Duration::from_secs(3);
+
+/// Sends a request every `interval` to each of the given gateways; returns how many were
+/// served and how many were sent.
+async fn send_steadily(
+    site: &Arc<Site>,
+    gateways: &[usize],
+    interval: Duration,
+    duration: Duration,
+) -> (usize, usize) {
+    let started = Instant::now();
+    let mut calls = Vec::new();
+    let mut number = 0;
+    while started.elapsed() < duration {
+        for gateway in gateways.iter().copied() {
+            let site = Arc::clone(site);
+            let attempt = format!("{gateway}-{number}-{:?}", started);
+            number += 1;
+            calls.push(tokio::spawn(async move {
+                site.call_at(gateway, "/draft/stream/3", &attempt, Some(KEY)).await
+            }));
+        }
+        tokio::time::sleep(interval).await;
+    }
+    let sent = calls.len();
+    let mut served = 0;
+    for call in calls {
+        let answer = call.await.unwrap();
+        served += usize::from(answer.status == Some(StatusCode::OK) && answer.complete);
+    }
+    (served, sent)
+}
+
+/// Returns the most requests that a server got in a window that begins after `from`.
+fn busiest_window(engine: &SiteEngine, from: Instant) -> usize {
+    let times: Vec<Instant> =
+        engine.ledger().iter().map(|run| run.at).filter(|at| *at >= from).collect();
+    let in_window = |start: &Instant| {
+        times.iter().filter(|at| **at >= *start && **at < *start + WINDOW).count()
+    };
+    times.iter().map(in_window).max().unwrap_or(0)
+}
+
+/// Returns the requests that the platform allows a server in a window.
+fn allowed(limit: f64) -> usize {
+    (1.5 * limit * WINDOW.as_secs_f64()) as usize + 5
+}
+
+/// Guards against a server that gets far more requests than the limit that it states, summed
+/// over gateways with unequal loads; the other servers take the rest.
+#[tokio::test(flavor = "multi_thread")]
+async fn limit_kept() {
+    let site = Arc::new(Site::with_sizes(3, 4, 1).await);
+    let limit = 3.0;
+    site.engines[0].state_limit(Some(limit));
+    let from = Instant::now() + STABLE_TIME;
+    let duration = STABLE_TIME + WINDOW + Duration::from_secs(1);
+    let interval = Duration::from_millis(60);
+    let (served, sent) = send_steadily(&site, &[0, 0, 1, 2], interval, duration).await;
+    assert_eq!(served, sent);
+    let most = busiest_window(&site.engines[0], from);
+    assert!(most <= allowed(limit), "{most} requests where {} are allowed", allowed(limit));
+    assert!(most as f64 >= 0.5 * limit * WINDOW.as_secs_f64(), "only {most} requests");
+}
--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -24,6 +24,7 @@
 use cuminpick_platform::engine::GroupReport;
 use cuminpick_platform::platform_side::EngineCall;
 use cuminpick_platform::platform_side::ForwardedHead;
+use cuminpick_platform::platform_side::add_limit;
 use cuminpick_platform::platform_side::decode_engine_call;
 use cuminpick_platform::platform_side::decode_forwarded;
 use cuminpick_platform::platform_side::encode_counts;
@@ -129,6 +130,7 @@
     cancelled: u32,
     frozen: bool,
     crash_delay: Duration,
+    request_limit: Option<f64>,
 }
 
 /// Handle of a stand-in backend server; clones share the server.
@@ -215,6 +217,11 @@
         self.lock().crash_delay = delay;
     }
 
+    /// Sets the limit on requests per second that the server states in its answers.
+    pub fn state_limit(&self, per_second: Option<f64>) {
+        self.lock().request_limit = per_second;
+    }
+
     async fn wait_unfrozen(&self) {
         while self.lock().frozen {
             tokio::time::sleep(PLAIN_REQUEST_TIME).await;
@@ -281,10 +288,14 @@
             self.crash();
             return None;
         }
+        let request_limit = self.lock().request_limit;
         let running = RunningGuard::begin(&self);
         let attempt = head.attempt_id.clone().unwrap_or_default();
         let mut headers =
             sealed_headers(&attempt, &format!("seal-{}-{attempt}", self.incarnation.borrow().id));
+        if let Some(limit) = request_limit {
+            add_limit(&mut headers, limit);
+        }
         match fault {
             Some(EngineFault::LostAnswer) => return None,
             Some(EngineFault::Hang) => {
