Keep to the limits that servers state over all gateways

A server that states how many requests a second it takes got 19 to 21 in 4 s where 18 are allowed, and far more with lower limits; servers in need were loaded like the others. A part of the limit for each gateway would not do either: 53 or 350 gateways break it with one request each. Change: for each server with a limit one gateway, found by rendezvous hashing over the gateways that are alive, issues permits at the stated rate; each request to the server needs one. A refused permit closes the server until the next is expected, so work goes to the others. Where all servers are limited, a request is rejected at once with that time. Limits are told to all gateways, follow the latest answer and end with it. Conclusion: the bound is on a sum, so one process has to count it.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -18,6 +18,7 @@
 use crate::ids::ServerId;
 use crate::ids::ServiceName;
 use crate::ids::ZoneName;
+use crate::request_limits::LimitFilter;
 use crate::routing::ServerRecord;
 use crate::routing::ServerState;
 use crate::updates::update_interval;
@@ -89,6 +90,8 @@
     pub excluded: &'a [ServerId],
     /// Most requests per second that a cold server tolerates; 0 means no limit.
     pub cold_requests_per_second: f64,
+    /// Limits that servers state; `None` if they are not heeded.
+    pub limits: Option<LimitFilter<'a>>,
 }
 
 /// A chosen server, with the load on which the choice was based.
@@ -130,6 +133,8 @@
     AllTried,
     /// All remaining servers are at capacity.
     AllFull,
+    /// All servers that were not tried state limits that leave no room now.
+    AllLimited,
 }
 
 /// Backend servers and their load, as known to this gateway.
@@ -325,6 +330,19 @@
         self.peer_counts.contains_key(name)
     }
 
+    /// Returns the names of the other gateways that send updates.
+    pub fn live_peers(&self) -> impl Iterator<Item = &str> {
+        self.peer_counts.keys().map(String::as_str)
+    }
+
+    /// Returns the servers of a service that may get requests.
+    pub fn available_servers(&self, service: &str) -> impl Iterator<Item = &ServerId> {
+        let backends = self.backends.iter().filter(move |(_, backend)| {
+            backend.record.service == service && self.is_available(backend)
+        });
+        backends.map(|(id, _)| id)
+    }
+
     /// Returns the number of gateways that send updates, including this one.
     pub fn live_gateways(&self) -> usize {
         self.peer_counts.len() + 1
@@ -394,6 +412,13 @@
         if untried.is_empty() {
             return Err(ChoiceError::AllTried);
         }
+        let admits = |backend: &&Backend| {
+            query.limits.is_none_or(|limits| limits.admits(now, &backend.record.id))
+        };
+        let untried: Vec<&Backend> = untried.into_iter().filter(admits).collect();
+        if untried.is_empty() {
+            return Err(ChoiceError::AllLimited);
+        }
         let healthy: Vec<&Backend> =
             untried.iter().copied().filter(|backend| self.is_healthy(now, backend)).collect();
         let candidates = if healthy.is_empty() { untried } else { healthy };
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,7 +21,8 @@
 //!   [`event_stream`] splits streams into complete events, and [`deadlines`] recognises
 //!   requests that return after a refusal. [`admission`] delays streams that would slow
 //!   their group too much, and [`breaker`] delays requests while a service refuses all;
-//!   [`outage`] estimates for how long.
+//!   [`outage`] estimates for how long. [`request_limits`] keeps to the limits that servers
+//!   state.
 //!   [`silence`] detects servers that send nothing any more, [`relocation`] those that are
 //!   too slow for their group, [`crash_detection`] finds the
 //!   requests that were at a crashed server, and [`quarantine`] decides which of them are
@@ -84,6 +85,7 @@
 pub mod relocation;
 pub mod replay;
 mod request;
+pub mod request_limits;
 pub mod retry;
 pub mod routing;
 pub mod settings;
--- /dev/null
+++ b/crates/core/src/request_limits.rs
@@ -0,0 +1,221 @@
+//! Keeps to the limits that backend servers state on the requests of all gateways together.
+//!
+//! For each server with a limit one gateway, its issuer, hands out permits; all gateways
+//! compute the same issuer from the names of those that are alive. A gateway sends a request
+//! to such a server only with a permit, so the sum over any number of gateways keeps to the
+//! limit however unequal their loads are, and a gateway with all the load gets all permits.
+//! A refused permit names the time until the next one, for which the gateway chooses among
+//! the other servers.
+//!
+//! A limit is what a server's latest answer states, and ends when an answer states none.
+
+use std::time::Duration;
+
+use crate::crash_detection::ServerIncarnation;
+use crate::ids::FastMap;
+use crate::ids::MemberId;
+use crate::ids::ServerId;
+use crate::ids::hash_parts;
+
+/// Lowest rate of permits, per second. A server that states less gets a request every few
+/// seconds, whose answer shows when the limit rises.
+const MIN_RATE: f64 = 0.25;
+/// Highest limit that is heeded; no server runs as many requests per second.
+const MAX_LIMIT: f64 = 1e6;
+/// Time in which permits may accumulate while none is used.
+const ACCUMULATION_TIME: f64 = 0.5;
+/// Limits that are kept; the largest site has 4,800 servers.
+const MAX_LIMITS: usize = 16_384;
+/// Time for which an issuer that did not reply is replaced by the next one.
+const UNRESPONSIVE_TIME: Duration = Duration::from_secs(1);
+
+/// What an answer of a server states about its limit.
+#[derive(Debug, Clone, PartialEq)]
+pub struct LimitStatement {
+    /// Incarnation of the server.
+    pub incarnation: ServerIncarnation,
+    /// Requests per second over all gateways; `None` if the answer states no limit.
+    pub per_second: Option<f64>,
+    /// When the answer arrived.
+    pub stated_at: Duration,
+}
+
+/// Which servers with a limit may be chosen.
+#[derive(Debug, Clone, Copy)]
+pub struct LimitFilter<'a> {
+    /// Limits of the servers.
+    pub limits: &'a RequestLimits,
+    /// Whether only servers without a limit may be chosen.
+    pub unlimited_only: bool,
+}
+
+impl LimitFilter<'_> {
+    /// Returns whether a server may be chosen now.
+    pub fn admits(&self, now: Duration, server: &str) -> bool {
+        self.limits.is_open(now, server, self.unlimited_only)
+    }
+}
+
+#[derive(Debug, Clone)]
+struct ServerLimit {
+    started_ms: u64,
+    per_second: Option<f64>,
+    stated_at: Duration,
+    /// Permits that this gateway can hand out, if it is the issuer.
+    permits: f64,
+    refilled_at: Duration,
+    /// Time until which no permit is to be had.
+    closed_until: Duration,
+}
+
+impl ServerLimit {
+    fn rate(&self, share: f64) -> Option<f64> {
+        self.per_second.map(|limit| (limit * share).max(MIN_RATE))
+    }
+}
+
+/// Limits of all servers as this gateway knows them.
+#[derive(Debug, Clone, Default)]
+pub struct RequestLimits {
+    limits: FastMap<ServerId, ServerLimit>,
+    unresponsive: FastMap<MemberId, Duration>,
+}
+
+impl RequestLimits {
+    /// Records what a server states, here or to another gateway; returns whether this changes
+    /// its limit.
+    pub fn record_statement(&mut self, statement: &LimitStatement) -> bool {
+        let LimitStatement { incarnation, per_second, stated_at } = statement;
+        let stated = per_second.map(|limit| limit.clamp(0.0, MAX_LIMIT));
+        let Some(known) = self.limits.get_mut(&incarnation.server) else {
+            if stated.is_none() || self.limits.len() >= MAX_LIMITS {
+                return false;
+            }
+            let limit = ServerLimit {
+                started_ms: incarnation.started_ms,
+                per_second: stated,
+                stated_at: *stated_at,
+                permits: 0.0,
+                refilled_at: *stated_at,
+                closed_until: Duration::ZERO,
+            };
+            self.limits.insert(incarnation.server.clone(), limit);
+            return true;
+        };
+        if incarnation.started_ms < known.started_ms
+            || (incarnation.started_ms == known.started_ms && *stated_at < known.stated_at)
+        {
+            return false;
+        }
+        let changed = known.per_second != stated;
+        known.started_ms = incarnation.started_ms;
+        known.stated_at = *stated_at;
+        known.per_second = stated;
+        if changed {
+            known.closed_until = Duration::ZERO;
+        }
+        changed
+    }
+
+    /// Returns the latest statement of a server that has a limit.
+    pub fn statement(&self, server: &str) -> Option<LimitStatement> {
+        let known = self.limits.get(server)?;
+        let incarnation =
+            ServerIncarnation { server: server.to_string(), started_ms: known.started_ms };
+        known.per_second?;
+        Some(LimitStatement {
+            incarnation,
+            per_second: known.per_second,
+            stated_at: known.stated_at,
+        })
+    }
+
+    /// Returns the statements that were made since `since`, also those that end a limit.
+    pub fn recent_statements(&self, since: Duration, limit: usize) -> Vec<LimitStatement> {
+        let recent = self.limits.iter().filter(|(_, known)| known.stated_at >= since);
+        let statements = recent.map(|(server, known)| LimitStatement {
+            incarnation: ServerIncarnation { server: server.clone(), started_ms: known.started_ms },
+            per_second: known.per_second,
+            stated_at: known.stated_at,
+        });
+        statements.take(limit).collect()
+    }
+
+    /// Returns whether a server may be chosen: it has no limit, or a permit may be had now.
+    fn is_open(&self, now: Duration, server: &str, unlimited_only: bool) -> bool {
+        self.limits.get(server).is_none_or(|known| {
+            known.per_second.is_none() || (!unlimited_only && now >= known.closed_until)
+        })
+    }
+
+    /// Returns when the next permit of any of `servers` is expected; `None` if none of them
+    /// is closed.
+    pub fn next_opening<'a>(
+        &self,
+        now: Duration,
+        servers: impl Iterator<Item = &'a ServerId>,
+    ) -> Option<Duration> {
+        let closed = servers.filter_map(|server| self.limits.get(server));
+        closed.map(|known| known.closed_until).filter(|until| now < *until).min()
+    }
+
+    /// Records that no permit of a server is to be had for `wait`.
+    pub fn close(&mut self, now: Duration, server: &str, wait: Duration) {
+        if let Some(known) = self.limits.get_mut(server) {
+            known.closed_until = now + wait;
+        }
+    }
+
+    /// Hands out a permit of a server, as its issuer; otherwise returns the time until the
+    /// next one. `share` is the part of the limit that this issuer may hand out.
+    pub fn issue_permit(
+        &mut self,
+        now: Duration,
+        server: &str,
+        share: f64,
+    ) -> Result<(), Duration> {
+        let Some(known) = self.limits.get_mut(server) else {
+            return Ok(());
+        };
+        let Some(rate) = known.rate(share) else {
+            return Ok(());
+        };
+        let elapsed = now.saturating_sub(known.refilled_at).as_secs_f64();
+        known.refilled_at = now;
+        known.permits = (known.permits + elapsed * rate).min((rate * ACCUMULATION_TIME).max(1.0));
+        if known.permits >= 1.0 {
+            known.permits -= 1.0;
+            return Ok(());
+        }
+        Err(Duration::from_secs_f64((1.0 - known.permits) / rate))
+    }
+
+    /// Returns the gateway of `names` that hands out the permits of a server. One that did
+    /// not reply a moment ago is passed over.
+    pub fn issuer<'a>(
+        &self,
+        now: Duration,
+        server: &str,
+        names: impl Iterator<Item = &'a str>,
+    ) -> Option<&'a str> {
+        let responsive =
+            names.filter(|name| self.unresponsive.get(*name).is_none_or(|until| now >= *until));
+        responsive.max_by_key(|name| hash_parts(&[server.as_bytes(), name.as_bytes()]))
+    }
+
+    /// Records that an issuer did not reply.
+    pub fn record_silence(&mut self, now: Duration, issuer: &str) {
+        self.unresponsive.retain(|_, until| now < *until);
+        self.unresponsive.insert(issuer.to_string(), now + UNRESPONSIVE_TIME);
+    }
+
+    /// Drops the limit of a server that is gone.
+    pub fn remove(&mut self, server: &str) {
+        self.limits.remove(server);
+    }
+
+    /// Returns the number of servers with a limit.
+    pub fn limited_count(&self) -> usize {
+        self.limits.values().filter(|known| known.per_second.is_some()).count()
+    }
+}
--- a/crates/core/src/updates.rs
+++ b/crates/core/src/updates.rs
@@ -111,6 +111,37 @@
     pub trials: Vec<PartDigest>,
 }
 
+/// What a server states about the requests that it takes from all gateways together.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LimitNotice {
+    /// Server that states the limit.
+    pub server: ServerId,
+    /// Start time of the server's incarnation, in milliseconds since the Unix epoch.
+    pub started_ms: u64,
+    /// Requests per second; `None` if the server states no limit any more.
+    pub per_second: Option<f64>,
+    /// Time since the statement, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// Asks the issuer of a server's permits for one.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PermitRequest {
+    /// Number that the reply repeats.
+    pub number: u64,
+    /// Limit of the server as the sender knows it.
+    pub limit: LimitNotice,
+}
+
+/// Grants or refuses a permit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PermitReply {
+    /// Number of the request.
+    pub number: u64,
+    /// Time until the next permit, in milliseconds; `None` if this one is granted.
+    pub wait_ms: Option<u64>,
+}
+
 /// Content of a datagram to a gateway.
 ///
 /// New variants are added at the end only: during a rolling update gateways of two versions
@@ -125,4 +156,10 @@
     Crashes(CrashUpdate),
     /// Crashes, answers and trials of prompt parts, from another gateway.
     Parts(PartUpdate),
+    /// Limits that servers have stated, from another gateway.
+    Limits(Vec<LimitNotice>),
+    /// Request for a permit, from another gateway.
+    PermitRequest(PermitRequest),
+    /// Reply to a request for a permit.
+    PermitReply(PermitReply),
 }
--- a/crates/core/tests/balance_choice.rs
+++ b/crates/core/tests/balance_choice.rs
@@ -33,7 +33,13 @@
 }
 
 fn query<'a>(excluded: &'a [ServerId], cold: f64) -> BalanceQuery<'a> {
-    BalanceQuery { service: "model", zone: "bole", excluded, cold_requests_per_second: cold }
+    BalanceQuery {
+        service: "model",
+        zone: "bole",
+        excluded,
+        cold_requests_per_second: cold,
+        limits: None,
+    }
 }
 
 fn chosen(table: &BalanceTable, now: Duration) -> Result<String, ChoiceError> {
--- a/crates/core/tests/gateway_updates.rs
+++ b/crates/core/tests/gateway_updates.rs
@@ -66,6 +66,7 @@
                 zone: "bole",
                 excluded: &[],
                 cold_requests_per_second: 0.0,
+                limits: None,
             };
             let choice = node.table.choose(now, &query, &mut rng).unwrap();
             node.table.start_request(now, &choice.server);
--- /dev/null
+++ b/crates/core/tests/request_limits.rs
@@ -0,0 +1,139 @@
+//! Limits that servers state on the requests of all gateways together.
+
+use std::time::Duration;
+
+use cuminpick::crash_detection::ServerIncarnation;
+use cuminpick::ids::ChoiceRng;
+use cuminpick::request_limits::LimitFilter;
+use cuminpick::request_limits::LimitStatement;
+use cuminpick::request_limits::RequestLimits;
+
+/// Window over which the platform counts the requests of a server.
+const WINDOW: f64 = 4.0;
+const SERVER: &str = "s";
+const SECOND: Duration = Duration::from_secs(1);
+
+fn at(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+fn statement(started_ms: u64, per_second: Option<f64>, stated_at: Duration) -> LimitStatement {
+    let incarnation = ServerIncarnation { server: SERVER.to_string(), started_ms };
+    LimitStatement { incarnation, per_second, stated_at }
+}
+
+fn is_open(limits: &RequestLimits, now: Duration, unlimited_only: bool) -> bool {
+    LimitFilter { limits, unlimited_only }.admits(now, SERVER)
+}
+
+/// Returns the most of `times`, which are in order, that lie in one window.
+fn busiest_window(times: &[f64]) -> usize {
+    let in_window = |(index, start): (usize, &f64)| {
+        times[index..].iter().take_while(|time| **time < start + WINDOW).count()
+    };
+    times.iter().enumerate().map(in_window).max().unwrap_or(0)
+}
+
+/// Plays gateways that want `loads` requests per second of one server for half a minute, and
+/// returns when each gateway got a permit.
+fn play(limit: f64, loads: &[f64], seed: u64) -> Vec<Vec<f64>> {
+    let names: Vec<String> = (0..loads.len()).map(|index| format!("edge-{index}")).collect();
+    let mut gateways = vec![RequestLimits::default(); loads.len()];
+    for limits in &mut gateways {
+        limits.record_statement(&statement(1, Some(limit), Duration::ZERO));
+    }
+    let mut rng = ChoiceRng::new(seed);
+    let mut permits = vec![Vec::new(); loads.len()];
+    for step in 0..30_000 {
+        let now = at(f64::from(step) / 1e3);
+        for (index, load) in loads.iter().enumerate() {
+            let wanted = (rng.next_bits() as f64 / u64::MAX as f64) < load / 1e3;
+            if !wanted || !is_open(&gateways[index], now, false) {
+                continue;
+            }
+            let issuer = gateways[index].issuer(now, SERVER, names.iter().map(String::as_str));
+            let issuer = names.iter().position(|name| Some(name.as_str()) == issuer).unwrap();
+            match gateways[issuer].issue_permit(now, SERVER, 1.0) {
+                Ok(()) => permits[index].push(now.as_secs_f64()),
+                Err(wait) => gateways[index].close(now, SERVER, wait),
+            }
+        }
+    }
+    permits
+}
+
+/// Guards against a limit that each gateway keeps for itself and all together break: the sum
+/// over 4, 53 and 350 gateways stays within what the platform allows, and most of the limit
+/// is used.
+#[test]
+fn summed_gateways() {
+    for gateways in [4, 53, 350] {
+        for limit in [0.5, 2.2, 6.0, 40.0] {
+            let loads: Vec<f64> = (0..gateways)
+                .map(|index| 200.0 / gateways as f64 * (0.2 + 1.6 * f64::from(index % 2)))
+                .collect();
+            let mut times = play(limit, &loads, 7).concat();
+            times.sort_by(f64::total_cmp);
+            let allowed = 1.5 * limit * WINDOW + 5.0;
+            let most = busiest_window(&times);
+            assert!(most as f64 <= allowed, "{gateways} gateways, {limit} a second: {most}");
+            assert!(times.len() as f64 >= 0.7 * limit * 30.0, "{gateways}, {limit}: {times:?}");
+        }
+    }
+}
+
+/// A gateway with all the load gets all permits, whoever issues them.
+#[test]
+fn single_load() {
+    for loaded in [0, 7, 52] {
+        let mut loads = vec![0.0; 53];
+        loads[loaded] = 50.0;
+        let permits = play(6.0, &loads, 3);
+        assert!(permits[loaded].len() as f64 >= 0.7 * 6.0 * 30.0, "{}", permits[loaded].len());
+    }
+}
+
+/// The limit is what the latest answer states: it falls, rises and ends; an older answer, or
+/// one of an earlier incarnation, changes nothing.
+#[test]
+fn changed_limit() {
+    let mut limits = RequestLimits::default();
+    assert!(!limits.record_statement(&statement(5, None, SECOND)));
+    assert!(limits.record_statement(&statement(5, Some(2.0), 2 * SECOND)));
+    assert!(!limits.record_statement(&statement(5, Some(2.0), 3 * SECOND)));
+    assert!(!limits.record_statement(&statement(5, None, SECOND)));
+    assert!(limits.record_statement(&statement(5, Some(9.0), 4 * SECOND)));
+    assert!(!limits.record_statement(&statement(4, None, 5 * SECOND)));
+    limits.close(4 * SECOND, SERVER, SECOND);
+    assert!(!is_open(&limits, 4 * SECOND, false) && is_open(&limits, 5 * SECOND, false));
+    assert!(!is_open(&limits, 5 * SECOND, true));
+    assert!(limits.record_statement(&statement(6, None, 5 * SECOND)));
+    assert!(is_open(&limits, 5 * SECOND, true) && limits.statement(SERVER).is_none());
+}
+
+/// A server that states zero still gets a request every few seconds, since only an answer
+/// shows that it takes more.
+#[test]
+fn zero_limit() {
+    let mut limits = RequestLimits::default();
+    limits.record_statement(&statement(1, Some(0.0), Duration::ZERO));
+    let permits = (0..40_000)
+        .filter(|step| limits.issue_permit(at(f64::from(*step) / 1e3), SERVER, 1.0).is_ok());
+    assert!((5..=12).contains(&permits.count()));
+}
+
+/// While an issuer does not reply, the next one takes its place; a new issuer has no permits
+/// to begin with.
+#[test]
+fn silent_issuer() {
+    let mut limits = RequestLimits::default();
+    limits.record_statement(&statement(1, Some(4.0), SECOND));
+    let names = ["a", "b", "c"];
+    let first = limits.issuer(SECOND, SERVER, names.into_iter()).unwrap();
+    limits.record_silence(SECOND, first);
+    let second = limits.issuer(SECOND, SERVER, names.into_iter()).unwrap();
+    assert_ne!(first, second);
+    assert_eq!(limits.issuer(3 * SECOND, SERVER, names.into_iter()), Some(first));
+    assert!(limits.issue_permit(SECOND, SERVER, 1.0).is_err());
+    assert!(limits.issue_permit(2 * SECOND, SERVER, 1.0).is_ok());
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -35,6 +35,7 @@
 
 use crate::crash_tracking::AttemptGuard;
 use crate::crash_tracking::record_refused_connection;
+use crate::permits::record_stated_limit;
 use crate::state::Gateway;
 use crate::state::InFlightGuard;
 
@@ -135,6 +136,7 @@
         .map_err(|error| FailedAttempt::disconnected(error.to_string()))?;
     let (parts, body) = Response::into_parts(answer);
     let head = decode_answer(parts.status, &parts.headers);
+    record_stated_limit(gateway, choice.incarnation(), &head);
     let answer = OpenAnswer {
         head,
         headers: parts.headers,
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -20,6 +20,7 @@
 use cuminpick::ids::hash_parts;
 use cuminpick::part_quarantine::PartQuarantine;
 use cuminpick::quarantine::CrashQuarantine;
+use cuminpick::request_limits::RequestLimits;
 use cuminpick::retry::RetryBounds;
 use cuminpick::retry::WindowedRetryBudget;
 use cuminpick::silence::SilenceDetector;
@@ -108,6 +109,10 @@
         quarantine: RefCell::new(CrashQuarantine::default()),
         part_quarantine: RefCell::new(PartQuarantine::default()),
         part_news: RefCell::new(PartNews::default()),
+        request_limits: RefCell::new(RequestLimits::default()),
+        limit_news: RefCell::new(Vec::new()),
+        pending_permits: RefCell::new(FastMap::default()),
+        peer_links: RefCell::new(None),
         newly_quarantined: Notify::new(),
         answers_to_broadcast: RefCell::new(Vec::new()),
         crash_update_due: Notify::new(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod listen;
 pub mod part_tracking;
 pub mod peers;
+pub mod permits;
 pub mod relay;
 pub mod serve;
 pub mod state;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -27,6 +27,10 @@
 use crate::crash_tracking::take_crash_update;
 use crate::part_tracking::apply_part_update;
 use crate::part_tracking::take_part_update;
+use crate::permits::accept_reply;
+use crate::permits::apply_limit_notices;
+use crate::permits::reply_to_request;
+use crate::permits::take_limit_notices;
 use crate::state::Gateway;
 
 /// Delay after an error of the socket.
@@ -46,12 +50,51 @@
 /// Addresses of the other gateways, by the VM that each runs on.
 type PeerAddresses = Rc<RefCell<FastMap<String, SocketAddr>>>;
 
+/// Socket for datagrams to the other gateways, with their addresses.
+#[derive(Clone)]
+pub struct PeerLinks {
+    socket: Rc<UdpSocket>,
+    addresses: PeerAddresses,
+}
+
+/// Sends a datagram to one gateway. It may be lost.
+pub async fn send_to_peer(gateway: &Gateway, peer: &str, message: &UpdateMessage) {
+    let Some(links) = gateway.peer_links.borrow().clone() else {
+        return;
+    };
+    let address = links.addresses.borrow().get(peer).copied();
+    if let Some(address) = address {
+        send_message(gateway, &links.socket, address, message).await;
+    }
+}
+
+async fn send_message(
+    gateway: &Gateway,
+    socket: &UdpSocket,
+    address: SocketAddr,
+    message: &UpdateMessage,
+) {
+    match postcard::to_stdvec(message) {
+        Ok(bytes) => {
+            gateway.metrics.count_control("permits", "out", bytes.len());
+            // A datagram that cannot be sent counts as lost: the request for the permit times out.
+            let _ = socket.send_to(&bytes, address).await;
+        }
+        Err(error) => {
+            let detail = error.to_string();
+            gateway.journal.warn("peer-news-unencodable", o!("error" => detail));
+        }
+    }
+}
+
 /// Starts the tasks that exchange updates with the other gateways. Fails if the socket
 /// cannot be bound.
 pub async fn start_peer_exchange(gateway: &Rc<Gateway>) -> std::io::Result<()> {
     let address = SocketAddr::new(gateway.settings.ip, gateway.settings.first_internal_port);
     let socket = Rc::new(UdpSocket::bind(address).await?);
     let addresses: PeerAddresses = Rc::default();
+    let links = PeerLinks { socket: Rc::clone(&socket), addresses: Rc::clone(&addresses) };
+    *gateway.peer_links.borrow_mut() = Some(links);
     tokio::task::spawn_local(discover_gateways(Rc::clone(gateway), address, Rc::clone(&addresses)));
     tokio::task::spawn_local(receive_updates(
         Rc::clone(gateway),
@@ -198,6 +241,19 @@
                     update.in_flight,
                 );
             }
+            UpdateMessage::Limits(notices) => {
+                gateway.metrics.count_control("limit-news", "in", length);
+                apply_limit_notices(&gateway, notices);
+            }
+            UpdateMessage::PermitRequest(request) => {
+                gateway.metrics.count_control("permits", "in", length);
+                let reply = UpdateMessage::PermitReply(reply_to_request(&gateway, &request));
+                send_message(&gateway, &socket, sender, &reply).await;
+            }
+            UpdateMessage::PermitReply(reply) => {
+                gateway.metrics.count_control("permits", "in", length);
+                accept_reply(&gateway, reply);
+            }
             UpdateMessage::Parts(update) => {
                 gateway.metrics.count_control("part-news", "in", length);
                 apply_part_update(&gateway, update);
@@ -274,6 +330,10 @@
         if !parts.crashes.is_empty() || !parts.answers.is_empty() || !parts.trials.is_empty() {
             messages.push(("part-news", UpdateMessage::Parts(parts)));
         }
+        let limits = take_limit_notices(&gateway);
+        if !limits.is_empty() {
+            messages.push(("limit-news", UpdateMessage::Limits(limits)));
+        }
         if messages.is_empty() {
             continue;
         }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -24,6 +24,7 @@
 use cuminpick::ids::digest_request;
 use cuminpick::refusal::Refusal;
 use cuminpick::refusal::RefusalKind;
+use cuminpick::request_limits::LimitFilter;
 use cuminpick::retry::AttemptFailure;
 use cuminpick::retry::RetryState;
 use cuminpick::routing::RepeatRule;
@@ -64,6 +65,7 @@
 use crate::gate::record_stream_refusal;
 use crate::gate::record_stream_success;
 use crate::gate::wait_for_admission;
+use crate::permits::obtain_permit;
 use crate::relay::start_relay;
 use crate::state::Gateway;
 use crate::state::OpenRequestGuard;
@@ -85,6 +87,8 @@
 const LATEST_START_SHARE: f64 = 0.7;
 /// Interval at which a request that waits for a free slot checks again without being woken.
 const CAPACITY_POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Servers with a limit that are asked for a permit before only others are chosen.
+const MAX_REFUSED_PERMITS: u32 = 2;
 /// Multiple of the target latency after which an idempotent request is sent to another
 /// server; nearly all answers come within the target.
 const RETRY_TARGET_MULTIPLE: u32 = 2;
@@ -447,20 +451,38 @@
     /// latency.
     async fn choose_server(&mut self) -> Result<BalanceChoice, Refusal> {
         let wait_until = self.arrived + self.route.target_latency.mul_f64(CAPACITY_WAIT_SHARE);
+        let mut refused_permits = 0;
         loop {
             let chosen = {
+                let limits = self.gateway.request_limits.borrow();
+                let unlimited_only = refused_permits >= MAX_REFUSED_PERMITS;
                 let query = BalanceQuery {
                     service: &self.service,
                     zone: &self.gateway.settings.zone,
                     excluded: &self.tried_servers,
                     cold_requests_per_second: self.cold_requests_per_second,
+                    limits: Some(LimitFilter { limits: &limits, unlimited_only }),
                 };
                 let mut rng = self.gateway.rng.borrow_mut();
                 self.gateway.balance.borrow().choose(self.gateway.now(), &query, &mut rng)
             };
             match chosen {
-                Ok(choice) => return Ok(choice),
+                Ok(choice) => {
+                    if obtain_permit(&self.gateway, &choice.server).await {
+                        return Ok(choice);
+                    }
+                    refused_permits += 1;
+                }
+                Err(ChoiceError::AllLimited) => {
+                    let wait = self.wait_for_permit();
+                    if Instant::now() + wait > wait_until {
+                        return Err(self.refusal(RefusalKind::Overloaded, wait));
+                    }
+                    tokio::time::sleep(wait).await;
+                    refused_permits = 0;
+                }
                 Err(ChoiceError::AllFull) if Instant::now() < wait_until => {
+                    refused_permits = 0;
                     let _ = tokio::time::timeout(
                         CAPACITY_POLL_INTERVAL,
                         self.gateway.capacity_changed.notified(),
@@ -477,6 +499,16 @@
         }
     }
 
+    /// Returns the time after which a server with a limit may take the request.
+    fn wait_for_permit(&self) -> Duration {
+        let now = self.gateway.now();
+        let balance = self.gateway.balance.borrow();
+        let servers = balance.available_servers(&self.service);
+        let untried = servers.filter(|server| !self.tried_servers.contains(server));
+        let opening = self.gateway.request_limits.borrow().next_opening(now, untried);
+        opening.map_or(CAPACITY_POLL_INTERVAL, |opening| opening.saturating_sub(now))
+    }
+
     /// Sends the request to one server and reads the start of its answer.
     async fn try_server(
         &mut self,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -21,16 +21,20 @@
 use cuminpick::ids::ServiceName;
 use cuminpick::part_quarantine::PartQuarantine;
 use cuminpick::quarantine::CrashQuarantine;
+use cuminpick::request_limits::RequestLimits;
 use cuminpick::retry::WindowedRetryBudget;
 use cuminpick::routing::RoutingTable;
 use cuminpick::silence::SilenceDetector;
+use cuminpick::updates::PermitReply;
 use cuminpick_operators::journal::Journal;
 use cuminpick_operators::metrics::Metrics;
 use cuminpick_platform::settings::NodeSettings;
 use tokio::sync::Notify;
+use tokio::sync::oneshot;
 
 use crate::gate::ServiceGate;
 use crate::part_tracking::PartNews;
+use crate::peers::PeerLinks;
 
 /// Time for which a leaving gateway still accepts all requests: the platform notices that it
 /// leaves after two readiness checks, a second apart.
@@ -76,6 +80,14 @@
     pub part_quarantine: RefCell<PartQuarantine>,
     /// Answers and trials of prompt parts that are to be sent to the other gateways.
     pub part_news: RefCell<PartNews>,
+    /// Limits on requests that servers state.
+    pub request_limits: RefCell<RequestLimits>,
+    /// Servers whose limit has changed, to be sent to the other gateways.
+    pub limit_news: RefCell<Vec<ServerId>>,
+    /// Requests for permits that wait for the reply of another gateway, by number.
+    pub pending_permits: RefCell<FastMap<u64, oneshot::Sender<PermitReply>>>,
+    /// Socket and addresses for datagrams to the other gateways, once it is open.
+    pub peer_links: RefCell<Option<PeerLinks>>,
     /// Notified when a request or a prompt part becomes quarantined.
     pub newly_quarantined: Notify,
     /// Answered requests that are to be sent to the other gateways.
--- a/crates/gateway/tests/server_limits.rs
+++ b/crates/gateway/tests/server_limits.rs
@@ -78,3 +78,50 @@
     assert!(most <= allowed(limit), "{most} requests where {} are allowed", allowed(limit));
     assert!(most as f64 >= 0.5 * limit * WINDOW.as_secs_f64(), "only {most} requests");
 }
+
+/// When all servers of a service state limits and more comes than they take, the rest is
+/// rejected promptly with the time until a server takes more, and each limit is kept.
+#[tokio::test(flavor = "multi_thread")]
+async fn all_limited() {
+    let site = Arc::new(Site::with_sizes(2, 3, 1).await);
+    let limit = 2.0;
+    site.engines.iter().for_each(|engine| engine.state_limit(Some(limit)));
+    let from = Instant::now() + STABLE_TIME;
+    let duration = STABLE_TIME + WINDOW;
+    let interval = Duration::from_millis(100);
+    let (served, sent) = send_steadily(&site, &[0, 1], interval, duration).await;
+    assert!(served < sent);
+    for engine in &site.engines {
+        let most = busiest_window(engine, from);
+        assert!(most <= allowed(limit), "{most} requests where {} are allowed", allowed(limit));
+        assert!(most as f64 >= 0.5 * limit * WINDOW.as_secs_f64(), "only {most} requests");
+    }
+    let mut rejected = Vec::new();
+    for number in 0..20 {
+        let answer = site.call("/draft/stream/3", &format!("more-{number}")).await;
+        if answer.status == Some(StatusCode::SERVICE_UNAVAILABLE) {
+            rejected.push(answer);
+        }
+    }
+    assert!(!rejected.is_empty());
+    for answer in rejected {
+        let retry_after: f64 = answer.headers["retry-after"].to_str().unwrap().parse().unwrap();
+        assert!(retry_after > 0.0 && retry_after <= 2.0 / limit, "{answer:?}");
+        assert!(answer.took < Duration::from_millis(300), "{answer:?}");
+        assert!(answer.body.contains("\"ran\":\"no\""));
+    }
+}
+
+/// A limit ends when the server's answers state none any more.
+#[tokio::test(flavor = "multi_thread")]
+async fn limit_lifted() {
+    let site = Arc::new(Site::with_sizes(2, 2, 1).await);
+    site.engines[0].state_limit(Some(0.0));
+    let interval = Duration::from_millis(50);
+    send_steadily(&site, &[0, 1], interval, Duration::from_secs(2)).await;
+    let limited = site.engines[0].ledger().len();
+    site.engines[0].state_limit(None);
+    send_steadily(&site, &[0, 1], interval, Duration::from_secs(5)).await;
+    let later = site.engines[0].ledger().len() - limited;
+    assert!(later > 20, "{limited} requests under the limit, {later} later");
+}
