Heed servers that announce in their answers that they leave

Cause: the header was not read; leaving was known from the store alone. Change: an answer's announcement makes that incarnation unavailable at once, here and, by datagram, at the other gateways; it ends with the incarnation. A service whose servers all leave is used for one more second and then rejected at once.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -61,6 +61,19 @@
 /// Share of the rate that a cold server tolerates that all gateways together use.
 const COLD_RATE_SHARE: f64 = 0.8;
 
+/// Time for which a server that announced that it leaves still gets requests if no other
+/// server is available; half of the time for which leaving servers accept them.
+const LEAVING_USE_TIME: Duration = Duration::from_secs(1);
+/// Announcements that are kept; the largest site has 4,800 servers.
+const MAX_ANNOUNCEMENTS: usize = 16_384;
+
+/// Announcement of a server that it leaves.
+#[derive(Debug, Clone, Copy)]
+struct LeavingAnnouncement {
+    started_ms: u64,
+    announced_at: Duration,
+}
+
 #[derive(Debug, Clone)]
 struct Backend {
     record: ServerRecord,
@@ -140,6 +153,8 @@
 /// Backend servers and their load, as known to this gateway.
 #[derive(Debug, Clone, Default)]
 pub struct BalanceTable {
+    /// Servers that announced that they leave.
+    leaving: FastMap<ServerId, LeavingAnnouncement>,
     backends: FastMap<ServerId, Backend>,
     /// Server that was last recorded at each address.
     by_address: FastMap<SocketAddr, ServerId>,
@@ -194,6 +209,7 @@
                 let is_new = backend.record.started_ms != record.started_ms;
                 if is_new {
                     backend.avoid_until = Duration::ZERO;
+                    self.leaving.remove(&record.id);
                 }
                 backend.record = record;
                 backend.cold_until = cold_until;
@@ -397,11 +413,14 @@
         query: &BalanceQuery<'_>,
         rng: &mut ChoiceRng,
     ) -> Result<BalanceChoice, ChoiceError> {
-        let available: Vec<&Backend> = self
+        let mut available: Vec<&Backend> = self
             .backends
             .values()
             .filter(|backend| backend.record.service == query.service && self.is_available(backend))
             .collect();
+        if available.is_empty() {
+            available = self.departing_servers(now, query.service);
+        }
         if available.is_empty() {
             return Err(ChoiceError::NoneAvailable);
         }
@@ -502,9 +521,47 @@
     }
 
     fn is_available(&self, backend: &Backend) -> bool {
+        self.is_listed_ready(backend) && self.announcement(&backend.record).is_none()
+    }
+
+    fn is_listed_ready(&self, backend: &Backend) -> bool {
         backend.record.state == ServerState::Ready && !self.zones_out.contains(&backend.record.zone)
     }
 
+    /// Returns the announcement of this incarnation of a server that it leaves.
+    fn announcement(&self, record: &ServerRecord) -> Option<LeavingAnnouncement> {
+        let known = self.leaving.get(&record.id)?;
+        (known.started_ms == record.started_ms).then_some(*known)
+    }
+
+    /// Records that an incarnation of a server announced that it leaves; returns whether that
+    /// is new. It ends with the incarnation.
+    pub fn record_leaving(&mut self, now: Duration, incarnation: &ServerIncarnation) -> bool {
+        let known = self.leaving.get(&incarnation.server);
+        if known.is_some_and(|known| known.started_ms >= incarnation.started_ms)
+            || (known.is_none() && self.leaving.len() >= MAX_ANNOUNCEMENTS)
+        {
+            return false;
+        }
+        let announcement =
+            LeavingAnnouncement { started_ms: incarnation.started_ms, announced_at: now };
+        self.leaving.insert(incarnation.server.clone(), announcement);
+        true
+    }
+
+    /// Returns servers that may serve although they leave, for a service without others.
+    fn departing_servers(&self, now: Duration, service: &str) -> Vec<&Backend> {
+        let listed = self
+            .backends
+            .values()
+            .filter(|backend| backend.record.service == service && self.is_listed_ready(backend));
+        let departing = listed.filter(|backend| {
+            self.announcement(&backend.record)
+                .is_some_and(|known| now < known.announced_at + LEAVING_USE_TIME)
+        });
+        departing.collect()
+    }
+
     fn has_capacity(&self, now: Duration, backend: &Backend, query: &BalanceQuery<'_>) -> bool {
         let load = backend.in_flight + backend.others_in_flight;
         if load >= backend.record.slots.max(1) * MAX_REQUESTS_PER_SLOT {
--- a/crates/core/src/updates.rs
+++ b/crates/core/src/updates.rs
@@ -142,6 +142,15 @@
     pub wait_ms: Option<u64>,
 }
 
+/// Announcement of a server that it leaves.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingNotice {
+    /// Server that leaves.
+    pub server: ServerId,
+    /// Start time of the server's incarnation, in milliseconds since the Unix epoch.
+    pub started_ms: u64,
+}
+
 /// Content of a datagram to a gateway.
 ///
 /// New variants are added at the end only: during a rolling update gateways of two versions
@@ -162,4 +171,6 @@
     PermitRequest(PermitRequest),
     /// Reply to a request for a permit.
     PermitReply(PermitReply),
+    /// Servers that announced that they leave, from another gateway.
+    Leaving(Vec<LeavingNotice>),
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -33,6 +33,7 @@
 use hyper::header::CONTENT_LENGTH;
 use hyper::header::TRANSFER_ENCODING;
 
+use crate::announcements::record_announcement;
 use crate::crash_tracking::AttemptGuard;
 use crate::crash_tracking::record_refused_connection;
 use crate::permits::record_stated_limit;
@@ -137,6 +138,7 @@
     let (parts, body) = Response::into_parts(answer);
     let head = decode_answer(parts.status, &parts.headers);
     record_stated_limit(gateway, choice.incarnation(), &head);
+    record_announcement(gateway, choice.incarnation(), &head);
     let answer = OpenAnswer {
         head,
         headers: parts.headers,
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -111,6 +111,7 @@
         part_news: RefCell::new(PartNews::default()),
         request_limits: RefCell::new(RequestLimits::default()),
         limit_news: RefCell::new(Vec::new()),
+        leaving_news: RefCell::new(Vec::new()),
         pending_permits: RefCell::new(FastMap::default()),
         peer_links: RefCell::new(None),
         newly_quarantined: Notify::new(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 //! - [`framing`] rejects requests whose body could be framed in two ways.
 //! - [`answer`] builds the answers to callers, among them refusals.
 
+pub mod announcements;
 pub mod answer;
 pub mod attempt;
 pub mod crash_tracking;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -23,6 +23,7 @@
 use slog::o;
 use tokio::net::UdpSocket;
 
+use crate::announcements::apply_leaving_notices;
 use crate::crash_tracking::apply_crash_update;
 use crate::crash_tracking::take_crash_update;
 use crate::part_tracking::apply_part_update;
@@ -254,6 +255,10 @@
                 gateway.metrics.count_control("permits", "in", length);
                 accept_reply(&gateway, reply);
             }
+            UpdateMessage::Leaving(notices) => {
+                gateway.metrics.count_control("leaving-news", "in", length);
+                apply_leaving_notices(&gateway, notices);
+            }
             UpdateMessage::Parts(update) => {
                 gateway.metrics.count_control("part-news", "in", length);
                 apply_part_update(&gateway, update);
@@ -330,6 +335,10 @@
         if !parts.crashes.is_empty() || !parts.answers.is_empty() || !parts.trials.is_empty() {
             messages.push(("part-news", UpdateMessage::Parts(parts)));
         }
+        let leaving = std::mem::take(&mut *gateway.leaving_news.borrow_mut());
+        if !leaving.is_empty() {
+            messages.push(("leaving-news", UpdateMessage::Leaving(leaving)));
+        }
         let limits = take_limit_notices(&gateway);
         if !limits.is_empty() {
             messages.push(("limit-news", UpdateMessage::Limits(limits)));
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -25,6 +25,7 @@
 use cuminpick::retry::WindowedRetryBudget;
 use cuminpick::routing::RoutingTable;
 use cuminpick::silence::SilenceDetector;
+use cuminpick::updates::LeavingNotice;
 use cuminpick::updates::PermitReply;
 use cuminpick_operators::journal::Journal;
 use cuminpick_operators::metrics::Metrics;
@@ -84,6 +85,8 @@
     pub request_limits: RefCell<RequestLimits>,
     /// Servers whose limit has changed, to be sent to the other gateways.
     pub limit_news: RefCell<Vec<ServerId>>,
+    /// Servers that announced that they leave, to be sent to the other gateways.
+    pub leaving_news: RefCell<Vec<LeavingNotice>>,
     /// Requests for permits that wait for the reply of another gateway, by number.
     pub pending_permits: RefCell<FastMap<u64, oneshot::Sender<PermitReply>>>,
     /// Socket and addresses for datagrams to the other gateways, once it is open.
--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -24,6 +24,7 @@
 use cuminpick_platform::engine::GroupReport;
 use cuminpick_platform::platform_side::EngineCall;
 use cuminpick_platform::platform_side::ForwardedHead;
+use cuminpick_platform::platform_side::add_leaving;
 use cuminpick_platform::platform_side::add_limit;
 use cuminpick_platform::platform_side::decode_engine_call;
 use cuminpick_platform::platform_side::decode_forwarded;
@@ -131,6 +132,7 @@
     frozen: bool,
     crash_delay: Duration,
     request_limit: Option<f64>,
+    leaving: bool,
 }
 
 /// Handle of a stand-in backend server; clones share the server.
@@ -222,6 +224,11 @@
         self.lock().request_limit = per_second;
     }
 
+    /// Makes the server announce in its answers that it leaves; it goes on serving.
+    pub fn announce_leaving(&self) {
+        self.lock().leaving = true;
+    }
+
     async fn wait_unfrozen(&self) {
         while self.lock().frozen {
             tokio::time::sleep(PLAIN_REQUEST_TIME).await;
@@ -296,6 +303,9 @@
         if let Some(limit) = request_limit {
             add_limit(&mut headers, limit);
         }
+        if self.lock().leaving {
+            add_leaving(&mut headers);
+        }
         match fault {
             Some(EngineFault::LostAnswer) => return None,
             Some(EngineFault::Hang) => {
