Keep to the pause that a refusing server asks for

Cause: Retry-After of a server's 503 was not read; such a server was avoided for 0.8 s. Where all servers of a service want a pause or have no room under their limits, requests are rejected at once with the shortest wait, spread over half a second. A value that cannot be read is logged and counted. Conclusion: a pause belongs to the pair of server and gateway, not to the service.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -82,6 +82,8 @@
     /// Requests in flight of the other gateways: the sum of the last count of each.
     others_in_flight: u32,
     avoid_until: Duration,
+    /// Time until which the server wants no requests from this gateway.
+    paused_until: Duration,
     missing_since: Option<Duration>,
     recent_starts: VecDeque<Duration>,
 }
@@ -146,8 +148,9 @@
     AllTried,
     /// All remaining servers are at capacity.
     AllFull,
-    /// All servers that were not tried state limits that leave no room now.
-    AllLimited,
+    /// All servers that were not tried want no requests now: they asked for a pause, or state
+    /// limits that leave no room.
+    AllClosed,
 }
 
 /// Backend servers and their load, as known to this gateway.
@@ -209,6 +212,7 @@
                 let is_new = backend.record.started_ms != record.started_ms;
                 if is_new {
                     backend.avoid_until = Duration::ZERO;
+                    backend.paused_until = Duration::ZERO;
                     self.leaving.remove(&record.id);
                 }
                 backend.record = record;
@@ -224,6 +228,7 @@
                     in_flight: 0,
                     others_in_flight: reported.sum(),
                     avoid_until: Duration::ZERO,
+                    paused_until: Duration::ZERO,
                     missing_since: None,
                     recent_starts: VecDeque::new(),
                     record: record.clone(),
@@ -432,11 +437,12 @@
             return Err(ChoiceError::AllTried);
         }
         let admits = |backend: &&Backend| {
-            query.limits.is_none_or(|limits| limits.admits(now, &backend.record.id))
+            now >= backend.paused_until
+                && query.limits.is_none_or(|limits| limits.admits(now, &backend.record.id))
         };
         let untried: Vec<&Backend> = untried.into_iter().filter(admits).collect();
         if untried.is_empty() {
-            return Err(ChoiceError::AllLimited);
+            return Err(ChoiceError::AllClosed);
         }
         let healthy: Vec<&Backend> =
             untried.iter().copied().filter(|backend| self.is_healthy(now, backend)).collect();
@@ -549,6 +555,21 @@
         true
     }
 
+    /// Records that an incarnation of a server wants no requests from this gateway for a time.
+    pub fn pause(&mut self, now: Duration, incarnation: &ServerIncarnation, pause: Duration) {
+        let backend = self.backends.get_mut(&incarnation.server);
+        if let Some(backend) =
+            backend.filter(|backend| backend.record.started_ms == incarnation.started_ms)
+        {
+            backend.paused_until = backend.paused_until.max(now + pause);
+        }
+    }
+
+    /// Returns until when a server wants no requests from this gateway.
+    pub fn paused_until(&self, id: &str) -> Duration {
+        self.backends.get(id).map_or(Duration::ZERO, |backend| backend.paused_until)
+    }
+
     /// Returns servers that may serve although they leave, for a service without others.
     fn departing_servers(&self, now: Duration, service: &str) -> Vec<&Backend> {
         let listed = self
--- a/crates/core/src/request_limits.rs
+++ b/crates/core/src/request_limits.rs
@@ -148,15 +148,9 @@
         })
     }
 
-    /// Returns when the next permit of any of `servers` is expected; `None` if none of them
-    /// is closed.
-    pub fn next_opening<'a>(
-        &self,
-        now: Duration,
-        servers: impl Iterator<Item = &'a ServerId>,
-    ) -> Option<Duration> {
-        let closed = servers.filter_map(|server| self.limits.get(server));
-        closed.map(|known| known.closed_until).filter(|until| now < *until).min()
+    /// Returns until when no permit of a server is to be had.
+    pub fn closed_until(&self, server: &str) -> Duration {
+        self.limits.get(server).map_or(Duration::ZERO, |known| known.closed_until)
     }
 
     /// Records that no permit of a server is to be had for `wait`.
--- a/crates/gateway/src/announcements.rs
+++ b/crates/gateway/src/announcements.rs
@@ -1,10 +1,12 @@
-//! Heeds what servers announce about themselves in their answers: that they leave.
+//! Heeds what servers announce about themselves in their answers: that they leave, or want
+//! a pause.
 //!
 //! The store tells of leaving servers as well, but may be away, slow or cut off from here.
 
 use cuminpick::crash_detection::ServerIncarnation;
 use cuminpick::updates::LeavingNotice;
 use cuminpick_platform::headers::AnswerHead;
+use cuminpick_platform::headers::RequestedPause;
 use slog::o;
 
 use crate::state::Gateway;
@@ -14,6 +16,7 @@
 
 /// Records what an answer of a server announces.
 pub fn record_announcement(gateway: &Gateway, incarnation: ServerIncarnation, head: &AnswerHead) {
+    record_pause(gateway, &incarnation, head.pause);
     if !head.leaving || head.from_other_server || !record_leaving(gateway, &incarnation, true) {
         return;
     }
@@ -25,6 +28,27 @@
     }
 }
 
+/// Sends nothing to a server for as long as it asked of this gateway.
+fn record_pause(gateway: &Gateway, incarnation: &ServerIncarnation, pause: RequestedPause) {
+    let now = gateway.now();
+    match pause {
+        RequestedPause::None => {}
+        RequestedPause::For(pause) => {
+            gateway.balance.borrow_mut().pause(now, incarnation, pause);
+            gateway.journal.note(
+                "server-paused",
+                None,
+                o!("server" => incarnation.server.clone(), "born" => incarnation.started_ms,
+                   "pause_ms" => pause.as_millis() as u64),
+            );
+        }
+        RequestedPause::Unreadable => {
+            gateway.metrics.count_refusal("pause-unreadable");
+            gateway.journal.warn("pause-unreadable", o!("server" => incarnation.server.clone()));
+        }
+    }
+}
+
 /// Applies announcements that another gateway heard.
 pub fn apply_leaving_notices(gateway: &Gateway, notices: Vec<LeavingNotice>) {
     for LeavingNotice { server, started_ms } in notices {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -87,6 +87,8 @@
 const LATEST_START_SHARE: f64 = 0.7;
 /// Interval at which a request that waits for a free slot checks again without being woken.
 const CAPACITY_POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Time over which callers are spread that return when a server takes requests again.
+const RETURN_SPREAD: Duration = Duration::from_millis(500);
 /// Servers with a limit that are asked for a permit before only others are chosen.
 const MAX_REFUSED_PERMITS: u32 = 2;
 /// Multiple of the target latency after which an idempotent request is sent to another
@@ -473,10 +475,11 @@
                     }
                     refused_permits += 1;
                 }
-                Err(ChoiceError::AllLimited) => {
-                    let wait = self.wait_for_permit();
+                Err(ChoiceError::AllClosed) => {
+                    let wait = self.wait_for_opening();
                     if Instant::now() + wait > wait_until {
-                        return Err(self.refusal(RefusalKind::Overloaded, wait));
+                        let spread = RETURN_SPREAD.mul_f64(self.gateway.random_share());
+                        return Err(self.refusal(RefusalKind::Overloaded, wait + spread));
                     }
                     tokio::time::sleep(wait).await;
                     refused_permits = 0;
@@ -499,14 +502,17 @@
         }
     }
 
-    /// Returns the time after which a server with a limit may take the request.
-    fn wait_for_permit(&self) -> Duration {
+    /// Returns the time after which a server that wants no requests now may take this one.
+    fn wait_for_opening(&self) -> Duration {
         let now = self.gateway.now();
         let balance = self.gateway.balance.borrow();
+        let limits = self.gateway.request_limits.borrow();
         let servers = balance.available_servers(&self.service);
         let untried = servers.filter(|server| !self.tried_servers.contains(server));
-        let opening = self.gateway.request_limits.borrow().next_opening(now, untried);
-        opening.map_or(CAPACITY_POLL_INTERVAL, |opening| opening.saturating_sub(now))
+        let openings =
+            untried.map(|server| limits.closed_until(server).max(balance.paused_until(server)));
+        let wait = openings.min().unwrap_or_default().saturating_sub(now);
+        wait.max(CAPACITY_POLL_INTERVAL)
     }
 
     /// Sends the request to one server and reads the start of its answer.
--- a/crates/gateway/tests/server_announcements.rs
+++ b/crates/gateway/tests/server_announcements.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use cuminpick_standins::site::engine::EngineFault;
 use cuminpick_standins::site::store::StoreMode;
 use hyper::StatusCode;
 use support::Site;
@@ -19,6 +20,7 @@
     site.bookings[0].announce_leaving();
     let mut number = 0;
     while site.bookings[0].ledger().is_empty() {
+        assert!(number < 300, "the server gets no request");
         site.call_at(number % 3, PATH, &format!("first-{number}"), Some(support::KEY)).await;
         number += 1;
     }
@@ -49,3 +51,50 @@
     assert!(answer.body.contains("\"ran\":\"no\"") && answer.headers.contains_key("retry-after"));
     assert_eq!(site.runs_of_attempt("later"), 0);
 }
+
+/// Guards against requests to a server within the pause that it asked for: first attempts and
+/// retries go to the others, and the server serves again when the pause ends.
+#[tokio::test(flavor = "multi_thread")]
+async fn pause_kept() {
+    let site = Site::with_sizes(1, 1, 2).await;
+    // The server in the gateway's zone, which is preferred while nothing is in flight.
+    let paused = &site.bookings[1];
+    paused.inject_fault(EngineFault::Pause(2));
+    let mut number = 0;
+    while paused.pauses().is_empty() {
+        assert!(number < 100, "the server gets no request");
+        let answer = site.call(PATH, &format!("first-{number}")).await;
+        assert_eq!(answer.status, Some(StatusCode::OK), "{answer:?}");
+        number += 1;
+    }
+    let asked = paused.pauses()[0];
+    let served = |since: Duration, until: Duration| {
+        let ledger = paused.ledger();
+        ledger.iter().filter(|run| run.at > asked + since && run.at < asked + until).count()
+    };
+    while asked.elapsed() < Duration::from_secs(4) {
+        let answer = site.call(PATH, &format!("later-{number}")).await;
+        assert_eq!(answer.status, Some(StatusCode::OK), "{answer:?}");
+        number += 1;
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert_eq!(served(Duration::ZERO, Duration::from_secs(2)), 0);
+    assert!(served(Duration::from_secs(2), Duration::from_secs(4)) > 10);
+}
+
+/// When all servers of a service ask for a pause, requests are rejected at once with the time
+/// after which the first of them takes requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn all_paused() {
+    let site = Site::with_sizes(1, 1, 2).await;
+    site.bookings.iter().for_each(|server| server.inject_fault(EngineFault::Pause(3)));
+    for number in 0..4 {
+        site.call(PATH, &format!("first-{number}")).await;
+    }
+    let answer = site.call(PATH, "later").await;
+    assert_eq!(answer.status, Some(StatusCode::SERVICE_UNAVAILABLE), "{answer:?}");
+    let retry_after: f64 = answer.headers["retry-after"].to_str().unwrap().parse().unwrap();
+    assert!((2.0..=3.5).contains(&retry_after), "{answer:?}");
+    assert!(answer.took < Duration::from_millis(100) && answer.body.contains("\"ran\":\"no\""));
+    assert_eq!(site.runs_of_attempt("later"), 0);
+}
--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -26,6 +26,7 @@
 use cuminpick_platform::platform_side::ForwardedHead;
 use cuminpick_platform::platform_side::add_leaving;
 use cuminpick_platform::platform_side::add_limit;
+use cuminpick_platform::platform_side::add_pause;
 use cuminpick_platform::platform_side::decode_engine_call;
 use cuminpick_platform::platform_side::decode_forwarded;
 use cuminpick_platform::platform_side::encode_counts;
@@ -75,6 +76,8 @@
 pub enum EngineFault {
     /// Refuses the request and states that it was not run.
     Full,
+    /// Does the same, and asks for a pause of this many seconds.
+    Pause(u32),
     /// Runs the request and answers with status 500.
     Error,
     /// Runs the request and closes the connection without an answer.
@@ -133,6 +136,7 @@
     crash_delay: Duration,
     request_limit: Option<f64>,
     leaving: bool,
+    pauses: Vec<Instant>,
 }
 
 /// Handle of a stand-in backend server; clones share the server.
@@ -240,6 +244,11 @@
         self.lock().ledger.clone()
     }
 
+    /// Returns when the server asked for pauses.
+    pub fn pauses(&self) -> Vec<Instant> {
+        self.lock().pauses.clone()
+    }
+
     /// Returns how many times each attempt ran, by attempt id.
     pub fn run_counts(&self) -> HashMap<String, u32> {
         let mut runs = HashMap::new();
@@ -276,6 +285,12 @@
         if fault == Some(EngineFault::Full) {
             return Some(full_answer(StatusCode::SERVICE_UNAVAILABLE, not_run_headers(), ""));
         }
+        if let Some(EngineFault::Pause(seconds)) = fault {
+            self.lock().pauses.push(Instant::now());
+            let mut headers = not_run_headers();
+            add_pause(&mut headers, f64::from(seconds));
+            return Some(full_answer(StatusCode::SERVICE_UNAVAILABLE, headers, ""));
+        }
         let path = request.uri.to_string();
         let entry = LedgerEntry {
             at: Instant::now(),
