Let other gateways tell of answers before a retry is refused for a suspected part

Cause: a request that lost its server was refused at once for a part that this gateway had not seen answered, although others had and say so within milliseconds. Change: a retry waits the same 100 ms for their answers as a first attempt.

--- a/crates/gateway/src/serve/suspects.rs
+++ b/crates/gateway/src/serve/suspects.rs
@@ -42,7 +42,6 @@
 /// Upper bound of the random delay before sending a request that one more crash would
 /// quarantine; ten times what it takes to detect a crash and report it.
 const MAX_SUSPECT_DELAY: Duration = Duration::from_millis(100);
-
 /// Time after a crash in which other gateways tell that a part was answered before.
 const ANSWER_UPDATE_WAIT: Duration = Duration::from_millis(100);
 /// Interval at which a request with a suspected part checks whether it may be sent.
@@ -92,25 +91,30 @@
                 return Ok(());
             }
             let time_left = self.answer_deadline.saturating_duration_since(Instant::now());
-            let told = part_time(&self.gateway) >= noticed_at + ANSWER_UPDATE_WAIT;
-            if told && wait > time_left.mul_f64(MAX_TRIAL_WAIT_SHARE) {
+            if self.has_heard_answers(noticed_at) && wait > time_left.mul_f64(MAX_TRIAL_WAIT_SHARE)
+            {
                 return Err(self.suspicion_refusal(&parts, wait));
             }
             tokio::time::sleep(TRIAL_POLL_INTERVAL).await;
         }
     }
 
+    /// Returns whether other gateways had time to tell that a part was answered before.
+    fn has_heard_answers(&self, noticed_at: Duration) -> bool {
+        part_time(&self.gateway) >= noticed_at + ANSWER_UPDATE_WAIT
+    }
+
     /// Waits until the request may be sent as the only trial of its suspected parts. Returns
     /// `None` if no part of it is suspected.
     pub(super) async fn claim_trial(&self) -> Result<Option<TrialGuard>, Refusal> {
         loop {
             let status = part_status(&self.gateway, &self.service, &self.content.parts);
-            let PartStatus::Suspected { parts, trial_from, .. } = status else {
+            let PartStatus::Suspected { parts, noticed_at, trial_from } = status else {
                 self.check_quarantine()?;
                 return Ok(None);
             };
             let wait = trial_wait(&self.gateway, &self.service, trial_from);
-            if wait > TRIAL_DELAY {
+            if wait > TRIAL_DELAY && self.has_heard_answers(noticed_at) {
                 return Err(self.suspicion_refusal(&parts, wait));
             }
             if wait.is_zero()
