Count unreadable values apart, and repeat limits only after they changed

Cause: values that could not be read were counted as refusals of requests; and a limit, once stated, was told to a peer twice a second for as long as its server answered anything. Change: a counter of its own; statements are sent again for a minute after a change. Conclusion: at rest nothing is told, as for crashes.

--- a/crates/core/src/request_limits.rs
+++ b/crates/core/src/request_limits.rs
@@ -61,6 +61,7 @@
     started_ms: u64,
     per_second: Option<f64>,
     stated_at: Duration,
+    changed_at: Duration,
     /// Permits that this gateway can hand out, if it is the issuer.
     permits: f64,
     refilled_at: Duration,
@@ -95,6 +96,7 @@
                 started_ms: incarnation.started_ms,
                 per_second: stated,
                 stated_at: *stated_at,
+                changed_at: *stated_at,
                 permits: 0.0,
                 refilled_at: *stated_at,
                 closed_until: Duration::ZERO,
@@ -112,6 +114,7 @@
         known.stated_at = *stated_at;
         known.per_second = stated;
         if changed {
+            known.changed_at = *stated_at;
             known.closed_until = Duration::ZERO;
         }
         changed
@@ -130,15 +133,16 @@
         })
     }
 
-    /// Returns the statements that were made since `since`, also those that end a limit.
-    pub fn recent_statements(&self, since: Duration, limit: usize) -> Vec<LimitStatement> {
-        let recent = self.limits.iter().filter(|(_, known)| known.stated_at >= since);
+    /// Returns the latest statements of servers whose limits changed since `since`, also of
+    /// those without a limit now.
+    pub fn changed_statements(&self, since: Duration) -> Vec<LimitStatement> {
+        let recent = self.limits.iter().filter(|(_, known)| known.changed_at >= since);
         let statements = recent.map(|(server, known)| LimitStatement {
             incarnation: ServerIncarnation { server: server.clone(), started_ms: known.started_ms },
             per_second: known.per_second,
             stated_at: known.stated_at,
         });
-        statements.take(limit).collect()
+        statements.collect()
     }
 
     /// Returns whether a server may be chosen: it has no limit, or a permit may be had now.
--- a/crates/gateway/src/announcements.rs
+++ b/crates/gateway/src/announcements.rs
@@ -43,7 +43,7 @@
             );
         }
         RequestedPause::Unreadable => {
-            gateway.metrics.count_refusal("pause-unreadable");
+            gateway.metrics.count_unreadable("pause");
             gateway.journal.warn("pause-unreadable", o!("server" => incarnation.server.clone()));
         }
     }
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -24,7 +24,7 @@
 const PERMIT_TIMEOUT: Duration = Duration::from_millis(40);
 /// Time for which a server is not chosen after its issuer did not reply.
 const SILENT_ISSUER_PAUSE: Duration = Duration::from_millis(100);
-/// Age up to which statements are sent again to gateways that may have missed them.
+/// Time after a change for which statements are sent again to gateways that may have missed them.
 const REBROADCAST_TIME: Duration = Duration::from_secs(60);
 /// Maximum number of statements in a datagram, which has to fit a packet of 1,500 bytes.
 const MAX_DATAGRAM_LIMITS: usize = 32;
@@ -38,7 +38,7 @@
         StatedLimit::None => None,
         StatedLimit::PerSecond(limit) => Some(limit),
         StatedLimit::Unreadable => {
-            gateway.metrics.count_refusal("limit-unreadable");
+            gateway.metrics.count_unreadable("limit");
             gateway.journal.warn("limit-unreadable", o!("server" => incarnation.server));
             return;
         }
@@ -89,13 +89,14 @@
     record_statement(gateway, &statement, false);
 }
 
-/// Returns the statements to send to other gateways: changed ones, or else recent ones.
+/// Returns the statements to send to other gateways: those that changed since the last call,
+/// or else those that changed recently.
 pub fn take_limit_notices(gateway: &Gateway) -> Vec<LimitNotice> {
     let now = gateway.now();
     let changed = std::mem::take(&mut *gateway.limit_news.borrow_mut());
     let limits = gateway.request_limits.borrow();
-    let recent = limits.recent_statements(now.saturating_sub(REBROADCAST_TIME), usize::MAX);
-    let selected = recent
+    let statements = limits.changed_statements(now.saturating_sub(REBROADCAST_TIME));
+    let selected = statements
         .into_iter()
         .filter(|known| changed.is_empty() || changed.contains(&known.incarnation.server));
     selected.take(MAX_DATAGRAM_LIMITS).map(|known| notice_of(now, known)).collect()
--- a/crates/operators/src/metrics.rs
+++ b/crates/operators/src/metrics.rs
@@ -30,6 +30,7 @@
     attempts: Counter<u64>,
     control_bytes: Counter<u64>,
     server_ends: Counter<u64>,
+    unreadable_values: Counter<u64>,
     latencies: Histogram<f64>,
     gauges: Gauge<f64>,
     thread_seconds: Gauge<f64>,
@@ -52,6 +53,7 @@
             refusals: meter.u64_counter("cuminpick_refusals").build(),
             attempts: meter.u64_counter("cuminpick_attempts").build(),
             server_ends: meter.u64_counter("cuminpick_server_ends").build(),
+            unreadable_values: meter.u64_counter("cuminpick_unreadable_values").build(),
             control_bytes: meter.u64_counter("cuminpick_control_bytes").build(),
             latencies: meter
                 .f64_histogram("cuminpick_latency_seconds")
@@ -85,6 +87,11 @@
         self.server_ends.add(1, &[KeyValue::new("proof", proof)]);
     }
 
+    /// Counts a value in a server's answer that could not be read, such as `limit`.
+    pub fn count_unreadable(&self, value: &'static str) {
+        self.unreadable_values.add(1, &[KeyValue::new("value", value)]);
+    }
+
     /// Counts the bytes of a control message, sent (`out`) or received (`in`).
     pub fn count_control(&self, message: &'static str, direction: &'static str, bytes: usize) {
         let labels = [KeyValue::new("message", message), KeyValue::new("direction", direction)];
