--- a/crates/gateway/src/announcements.rs
+++ b/crates/gateway/src/announcements.rs
@@ -62,7 +62,7 @@
     if is_new {
         gateway.crash_detector.borrow_mut().mark_leaving(&incarnation.server);
         gateway.journal.note(
-            "server-leaving",
+            "leaving-announced",
             None,
             o!("server" => incarnation.server.clone(), "born" => incarnation.started_ms,
                "source" => "answer", "noticed_here" => heard_here),
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -54,7 +54,7 @@
     let changed = gateway.request_limits.borrow_mut().record_statement(statement);
     if changed {
         gateway.journal.note(
-            "server-limit",
+            "limit-changed",
             None,
             o!("server" => statement.incarnation.server.clone(),
                "born" => statement.incarnation.started_ms,
--- a/crates/gateway/tests/server_announcements.rs
+++ b/crates/gateway/tests/server_announcements.rs
@@ -32,7 +32,7 @@
         assert_eq!(answer.status, Some(StatusCode::OK), "{answer:?}");
     }
     assert_eq!(site.bookings[0].ledger().len(), before);
-    assert_eq!(site.log_lines("server-leaving").len(), 3);
+    assert_eq!(site.log_lines("leaving-announced").len(), 3);
 }
 
 /// A whole service that leaves is used for a moment longer; then requests are rejected at
