--- a/crates/backends/tests/truncated_answers.rs
+++ b/crates/backends/tests/truncated_answers.rs
@@ -2,6 +2,7 @@
 
 use std::io::Read;
 use std::io::Write;
+use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::thread;
 use std::time::Duration;
@@ -10,6 +11,9 @@
 use cuminpick_backends::BackendRequest;
 use cuminpick_backends::BackendServer;
 use cuminpick_backends::HttpBackend;
+use socket2::Domain;
+use socket2::Socket;
+use socket2::Type;
 
 /// Answers one connection with `text` and closes it; returns the base URL.
 fn serve_once(text: &'static str) -> String {
@@ -80,7 +84,10 @@
 
 #[test]
 fn refused_connection() {
-    let unused_address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    // The port stays bound, so that no other test listens on it.
+    let unused = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    unused.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+    let unused_address = unused.local_addr().unwrap().as_socket().unwrap();
     let backend = HttpBackend::new(&format!("http://{unused_address}"), Duration::from_secs(5));
     let request = BackendRequest {
         path: "/v1/work".to_string(),
--- a/crates/callers/src/server.rs
+++ b/crates/callers/src/server.rs
@@ -104,6 +104,11 @@
         })
     }
 
+    /// Returns the address that the server listens on.
+    pub fn local_addr(&self) -> std::io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
     /// Serves until `closing` becomes true, then closes the listener and waits until the open
     /// requests have ended.
     pub async fn serve(self, closing: watch::Receiver<bool>) {
--- a/crates/callers/tests/bad_requests.rs
+++ b/crates/callers/tests/bad_requests.rs
@@ -3,7 +3,6 @@
 use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::thread;
@@ -38,24 +37,23 @@
 
 /// Starts a server with low limits; it runs until the test process exits.
 fn start_server(max_connections: usize) -> SocketAddr {
-    let address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
     let limits = ServerLimits {
         max_connections,
         max_body_bytes: 1_000,
         read_timeout: Duration::from_millis(200),
     };
-    let (ready_sender, ready_receiver) = std::sync::mpsc::channel();
+    let (address_sender, address_receiver) = std::sync::mpsc::channel();
     thread::spawn(move || {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
         runtime.block_on(async {
-            let server = CallerServer::bind(address, limits, Arc::new(EchoHandler)).unwrap();
-            ready_sender.send(()).unwrap();
+            let any_port = "127.0.0.1:0".parse().unwrap();
+            let server = CallerServer::bind(any_port, limits, Arc::new(EchoHandler)).unwrap();
+            address_sender.send(server.local_addr().unwrap()).unwrap();
             let (_close, closing) = watch::channel(false);
             server.serve(closing).await;
         });
     });
-    ready_receiver.recv().unwrap();
-    address
+    address_receiver.recv().unwrap()
 }
 
 fn exchange(address: SocketAddr, request: &[u8]) -> String {
