End announcements of leaving with their incarnation, and drop the oldest

Cause: after 16,384 announcements further ones were refused, as nothing dropped those of servers that had long left, so a fleet that is renewed often would heed none any more. An announcement that another gateway told before the store listed that incarnation was dropped with its predecessor. A server that announced its leaving still counted as ready where crashes are attributed, so that requests it cut when it exited were suspected of a crash.

Change: core::departures keeps the announcements by incarnation, drops the oldest when there are too many, and is_ready asks it.

Before: later_incarnation, not_ready and many_departures of the new test leaving_servers fail, others_chosen passes. After: all four pass.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use crate::crash_detection::ServerIncarnation;
+use crate::departures::DepartureLog;
 use crate::ids::ChoiceRng;
 use crate::ids::FastMap;
 use crate::ids::FastSet;
@@ -60,19 +61,9 @@
 const COLD_RATE_WINDOW: Duration = Duration::from_secs(1);
 /// Share of the rate that a cold server tolerates that all gateways together use.
 const COLD_RATE_SHARE: f64 = 0.8;
-
 /// Time for which a server that announced that it leaves still gets requests if no other
 /// server is available; half of the time for which leaving servers accept them.
 const LEAVING_USE_TIME: Duration = Duration::from_secs(1);
-/// Announcements that are kept; the largest site has 4,800 servers.
-const MAX_ANNOUNCEMENTS: usize = 16_384;
-
-/// Announcement of a server that it leaves.
-#[derive(Debug, Clone, Copy)]
-struct LeavingAnnouncement {
-    started_ms: u64,
-    announced_at: Duration,
-}
 
 #[derive(Debug, Clone)]
 struct Backend {
@@ -156,8 +147,7 @@
 /// Backend servers and their load, as known to this gateway.
 #[derive(Debug, Clone, Default)]
 pub struct BalanceTable {
-    /// Servers that announced that they leave.
-    leaving: FastMap<ServerId, LeavingAnnouncement>,
+    departures: DepartureLog,
     backends: FastMap<ServerId, Backend>,
     /// Server that was last recorded at each address.
     by_address: FastMap<SocketAddr, ServerId>,
@@ -213,7 +203,6 @@
                 if is_new {
                     backend.avoid_until = Duration::ZERO;
                     backend.paused_until = Duration::ZERO;
-                    self.leaving.remove(&record.id);
                 }
                 backend.record = record;
                 backend.cold_until = cold_until;
@@ -394,11 +383,13 @@
         self.backends.is_empty()
     }
 
-    /// Returns whether this incarnation of a server is registered and not draining.
+    /// Returns whether this incarnation of a server is registered and is not leaving.
     pub fn is_ready(&self, incarnation: &ServerIncarnation) -> bool {
         self.backends.get(&incarnation.server).is_some_and(|backend| {
             let record = &backend.record;
-            record.started_ms == incarnation.started_ms && record.state == ServerState::Ready
+            record.started_ms == incarnation.started_ms
+                && record.state == ServerState::Ready
+                && self.leaving_since(record).is_none()
         })
     }
 
@@ -527,32 +518,22 @@
     }
 
     fn is_available(&self, backend: &Backend) -> bool {
-        self.is_listed_ready(backend) && self.announcement(&backend.record).is_none()
+        self.is_listed_ready(backend) && self.leaving_since(&backend.record).is_none()
     }
 
     fn is_listed_ready(&self, backend: &Backend) -> bool {
         backend.record.state == ServerState::Ready && !self.zones_out.contains(&backend.record.zone)
     }
 
-    /// Returns the announcement of this incarnation of a server that it leaves.
-    fn announcement(&self, record: &ServerRecord) -> Option<LeavingAnnouncement> {
-        let known = self.leaving.get(&record.id)?;
-        (known.started_ms == record.started_ms).then_some(*known)
+    /// Returns when this incarnation of a server announced that it leaves.
+    fn leaving_since(&self, record: &ServerRecord) -> Option<Duration> {
+        self.departures.announced_at(&record.id, record.started_ms)
     }
 
     /// Records that an incarnation of a server announced that it leaves; returns whether that
-    /// is new. It ends with the incarnation.
+    /// is new.
     pub fn record_leaving(&mut self, now: Duration, incarnation: &ServerIncarnation) -> bool {
-        let known = self.leaving.get(&incarnation.server);
-        if known.is_some_and(|known| known.started_ms >= incarnation.started_ms)
-            || (known.is_none() && self.leaving.len() >= MAX_ANNOUNCEMENTS)
-        {
-            return false;
-        }
-        let announcement =
-            LeavingAnnouncement { started_ms: incarnation.started_ms, announced_at: now };
-        self.leaving.insert(incarnation.server.clone(), announcement);
-        true
+        self.departures.record(now, incarnation)
     }
 
     /// Records that an incarnation of a server wants no requests from this gateway for a time.
@@ -577,8 +558,7 @@
             .values()
             .filter(|backend| backend.record.service == service && self.is_listed_ready(backend));
         let departing = listed.filter(|backend| {
-            self.announcement(&backend.record)
-                .is_some_and(|known| now < known.announced_at + LEAVING_USE_TIME)
+            self.leaving_since(&backend.record).is_some_and(|since| now < since + LEAVING_USE_TIME)
         });
         departing.collect()
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,7 +22,7 @@
 //!   requests that return after a refusal. [`admission`] delays streams that would slow
 //!   their group too much, and [`breaker`] delays requests while a service refuses all;
 //!   [`outage`] estimates for how long. [`request_limits`] keeps to the limits that servers
-//!   state.
+//!   state, and [`departures`] remembers which of them announced that they leave.
 //!   [`silence`] detects servers that send nothing any more, [`relocation`] those that are
 //!   too slow for their group, [`crash_detection`] finds the
 //!   requests that were at a crashed server, and [`quarantine`] decides which of them are
@@ -61,6 +61,7 @@
 pub mod crash_detection;
 pub mod deadlines;
 pub mod demand;
+pub mod departures;
 pub mod election;
 pub mod entry;
 pub mod entry_assignment;
--- /dev/null
+++ b/crates/core/tests/leaving_servers.rs
@@ -0,0 +1,105 @@
+//! Servers that announce in their answers that they leave.
+
+use std::time::Duration;
+
+use cuminpick::balance::BalanceQuery;
+use cuminpick::balance::BalanceTable;
+use cuminpick::balance::ChoiceError;
+use cuminpick::crash_detection::ServerIncarnation;
+use cuminpick::departures::MAX_DEPARTURES;
+use cuminpick::ids::ChoiceRng;
+use cuminpick::routing::ServerRecord;
+use cuminpick::routing::ServerState;
+
+const START: Duration = Duration::from_secs(100);
+
+fn record(id: &str, port: u16, started_ms: u64) -> ServerRecord {
+    ServerRecord {
+        id: id.to_string(),
+        service: "model".to_string(),
+        address: format!("127.0.0.1:{port}").parse().unwrap(),
+        zone: "bole".to_string(),
+        slots: 4,
+        state: ServerState::Ready,
+        cold_remaining: Duration::ZERO,
+        started_ms,
+    }
+}
+
+fn incarnation(id: &str, started_ms: u64) -> ServerIncarnation {
+    ServerIncarnation { server: id.to_string(), started_ms }
+}
+
+fn chosen(table: &BalanceTable, now: Duration) -> Result<String, ChoiceError> {
+    let query = BalanceQuery {
+        service: "model",
+        zone: "bole",
+        excluded: &[],
+        cold_requests_per_second: 0.0,
+        limits: None,
+    };
+    table.choose(now, &query, &mut ChoiceRng::new(7)).map(|choice| choice.server)
+}
+
+/// No new request goes to a server that announced that it leaves, except for a moment if
+/// there is no other.
+#[test]
+fn others_chosen() {
+    let mut table = BalanceTable::default();
+    table.replace_all(START, vec![record("a", 1, 1), record("b", 2, 1)]);
+    assert!(table.record_leaving(START, &incarnation("a", 1)));
+    assert!(!table.record_leaving(START, &incarnation("a", 1)));
+    table.start_request(START, "b");
+    assert_eq!(chosen(&table, START), Ok("b".to_string()));
+    assert!(table.record_leaving(START, &incarnation("b", 1)));
+    assert!(chosen(&table, START).is_ok());
+    let later = START + Duration::from_millis(1_500);
+    assert_eq!(chosen(&table, later), Err(ChoiceError::NoneAvailable));
+}
+
+/// An announcement ends with its incarnation: a later one under the same id, and another
+/// server at the address, get requests. One that was told before the store listed its
+/// incarnation holds.
+#[test]
+fn later_incarnation() {
+    let mut table = BalanceTable::default();
+    table.replace_all(START, vec![record("a", 1, 1)]);
+    table.record_leaving(START, &incarnation("a", 1));
+    let later = START + Duration::from_secs(2);
+    table.upsert(later, record("a", 1, 2));
+    assert_eq!(chosen(&table, later), Ok("a".to_string()));
+    table.record_leaving(later, &incarnation("a", 3));
+    assert_eq!(chosen(&table, later), Ok("a".to_string()));
+    let latest = later + Duration::from_secs(2);
+    table.upsert(latest, record("a", 1, 3));
+    assert_eq!(chosen(&table, latest), Err(ChoiceError::NoneAvailable));
+    table.upsert(latest, record("b", 1, 4));
+    assert_eq!(chosen(&table, latest), Ok("b".to_string()));
+}
+
+/// Guards against taking the requests of a server that leaves, and stops listening, for the
+/// cause of a crash while the store still lists it as ready.
+#[test]
+fn not_ready() {
+    let mut table = BalanceTable::default();
+    table.replace_all(START, vec![record("a", 1, 1)]);
+    assert!(table.is_ready(&incarnation("a", 1)));
+    table.record_leaving(START, &incarnation("a", 1));
+    assert!(!table.is_ready(&incarnation("a", 1)));
+}
+
+/// Guards against announcements that are no longer heeded once many servers have left: the
+/// oldest are dropped.
+#[test]
+fn many_departures() {
+    let mut table = BalanceTable::default();
+    for index in 0..MAX_DEPARTURES {
+        let announced_at = START + Duration::from_secs(index as u64);
+        assert!(table.record_leaving(announced_at, &incarnation(&format!("s{index}"), 1)));
+    }
+    let now = START + Duration::from_secs(MAX_DEPARTURES as u64);
+    table.replace_all(now, vec![record("a", 1, 1), record("s1", 2, 1)]);
+    assert!(table.record_leaving(now, &incarnation("a", 1)));
+    let later = now + Duration::from_secs(2);
+    assert_eq!(chosen(&table, later), Err(ChoiceError::NoneAvailable));
+}
