Serve only after the store has told what crashes servers

What callers saw: a gateway that started anew while the store came back sent a request with a part that had crashed a server before; the group was out once more.

Cause: the kinds of objects are listed side by side, and a gateway served as soon as it had a configuration, whether or not crashes and zones that are out had been listed. The same class: a decision by what is not known yet as if nothing were there.

Change: requests are served, and readiness is reported, once crashes and zones that are out were listed, at most a second after the configuration if they can't be. The stand-in store can delay the listings of a kind.

Before: records_read_first fails, a server crashes after the restart (502). After: passes; crashing_parts 4 of 4.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -183,7 +183,7 @@
     let head = decode_request(request.headers());
     log.request_id = head.attempt_id.clone().unwrap_or_default();
     let arrived = Instant::now();
-    let Some(table) = gateway.routing_table() else {
+    let Some(table) = gateway.serving_table() else {
         return Err(Refusal::not_run(RefusalKind::NotReady, Some(RETRY_WHEN_UNAVAILABLE)));
     };
     let path = request.uri().path().to_string();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -30,6 +30,10 @@
 use cuminpick_operators::journal::Journal;
 use cuminpick_operators::metrics::Metrics;
 use cuminpick_platform::settings::NodeSettings;
+use cuminpick_platform::store::CRASH_KIND;
+use cuminpick_platform::store::EVACUATION_KIND;
+use cuminpick_platform::store::ObjectKind;
+use cuminpick_platform::store::SERVER_KIND;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
@@ -37,6 +41,9 @@
 use crate::part_tracking::PartNews;
 use crate::peers::PeerLinks;
 
+/// Longest time after its configuration for which a gateway that starts waits for what must
+/// not get requests; all are listed at the same time, so a second more shows a failure.
+const MAX_LISTING_WAIT: Duration = Duration::from_secs(1);
 /// Time for which a leaving gateway still accepts all requests: the platform notices that it
 /// leaves after two readiness checks, a second apart.
 pub const DRAIN_LINGER: Duration = Duration::from_millis(2_800);
@@ -104,8 +111,10 @@
     pub slow_engines: RefCell<Vec<String>>,
     /// Random number generator.
     pub rng: RefCell<ChoiceRng>,
-    /// Whether servers were listed at least once.
-    pub servers_known: Cell<bool>,
+    /// Kinds of objects in the store that were listed at least once.
+    pub listed_kinds: RefCell<FastSet<ObjectKind>>,
+    /// When the first configuration came in force; `None` before.
+    pub configured_at: Cell<Option<Duration>>,
     /// When the process received SIGTERM, as time since its start; `None` before.
     pub leaving_since: Cell<Option<Duration>>,
     /// Number of requests that are not finished.
@@ -123,11 +132,24 @@
     }
 
     /// Returns whether the gateway accepts new connections: it is not leaving, and it knows
-    /// servers and configuration.
+    /// servers and may serve.
     pub fn is_ready(&self) -> bool {
         self.leaving_since.get().is_none()
-            && self.servers_known.get()
-            && self.routing.borrow().is_some()
+            && self.has_listed(SERVER_KIND)
+            && self.serving_table().is_some()
+    }
+
+    /// Returns the configuration by which requests are served. There is none until the store
+    /// has told what must not get requests: zones that are out, and parts and requests that
+    /// crash servers. If only that cannot be listed, it is waited for [`MAX_LISTING_WAIT`].
+    pub fn serving_table(&self) -> Option<Rc<RoutingTable>> {
+        let waited = self.now().saturating_sub(self.configured_at.get()?);
+        let is_complete = self.has_listed(EVACUATION_KIND) && self.has_listed(CRASH_KIND);
+        (is_complete || waited >= MAX_LISTING_WAIT).then(|| self.routing_table()).flatten()
+    }
+
+    fn has_listed(&self, kind: ObjectKind) -> bool {
+        self.listed_kinds.borrow().contains(kind)
     }
 
     /// Returns whether a request that arrives now and takes up to `needed` can be served. A
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -164,7 +164,6 @@
                     objects.iter().filter_map(|object| self.decode_record(object)).collect();
                 let mut balance = self.gateway.balance.borrow_mut();
                 balance.replace_all(self.gateway.now(), records);
-                self.gateway.servers_known.set(true);
                 let known = balance.len();
                 self.gateway.journal.note("servers-listed", None, o!("known" => known));
             }
@@ -174,6 +173,7 @@
                 self.gateway.balance.borrow_mut().replace_zones_out(zones.into_iter());
             }
         }
+        self.gateway.listed_kinds.borrow_mut().insert(self.kind);
         self.gateway.capacity_changed.notify_waiters();
     }
 
@@ -285,7 +285,9 @@
             o!("version" => table.version(), "before" => in_force,
                "routes" => table.route_count(), "revision" => object.revision),
         );
-        self.gateway.deadlines.borrow_mut().remove_idle(self.gateway.now());
+        let now = self.gateway.now();
+        self.gateway.configured_at.set(self.gateway.configured_at.get().or(Some(now)));
+        self.gateway.deadlines.borrow_mut().remove_idle(now);
         self.gateway.stream_lengths.borrow_mut().retain(|route| table.has_route(route));
         *self.gateway.routing.borrow_mut() = Some(Rc::new(table));
     }
--- a/crates/gateway/tests/crashing_parts.rs
+++ b/crates/gateway/tests/crashing_parts.rs
@@ -3,7 +3,9 @@
 mod support;
 
 use std::time::Duration;
+use std::time::Instant;
 
+use cuminpick_platform::store::CRASH_KIND;
 use cuminpick_standins::site::caller::CallResult;
 use hyper::StatusCode;
 use support::Site;
@@ -87,6 +89,33 @@
     assert!(!site.log_lines("request-held-back").is_empty());
 }
 
+/// Guards against a gateway that serves after its start before it has read which parts crash
+/// servers; a listing that takes long delays it for a moment only.
+#[tokio::test(flavor = "multi_thread")]
+async fn records_read_first() {
+    let mut site = Site::with_sizes(1, 8, 1).await;
+    assert_eq!(send_sound(&site, 1, 100).await.status, Some(StatusCode::OK));
+    for number in 0..4 {
+        send_crashing(&site, 1, number).await;
+        tokio::time::sleep(REQUEST_INTERVAL).await;
+    }
+    let crashes = site.crash_count();
+    assert!(!site.log_lines("part-crashes-servers").is_empty());
+    site.store.delay_listings(CRASH_KIND, Duration::from_millis(500));
+    site.restart(0).await;
+    for number in 0..4 {
+        let answer = send_crashing(&site, 1, 20 + number).await;
+        assert_eq!(answer.status, Some(StatusCode::SERVICE_UNAVAILABLE), "{answer:?}");
+    }
+    assert_eq!(send_sound(&site, 1, 200).await.status, Some(StatusCode::OK));
+    assert_eq!(site.crash_count(), crashes);
+    site.store.delay_listings(CRASH_KIND, Duration::from_secs(60));
+    let restarted = Instant::now();
+    site.restart(0).await;
+    assert!(restarted.elapsed() < Duration::from_secs(5));
+    assert_eq!(send_sound(&site, 1, 300).await.status, Some(StatusCode::OK));
+}
+
 /// Crashes with no part at fault hold back no request for long, also when each request has
 /// parts that no other holds.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/standins/src/site/store.rs
+++ b/crates/standins/src/site/store.rs
@@ -55,6 +55,7 @@
     history: Vec<(StoreRevision, String, StoreEvent)>,
     compacted_revision: StoreRevision,
     mode: StoreMode,
+    list_delays: BTreeMap<String, Duration>,
     call_count: u64,
 }
 
@@ -100,6 +101,11 @@
         self.changed.notify_waiters();
     }
 
+    /// Delays the listings of a kind.
+    pub fn delay_listings(&self, kind: &str, delay: Duration) {
+        self.lock().list_delays.insert(kind.to_string(), delay);
+    }
+
     /// Drops the history, so that watches from an earlier revision fail with status 410.
     pub fn drop_history(&self) {
         let mut state = self.lock();
@@ -167,7 +173,11 @@
 
     async fn execute(&self, call: StoreCall) -> Response<SiteBody> {
         match call {
-            StoreCall::List { kind, after } => self.list_page(&kind, after.as_deref()),
+            StoreCall::List { kind, after } => {
+                let delay = self.lock().list_delays.get(&kind).copied().unwrap_or_default();
+                tokio::time::sleep(delay).await;
+                self.list_page(&kind, after.as_deref())
+            }
             StoreCall::Watch { kind, revision, wait } => {
                 self.wait_changes(&kind, revision, wait).await
             }
