Count crashes at the same time for a part that only the crashed servers had

What callers saw: when many requests hold a part that crashes servers, two to four servers crash within 0.1 s; ten seconds later a trial of the part crashed one more and the group was out a second time.

Cause: crashes within a moment counted once, since a lost zone crashes servers too. That throws away what tells the two apart: the part was at every server that crashed, and at few of the others.

Change: a crash says whether the part was at few of the other servers with requests of that gateway. Two such crashes count separately as long as the part was at all servers that are known to have crashed with them, and was never answered. A later report of a server that crashed without the part withdraws the quarantine, with a line in the log.

simultaneous_crashes could not pass before, since such crashes counted once; partial_crashes guards a lost zone.

--- a/crates/core/src/crash_detection.rs
+++ b/crates/core/src/crash_detection.rs
@@ -31,6 +31,9 @@
 /// Time for which a confirmed crash is kept for attempts that fail later.
 const CONFIRMED_RETENTION: Duration = Duration::from_secs(30);
 
+/// Servers among which at most one has a part that is held by few.
+const MIN_COMPARED_SERVERS: usize = 3;
+
 /// One run of a backend server's process, from start to exit.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct ServerIncarnation {
@@ -260,6 +263,23 @@
         self.state(address, incarnation).map(|state| state.confirm_crash(now)).unwrap_or_default()
     }
 
+    /// Returns whether a part is at few of the servers other than `crashed` that have requests
+    /// of this gateway; false if there are too few such servers to tell.
+    pub fn is_held_by_few(&self, part: PartDigest, crashed: &ServerIncarnation) -> bool {
+        let states = self.incarnations.values().flatten();
+        let busy = states
+            .filter(|state| state.incarnation != *crashed && state.crashed_at.is_none())
+            .filter(|state| !state.open.is_empty());
+        let (mut servers, mut holding) = (0, 0);
+        for state in busy {
+            servers += 1;
+            holding += usize::from(
+                state.open.values().any(|attempt| attempt.content.parts.contains(&part)),
+            );
+        }
+        servers >= MIN_COMPARED_SERVERS && holding * MIN_COMPARED_SERVERS <= servers
+    }
+
     /// Returns the number of unconfirmed crashes of which a request is suspected.
     pub fn unconfirmed_crashes(&self, digest: RequestDigest) -> usize {
         let states = self.incarnations.values().flatten();
--- a/crates/core/src/part_quarantine.rs
+++ b/crates/core/src/part_quarantine.rs
@@ -10,7 +10,9 @@
 //! An answer that begins clears all parts of its request from earlier crashes. A part that
 //! was never answered is quarantined after [`NEW_PART_CRASHES`] crashes, a part that was
 //! answered before after [`KNOWN_PART_CRASHES`]. Crashes count separately only if a
-//! request was sent after the earlier one was noticed, so a lost zone counts once; and a
+//! request was sent after the earlier one was noticed, so a lost zone counts once; or if the
+//! part was at all servers that crashed together but at few others, which another cause is
+//! unlikely to meet. A
 //! crash that a quarantined part explains does not count against others. Before that, a
 //! suspected part is tried by one request at a time over all gateways, so that requests
 //! which wait for the same group do not each crash a server. A trial may cost all callers
@@ -75,6 +77,8 @@
     pub noticed_at: Duration,
     /// Whether it is known that the part was answered before.
     pub answered_before: bool,
+    /// Whether few of the other servers with requests of the same gateway had the part.
+    pub held_by_few: bool,
 }
 
 /// Whether a request may be sent, by the parts of its prompt.
@@ -192,6 +196,7 @@
             suspect.crashes.iter_mut().find(|known| known.crash.incarnation == crash.incarnation);
         if let Some(known) = known {
             known.crash.sent_at = known.crash.sent_at.max(crash.sent_at);
+            known.crash.held_by_few |= crash.held_by_few;
             let changed = local && !known.local;
             known.local |= local;
             return if changed { PartChange::Added } else { PartChange::Unchanged };
@@ -349,18 +354,47 @@
             .map(|(_, quarantined)| quarantined)
             .collect();
         let mut count = 0;
-        let mut last_noticed = None;
+        let mut last_counted: Option<&PartCrash> = None;
         for SuspectCrash { crash, .. } in &suspect.crashes {
             let explained = explanations.iter().any(|other| other.has_crash(&crash.incarnation));
-            let separate = last_noticed.is_none_or(|noticed| crash.sent_at >= noticed);
+            let separate = last_counted.is_none_or(|counted| {
+                crash.sent_at >= counted.noticed_at
+                    || (counted.held_by_few
+                        && crash.held_by_few
+                        && self.was_at_all_crashes(suspect))
+            });
             if !explained && separate {
                 count += 1;
-                last_noticed = Some(crash.noticed_at);
+                last_counted = Some(crash);
             }
         }
         count
     }
 
+    /// Returns whether a part that was never answered was at all servers that are known to
+    /// have crashed at about the same time.
+    fn was_at_all_crashes(&self, suspect: &SuspectPart) -> bool {
+        !suspect.answered_before && !self.missed_common_crash(suspect)
+    }
+
+    /// Ends the quarantine of parts that a further crash no longer supports: the server at
+    /// which it was crashed together with theirs, but had no request with them. Returns them.
+    pub fn withdraw_unsupported(&mut self, crash: &PartCrash) -> Vec<PartDigest> {
+        let unsupported = self.suspects.iter().filter(|(part, suspect)| {
+            suspect.quarantined
+                && !suspect.has_crash(&crash.incarnation)
+                && crash.noticed_at.abs_diff(suspect.latest()) < COMMON_CAUSE_WINDOW
+                && self.unexplained_crashes(**part) < suspect.required_crashes()
+        });
+        let unsupported: Vec<PartDigest> = unsupported.map(|(part, _)| *part).collect();
+        for part in &unsupported {
+            if let Some(suspect) = self.suspects.get_mut(part) {
+                suspect.quarantined = false;
+            }
+        }
+        unsupported
+    }
+
     /// Claims the trial of suspected parts for `owner`. Returns false while another gateway
     /// or another request tries one of them.
     pub fn try_claim(&mut self, now: Duration, parts: &[PartDigest], owner: &str) -> bool {
--- a/crates/core/src/updates.rs
+++ b/crates/core/src/updates.rs
@@ -79,6 +79,8 @@
     pub part: PartDigest,
     /// Whether the part is known to have been answered before.
     pub answered_before: bool,
+    /// Whether few of the other servers had the part.
+    pub held_by_few: bool,
     /// Server that crashed.
     pub server: ServerId,
     /// Start time of the server's incarnation, in milliseconds since the Unix epoch.
--- a/crates/core/tests/part_quarantine.rs
+++ b/crates/core/tests/part_quarantine.rs
@@ -31,9 +31,15 @@
         sent_at: at(seconds - 0.1),
         noticed_at: at(seconds),
         answered_before: false,
+        held_by_few: false,
     }
 }
 
+/// The same for a part that few of the other servers had.
+fn rare_crash(part: PartDigest, server: u64, seconds: f64) -> PartCrash {
+    PartCrash { held_by_few: true, ..crash(part, server, seconds) }
+}
+
 fn record(
     quarantine: &mut PartQuarantine,
     parts: &[PartDigest],
@@ -123,6 +129,44 @@
     }
 }
 
+/// Guards against a trial after a part that many requests hold has crashed several servers
+/// at a time: it was at each of them, but at few others.
+#[test]
+fn simultaneous_crashes() {
+    let mut quarantine = PartQuarantine::default();
+    quarantine.record_answer(COMMON, at(9.0));
+    for (server, change) in [(1, PartChange::Added), (2, PartChange::Quarantined)] {
+        let seconds = 10.0 + 0.02 * server as f64;
+        let common = crash(COMMON, server, seconds);
+        assert_eq!(quarantine.record_crash(at(seconds), common, true), PartChange::Added);
+        let rare = rare_crash(CRASHING, server, seconds);
+        assert_eq!(quarantine.record_crash(at(seconds), rare, true), change);
+    }
+    assert!(is_quarantined(&quarantine, 10.1, &[COMMON, CRASHING]));
+    assert_eq!(status(&quarantine, 10.1, &[COMMON]), PartStatus::Allowed);
+}
+
+/// Crashes at a time have another cause if a part was at some of the servers only, whichever
+/// crash is reported first, or if most servers had it.
+#[test]
+fn partial_crashes() {
+    for order in [[1, 2, 3], [3, 1, 2]] {
+        let mut quarantine = PartQuarantine::default();
+        for server in order {
+            let part = if server == 3 { 7 } else { CRASHING };
+            let crash = rare_crash(part, server, 10.0);
+            quarantine.record_crash(at(10.0), crash.clone(), true);
+            quarantine.withdraw_unsupported(&crash);
+        }
+        assert!(!is_quarantined(&quarantine, 10.1, &[CRASHING]), "{order:?}");
+    }
+    let mut quarantine = PartQuarantine::default();
+    for server in 1..5 {
+        record(&mut quarantine, &[COMMON], server, 10.0);
+    }
+    assert!(!is_quarantined(&quarantine, 10.1, &[COMMON]));
+}
+
 /// Two new parts that were at the same crashes: requests with both are refused, and one with
 /// a single part is tried to tell which of them is sound.
 #[test]
--- a/crates/gateway/src/part_tracking.rs
+++ b/crates/gateway/src/part_tracking.rs
@@ -90,6 +90,7 @@
             sent_at: suspect.sent_at + PART_RETENTION,
             noticed_at,
             answered_before: false,
+            held_by_few: gateway.crash_detector.borrow().is_held_by_few(suspect.part, incarnation),
         };
         record_part_crash(gateway, crash, true);
     }
@@ -98,7 +99,18 @@
 fn record_part_crash(gateway: &Gateway, crash: PartCrash, noticed_here: bool) {
     let now = part_time(gateway);
     let part = crash.part;
-    let change = gateway.part_quarantine.borrow_mut().record_crash(now, crash, noticed_here);
+    let mut quarantine = gateway.part_quarantine.borrow_mut();
+    let change = quarantine.record_crash(now, crash.clone(), noticed_here);
+    let withdrawn = quarantine.withdraw_unsupported(&crash);
+    drop(quarantine);
+    for part in withdrawn {
+        gateway.journal.note(
+            "part-cleared",
+            None,
+            o!("part" => format_digest(part), "void_ends" => 0, "noticed_here" => noticed_here,
+               "crashed_without" => crash.incarnation.server.clone()),
+        );
+    }
     match change {
         PartChange::Unchanged | PartChange::Added => {}
         PartChange::AnsweredSince if noticed_here => {}
@@ -171,6 +183,7 @@
             sent_at: time_at(crash.sent_age_ms),
             noticed_at: time_at(crash.age_ms),
             answered_before: crash.answered_before,
+            held_by_few: crash.held_by_few,
         };
         record_part_crash(gateway, crash, false);
     }
@@ -190,6 +203,7 @@
     let crashes = crashes.into_iter().map(|crash| PartCrashNotice {
         part: crash.part,
         answered_before: quarantine.is_answered(crash.part),
+        held_by_few: crash.held_by_few,
         server: crash.incarnation.server,
         started_ms: crash.incarnation.started_ms,
         sent_age_ms: age_ms(crash.sent_at),
@@ -224,6 +238,7 @@
             sent_at: time_at(crash.sent_ms),
             noticed_at: time_at(crash.noticed_ms),
             answered_before: crash.answered_before,
+            held_by_few: crash.held_by_few,
         };
         record_part_crash(gateway, crash, noticed_here);
     }
@@ -237,6 +252,7 @@
     let stored = quarantine.local_crashes(limit).into_iter().map(|crash| StoredPartCrash {
         part: crash.part,
         answered_before: quarantine.is_answered(crash.part),
+        held_by_few: crash.held_by_few,
         server: crash.incarnation.server,
         started_ms: crash.incarnation.started_ms,
         sent_ms: wall_at(crash.sent_at),
