Add up over all gateways what speaks for and against a trial

Cause: each gateway weighed what it refused itself against what it would lose itself. With few of each, chance decides, of many gateways the first one does, and one with little traffic of its own tried at once.

Change: reports of a crash to the other gateways carry what the sender refused and would lose; a gateway decides by the sums, once half of the gateways have reported, and otherwise after 60 s as before.

After: no trial with 4, 53 and 350 gateways; a part of many requests is tried after 10 to 25 s with 4 and 53.

--- a/crates/core/src/part_quarantine.rs
+++ b/crates/core/src/part_quarantine.rs
@@ -17,7 +17,7 @@
 //! suspected part is tried by one request at a time over all gateways, so that requests
 //! which wait for the same group do not each crash a server. A trial may cost all callers
 //! an outage of the service, so requests are refused until those that were refused weigh
-//! as much as that risk. Parts that are less likely at fault are tried early: those that
+//! as much as that risk, summed over all gateways. Parts that are less likely at fault are tried early: those that
 //! were answered before, and those that were at only one of several servers which crashed
 //! together.
 //!
@@ -32,6 +32,7 @@
 use crate::ids::MemberId;
 use crate::ids::PartDigest;
 use crate::ids::RequestDigest;
+use crate::ids::ServiceName;
 
 /// Separate crashes after which a part is quarantined that was never answered.
 pub const NEW_PART_CRASHES: usize = 2;
@@ -56,9 +57,11 @@
 pub const TRIAL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Crashes that are kept per part; more would not change the decision.
 const MAX_CRASHES_PER_PART: usize = 6;
-/// Refused requests that are counted per part. A gateway of the largest site serves 24
-/// requests a second and so is to refuse fewer before a trial.
-const MAX_COUNTED_REFUSALS: usize = 64;
+/// Refused requests that are counted per part and gateway.
+const MAX_COUNTED_REFUSALS: usize = 256;
+/// Reports of other gateways on suspected parts that are kept; each of 350 gateways may
+/// report on 40 parts.
+const MAX_STAKE_REPORTS: usize = 16_384;
 /// Suspected parts that are kept.
 const MAX_SUSPECTS: usize = 1_024;
 /// Parts in each half of the log of answered parts; a full half replaces the older one.
@@ -71,6 +74,8 @@
     pub part: PartDigest,
     /// Incarnation of the server that crashed.
     pub incarnation: ServerIncarnation,
+    /// Service of the server; empty if unknown.
+    pub service: ServiceName,
     /// When the latest of the requests with the part was sent to the server.
     pub sent_at: Duration,
     /// When the crash was noticed.
@@ -81,6 +86,24 @@
     pub held_by_few: bool,
 }
 
+/// What speaks for and against a trial of a suspected part, in requests of one gateway.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct TrialStakes {
+    /// Requests that were refused because the part is suspected, each once.
+    pub refused: f64,
+    /// Requests that would be lost if the trial crashes a server.
+    pub at_risk: f64,
+}
+
+/// What this gateway knows of a service when it decides on a trial.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct TrialContext {
+    /// Requests of this gateway that would be lost if the trial crashes a server.
+    pub at_risk: f64,
+    /// Number of gateways, including this one.
+    pub gateways: usize,
+}
+
 /// Whether a request may be sent, by the parts of its prompt.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PartStatus {
@@ -140,6 +163,8 @@
     quarantined: bool,
     /// Requests that this gateway refused because the part was suspected, each once.
     refused: FastSet<RequestDigest>,
+    /// Latest report of each other gateway.
+    reports: FastMap<MemberId, TrialStakes>,
 }
 
 impl SuspectPart {
@@ -156,6 +181,23 @@
         other.crashes.iter().all(|known| self.has_crash(&known.crash.incarnation))
     }
 
+    /// Returns the stakes over all gateways, estimated from those that have reported; `None`
+    /// until half of them have.
+    fn total_stakes(&self, context: TrialContext) -> Option<TrialStakes> {
+        let own = TrialStakes { refused: self.refused.len() as f64, at_risk: context.at_risk };
+        let known = (self.reports.len() + 1) as f64;
+        let gateways = context.gateways as f64;
+        if known * 2.0 < gateways {
+            return None;
+        }
+        let scale = (gateways / known).max(1.0);
+        let total = self.reports.values().fold(own, |sum, report| TrialStakes {
+            refused: sum.refused + report.refused,
+            at_risk: sum.at_risk + report.at_risk,
+        });
+        Some(TrialStakes { refused: total.refused * scale, at_risk: total.at_risk * scale })
+    }
+
     fn required_crashes(&self) -> usize {
         if self.answered_before { KNOWN_PART_CRASHES } else { NEW_PART_CRASHES }
     }
@@ -175,6 +217,7 @@
     answered: FastMap<PartDigest, Duration>,
     older_answered: FastMap<PartDigest, Duration>,
     trials: FastMap<PartDigest, PartTrial>,
+    report_count: usize,
     evicted: u64,
 }
 
@@ -262,9 +305,8 @@
         self.answered.get(&part).or_else(|| self.older_answered.get(&part)).copied()
     }
 
-    /// Returns whether a request with the given parts may be sent. `outage_requests` is the
-    /// number of requests that this gateway would lose in an outage of the service.
-    pub fn status(&self, now: Duration, parts: &[PartDigest], outage_requests: f64) -> PartStatus {
+    /// Returns whether a request with the given parts may be sent.
+    pub fn status(&self, now: Duration, parts: &[PartDigest], context: TrialContext) -> PartStatus {
         let mut suspected = Vec::new();
         let mut noticed_at = Duration::ZERO;
         let mut trial_from = None;
@@ -284,12 +326,16 @@
             }
             suspected.push(*part);
             noticed_at = noticed_at.max(suspect.latest());
-            let risk = outage_requests * TRIAL_RISK;
-            if suspect.answered_before || risk < 1.0 {
+            if suspect.answered_before {
                 continue;
             }
-            let hold = if suspect.refused.len() as f64 >= risk || self.missed_common_crash(suspect)
-            {
+            let stakes = suspect.total_stakes(context);
+            if stakes.is_some_and(|stakes| stakes.at_risk * TRIAL_RISK < 1.0) {
+                continue;
+            }
+            let is_outweighed =
+                stakes.is_some_and(|stakes| stakes.refused >= stakes.at_risk * TRIAL_RISK);
+            let hold = if is_outweighed || self.missed_common_crash(suspect) {
                 TRIAL_DELAY
             } else {
                 MAX_TRIAL_HOLD
@@ -323,6 +369,24 @@
         }
     }
 
+    /// Returns the number of distinct requests that this gateway refused because of a part.
+    pub fn refused_count(&self, part: PartDigest) -> usize {
+        self.suspects.get(&part).map_or(0, |suspect| suspect.refused.len())
+    }
+
+    /// Records what another gateway reports on a suspected part.
+    pub fn record_stakes(&mut self, part: PartDigest, from: &str, stakes: TrialStakes) {
+        let Some(suspect) = self.suspects.get_mut(&part) else {
+            return;
+        };
+        if let Some(known) = suspect.reports.get_mut(from) {
+            *known = stakes;
+        } else if self.report_count < MAX_STAKE_REPORTS {
+            self.report_count += 1;
+            suspect.reports.insert(from.to_string(), stakes);
+        }
+    }
+
     /// Returns whether a quarantined part outside `parts` explains all crashes of `suspect`,
     /// so that a request without it is needed to tell the two apart.
     fn has_rival_outside(
@@ -472,6 +536,7 @@
             suspect.crashes.retain(|known| now < known.crash.noticed_at + PART_RETENTION);
         }
         self.suspects.retain(|_, suspect| !suspect.crashes.is_empty());
+        self.report_count = self.suspects.values().map(|suspect| suspect.reports.len()).sum();
         self.trials.retain(|_, trial| now < trial.until);
     }
 
--- a/crates/core/src/updates.rs
+++ b/crates/core/src/updates.rs
@@ -81,6 +81,12 @@
     pub answered_before: bool,
     /// Whether few of the other servers had the part.
     pub held_by_few: bool,
+    /// Requests that the sender refused because the part is suspected.
+    pub refused: u32,
+    /// Requests of the sender that would be lost if a trial of the part crashes a server.
+    pub at_risk: u32,
+    /// Service of the server that crashed; empty if unknown.
+    pub service: ServiceName,
     /// Server that crashed.
     pub server: ServerId,
     /// Start time of the server's incarnation, in milliseconds since the Unix epoch.
--- a/crates/core/tests/part_quarantine.rs
+++ b/crates/core/tests/part_quarantine.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use cuminpick::crash_detection::ServerIncarnation;
+use cuminpick::ids::ChoiceRng;
 use cuminpick::ids::PartDigest;
 use cuminpick::part_quarantine::MAX_TRIAL_HOLD;
 use cuminpick::part_quarantine::PART_QUARANTINE_TIME;
@@ -12,9 +13,11 @@
 use cuminpick::part_quarantine::PartQuarantine;
 use cuminpick::part_quarantine::PartStatus;
 use cuminpick::part_quarantine::TRIAL_DELAY;
+use cuminpick::part_quarantine::TrialContext;
+use cuminpick::part_quarantine::TrialStakes;
 
-/// Requests that the gateway would lose in an outage.
-const OUTAGE_REQUESTS: f64 = 20.0;
+/// A single gateway, which would lose twenty requests in an outage.
+const CONTEXT: TrialContext = TrialContext { at_risk: 20.0, gateways: 1 };
 const CRASHING: PartDigest = 1;
 const COMMON: PartDigest = 2;
 
@@ -28,6 +31,7 @@
     PartCrash {
         part,
         incarnation: ServerIncarnation { server: format!("s{server}"), started_ms: server },
+        service: "model".to_string(),
         sent_at: at(seconds - 0.1),
         noticed_at: at(seconds),
         answered_before: false,
@@ -53,7 +57,7 @@
 }
 
 fn status(quarantine: &PartQuarantine, seconds: f64, parts: &[PartDigest]) -> PartStatus {
-    quarantine.status(at(seconds), parts, OUTAGE_REQUESTS)
+    quarantine.status(at(seconds), parts, CONTEXT)
 }
 
 fn is_quarantined(quarantine: &PartQuarantine, seconds: f64, parts: &[PartDigest]) -> bool {
@@ -215,6 +219,59 @@
     assert_eq!(trial_from(&quarantine, 11.0, &[CRASHING]), Some(at(10.0) + TRIAL_DELAY));
 }
 
+/// Plays `gateways` gateways with unequal loads, which together refuse `refused_per_s`
+/// requests a second for a part after its first crash and would lose `at_risk` requests in
+/// an outage; returns after how many seconds the first of them tries the part.
+fn first_trial(gateways: usize, refused_per_s: f64, at_risk: f64) -> Option<u32> {
+    let mut rng = ChoiceRng::new(gateways as u64);
+    let weight = |index: usize| (0.2 + 1.6 * (index % 2) as f64) / gateways as f64;
+    let context = |index: usize| TrialContext { at_risk: at_risk * weight(index), gateways };
+    let mut nodes = vec![PartQuarantine::default(); gateways];
+    for node in &mut nodes {
+        record(node, &[CRASHING], 1, 10.0);
+    }
+    let mut digest = 0;
+    for second in 0..50 {
+        let now = at(11.5 + f64::from(second));
+        for (index, node) in nodes.iter_mut().enumerate() {
+            let trial_from = match node.status(now, &[CRASHING], context(index)) {
+                PartStatus::Suspected { trial_from, .. } => trial_from,
+                other => panic!("the part is not suspected: {other:?}"),
+            };
+            if trial_from.is_none_or(|from| from <= now) {
+                return Some(second);
+            }
+        }
+        for _ in 0..refused_per_s as usize {
+            digest += 1;
+            nodes[rng.below(gateways)].record_refusal(&[CRASHING], digest);
+        }
+        // Each gateway reports to a random one twice a second.
+        for index in 0..2 * gateways {
+            let from = index % gateways;
+            let stakes = TrialStakes {
+                refused: nodes[from].refused_count(CRASHING) as f64,
+                at_risk: context(from).at_risk,
+            };
+            nodes[rng.below(gateways)].record_stakes(CRASHING, &from.to_string(), stakes);
+        }
+    }
+    None
+}
+
+/// Guards against trials that come early behind many gateways, each of which sees few of the
+/// requests: they add up what they refused and what they risk.
+#[test]
+fn summed_stakes() {
+    for gateways in [4, 53, 350] {
+        assert_eq!(first_trial(gateways, 7.0, 1_200.0), None, "{gateways} gateways");
+    }
+    for gateways in [4, 53] {
+        let seconds = first_trial(gateways, 40.0, 800.0).unwrap();
+        assert!((10..=25).contains(&seconds), "{gateways} gateways: {seconds} s");
+    }
+}
+
 /// One request at a time tries a part; of two gateways that claim it at once, the one whose
 /// name sorts first does.
 #[test]
--- a/crates/gateway/src/part_tracking.rs
+++ b/crates/gateway/src/part_tracking.rs
@@ -9,10 +9,13 @@
 use cuminpick::crash_detection::ServerIncarnation;
 use cuminpick::crash_detection::SuspectPart;
 use cuminpick::ids::PartDigest;
+use cuminpick::ids::ServiceName;
 use cuminpick::part_quarantine::PART_RETENTION;
 use cuminpick::part_quarantine::PartChange;
 use cuminpick::part_quarantine::PartCrash;
 use cuminpick::part_quarantine::PartStatus;
+use cuminpick::part_quarantine::TrialContext;
+use cuminpick::part_quarantine::TrialStakes;
 use cuminpick::updates::PartAnswerNotice;
 use cuminpick::updates::PartCrashNotice;
 use cuminpick::updates::PartUpdate;
@@ -32,6 +35,9 @@
 /// Gateways that are expected to reply to a report about a part that was answered since.
 const ANSWER_REPLIES: f64 = 4.0;
 
+/// Context in which only quarantine is asked for.
+const NO_TRIAL: TrialContext = TrialContext { at_risk: 0.0, gateways: 1 };
+
 /// Answers and trials that are to be sent to the other gateways.
 #[derive(Debug, Default)]
 pub struct PartNews {
@@ -51,12 +57,19 @@
     if parts.is_empty() || quarantine.suspect_count() == 0 {
         return PartStatus::Allowed;
     }
-    quarantine.status(part_time(gateway), parts, outage_requests(gateway, service))
+    quarantine.status(part_time(gateway), parts, trial_context(gateway, service))
+}
+
+fn trial_context(gateway: &Gateway, service: &str) -> TrialContext {
+    TrialContext {
+        at_risk: requests_at_risk(gateway, service),
+        gateways: gateway.balance.borrow().live_gateways(),
+    }
 }
 
 /// Returns the number of this gateway's requests that the crash of one server would cost: all
 /// those of a model group, which stops without it, or those of the server.
-fn outage_requests(gateway: &Gateway, service: &str) -> f64 {
+fn requests_at_risk(gateway: &Gateway, service: &str) -> f64 {
     let rate = gateway.retry_budget.borrow().request_rate(gateway.now(), service);
     let requests = rate * mean_outage(gateway, service).as_secs_f64();
     let table = gateway.routing_table();
@@ -72,7 +85,7 @@
 
 /// Returns whether a part of a request is quarantined.
 pub fn is_part_quarantined(gateway: &Gateway, parts: &[PartDigest]) -> bool {
-    let status = gateway.part_quarantine.borrow().status(part_time(gateway), parts, 0.0);
+    let status = gateway.part_quarantine.borrow().status(part_time(gateway), parts, NO_TRIAL);
     matches!(status, PartStatus::Quarantined(_))
 }
 
@@ -83,10 +96,12 @@
     suspects: &[SuspectPart],
 ) {
     let noticed_at = part_time(gateway);
+    let service = service_of(gateway, &incarnation.server);
     for suspect in suspects {
         let crash = PartCrash {
             part: suspect.part,
             incarnation: incarnation.clone(),
+            service: service.clone(),
             sent_at: suspect.sent_at + PART_RETENTION,
             noticed_at,
             answered_before: false,
@@ -96,6 +111,10 @@
     }
 }
 
+fn service_of(gateway: &Gateway, server: &str) -> ServiceName {
+    gateway.balance.borrow().service_of(server).unwrap_or_default()
+}
+
 fn record_part_crash(gateway: &Gateway, crash: PartCrash, noticed_here: bool) {
     let now = part_time(gateway);
     let part = crash.part;
@@ -122,7 +141,7 @@
         }
         PartChange::Quarantined => {
             gateway.newly_quarantined.notify_waiters();
-            let status = gateway.part_quarantine.borrow().status(now, &[part], 0.0);
+            let status = gateway.part_quarantine.borrow().status(now, &[part], NO_TRIAL);
             let evidence = match status {
                 PartStatus::Quarantined(crashes) => format_part_evidence(gateway, &crashes),
                 PartStatus::Allowed | PartStatus::Suspected { .. } => {
@@ -177,15 +196,20 @@
     }
     for crash in update.crashes {
         let incarnation = ServerIncarnation { server: crash.server, started_ms: crash.started_ms };
+        let part = crash.part;
+        let stakes =
+            TrialStakes { refused: f64::from(crash.refused), at_risk: f64::from(crash.at_risk) };
         let crash = PartCrash {
-            part: crash.part,
+            part,
             incarnation,
+            service: crash.service,
             sent_at: time_at(crash.sent_age_ms),
             noticed_at: time_at(crash.age_ms),
             answered_before: crash.answered_before,
             held_by_few: crash.held_by_few,
         };
         record_part_crash(gateway, crash, false);
+        gateway.part_quarantine.borrow_mut().record_stakes(part, &update.from, stakes);
     }
     for part in update.trials {
         gateway.part_quarantine.borrow_mut().record_claim(now, part, &update.from);
@@ -204,6 +228,9 @@
         part: crash.part,
         answered_before: quarantine.is_answered(crash.part),
         held_by_few: crash.held_by_few,
+        refused: quarantine.refused_count(crash.part) as u32,
+        at_risk: requests_at_risk(gateway, &crash.service).round() as u32,
+        service: crash.service,
         server: crash.incarnation.server,
         started_ms: crash.incarnation.started_ms,
         sent_age_ms: age_ms(crash.sent_at),
@@ -235,6 +262,7 @@
         let crash = PartCrash {
             part: crash.part,
             incarnation: ServerIncarnation { server: crash.server, started_ms: crash.started_ms },
+            service: crash.service,
             sent_at: time_at(crash.sent_ms),
             noticed_at: time_at(crash.noticed_ms),
             answered_before: crash.answered_before,
@@ -253,6 +281,7 @@
         part: crash.part,
         answered_before: quarantine.is_answered(crash.part),
         held_by_few: crash.held_by_few,
+        service: crash.service,
         server: crash.incarnation.server,
         started_ms: crash.incarnation.started_ms,
         sent_ms: wall_at(crash.sent_at),
