Let the fault soak send prompt parts, limits, pauses and announcements

Cause: the soak met none of what servers state in their answers, and no part that crashes servers, so it could find no fault in how they meet restarts, cuts and a store that is away.

Change: streams share a prompt part with requests whose second part crashes servers; that part may run at most three times later than three seconds after its fifth crash, as the platform states, no sound request may be quarantined, and both are checked for seeds as before. Servers state limits from 0 to 7 a second, ask for pauses, and announce that they leave and end.

--- a/crates/gateway/tests/fault_soak.rs
+++ b/crates/gateway/tests/fault_soak.rs
@@ -21,6 +21,7 @@
 use cuminpick_platform::platform_side::seal_of;
 use cuminpick_standins::site::caller::stream_text;
 use cuminpick_standins::site::engine::EngineFault;
+use cuminpick_standins::site::engine::LedgerEntry;
 use cuminpick_standins::site::engine::SiteEngine;
 use cuminpick_standins::site::proxy::ProxyMode;
 use cuminpick_standins::site::store::StoreMode;
@@ -46,12 +47,17 @@
 /// Number of callers that send a request which crashes servers.
 const CRASHERS: usize = 2;
 const GATEWAYS: usize = 3;
-/// Crashes after which a request is quarantined.
+/// Crashes after which a request is quarantined, and after which a prompt part is.
 const QUARANTINE_CRASHES: usize = 3;
-/// Time after the third crash within which all gateways must know of it, and the number of
+const PART_QUARANTINE_CRASHES: usize = 5;
+/// Time after the last of these crashes within which all gateways must know of it, and the number of
 /// runs that are allowed after that time; the platform sets both limits.
 const PROPAGATION_TIME: Duration = Duration::from_secs(3);
 const MAX_LATE_RUNS: usize = 3;
+/// Prompt part that sound requests share with those that crash servers.
+const COMMON_PART: &str = "c0";
+/// Time for which a server states a limit; longer than most other faults.
+const LIMIT_TIME: Duration = Duration::from_secs(5);
 
 /// An answer as its caller observed it.
 #[derive(Debug, Clone)]
@@ -71,7 +77,13 @@
 }
 
 impl SoakCaller {
-    async fn send(&mut self, gateway: usize, path: &str, attempt: &str) -> ObservedAnswer {
+    async fn send(
+        &mut self,
+        gateway: usize,
+        path: &str,
+        attempt: &str,
+        parts: &[&str],
+    ) -> ObservedAnswer {
         let mut seen = ObservedAnswer {
             attempt: attempt.to_string(),
             path: path.to_string(),
@@ -80,7 +92,7 @@
             complete: false,
             sealed: false,
         };
-        let sending = self.exchange(gateway, &mut seen);
+        let sending = self.exchange(gateway, parts, &mut seen);
         // A paused gateway does not answer.
         let _ = tokio::time::timeout(Duration::from_secs(4), sending).await;
         if !seen.complete {
@@ -91,14 +103,19 @@
 
     /// Sends a request and records the answer in `seen`, as far as it arrived. Returns `None`
     /// when the connection fails.
-    async fn exchange(&mut self, gateway: usize, seen: &mut ObservedAnswer) -> Option<()> {
+    async fn exchange(
+        &mut self,
+        gateway: usize,
+        parts: &[&str],
+        seen: &mut ObservedAnswer,
+    ) -> Option<()> {
         let time_left = Duration::from_secs(2);
         let head = CallerHead {
             host: HOST,
             attempt_id: &seen.attempt,
             time_left,
             key: Some(KEY),
-            prompt_parts: &[],
+            prompt_parts: parts,
         };
         let mut request = Request::builder()
             .method(Method::POST)
@@ -151,7 +168,9 @@
             _ => format!("/draft/{number}-{count}/stream/{}", 1 + rng.below(40)),
         };
         let attempt = format!("c{number}-{count}");
-        let answer = caller.send(rng.below(GATEWAYS), &path, &attempt).await;
+        let parts = [COMMON_PART, attempt.as_str()];
+        let parts = if path.starts_with("/draft/") { &parts[..] } else { &[] };
+        let answer = caller.send(rng.below(GATEWAYS), &path, &attempt, parts).await;
         seen.lock().unwrap().push(answer);
         tokio::time::sleep(Duration::from_millis(rng.below(60) as u64)).await;
     }
@@ -169,7 +188,27 @@
     while Instant::now() < until {
         count += 1;
         let mut caller = SoakCaller { gateway_addresses: Arc::clone(&addresses), connection: None };
-        caller.send(rng.below(GATEWAYS), &path, &format!("{path}-{count}")).await;
+        caller.send(rng.below(GATEWAYS), &path, &format!("{path}-{count}"), &[]).await;
+        tokio::time::sleep(Duration::from_millis(rng.below(400) as u64)).await;
+    }
+}
+
+/// Sends requests with a part that crashes servers until `until`; no two of them are alike.
+async fn send_crashing_part(
+    part: String,
+    seed: u64,
+    addresses: Arc<Mutex<Vec<std::net::SocketAddr>>>,
+    until: Instant,
+) {
+    let mut rng = ChoiceRng::new(seed * 6_007);
+    let mut count = 0;
+    while Instant::now() < until {
+        count += 1;
+        let mut caller = SoakCaller { gateway_addresses: Arc::clone(&addresses), connection: None };
+        let path = format!("/draft/{part}-{count}/stream/3");
+        let last = count.to_string();
+        let parts = [COMMON_PART, part.as_str(), last.as_str()];
+        caller.send(rng.below(GATEWAYS), &path, &format!("{part}-{count}"), &parts).await;
         tokio::time::sleep(Duration::from_millis(rng.below(400) as u64)).await;
     }
 }
@@ -179,7 +218,7 @@
 async fn inject_fault(site: &mut Site, rng: &mut ChoiceRng, version: &mut u64) -> String {
     let gateway = rng.below(GATEWAYS);
     let duration = Duration::from_millis(100 + rng.below(1_500) as u64);
-    match rng.below(12) {
+    match rng.below(15) {
         0 => {
             site.signal(gateway, "KILL");
             site.restart_exited(gateway).await;
@@ -233,6 +272,7 @@
                 EngineFault::OtherRequest,
                 EngineFault::BusyAfterRun,
                 EngineFault::CutAfter(3),
+                EngineFault::Pause(1),
             ];
             let fault = faults[rng.below(faults.len())];
             for _ in 0..5 {
@@ -240,6 +280,24 @@
             }
             format!("fault {fault:?} five times")
         }
+        9 => {
+            let engine = random_server(site, rng).clone();
+            engine.state_limit(Some(rng.below(8) as f64));
+            tokio::spawn(async move {
+                tokio::time::sleep(LIMIT_TIME).await;
+                engine.state_limit(None);
+            });
+            "a server stated a limit".to_string()
+        }
+        10 => {
+            let engine = random_server(site, rng).clone();
+            engine.announce_leaving();
+            tokio::spawn(async move {
+                tokio::time::sleep(duration).await;
+                engine.crash();
+            });
+            format!("a server announced that it leaves, and ended after {duration:?}")
+        }
         _ => {
             let delay = ProxyMode::Delay(Duration::from_millis(1 + rng.below(80) as u64));
             let modes = [ProxyMode::Stall, ProxyMode::StallAnswers, ProxyMode::Reset, delay];
@@ -298,6 +356,28 @@
     }
 }
 
+/// Returns the problem of a request or part that went on to run long after it had crashed
+/// `max_crashes` servers.
+fn find_late_runs(
+    site: &Site,
+    seed: u64,
+    subject: &str,
+    max_crashes: usize,
+    concerns: impl Fn(&LedgerEntry, &str) -> bool,
+) -> Option<String> {
+    let mut times: Vec<Instant> = Vec::new();
+    for server in site.engines.iter().chain(&site.bookings) {
+        let ledger = server.ledger();
+        times.extend(ledger.iter().filter(|run| concerns(run, subject)).map(|run| run.at));
+    }
+    times.sort_unstable();
+    let last_allowed = times.get(max_crashes - 1).copied();
+    let is_late = |at: &&Instant| last_allowed.is_some_and(|last| **at > last + PROPAGATION_TIME);
+    let late = times.iter().filter(is_late).count();
+    eprintln!("seed {seed}: {subject} ran {} times, {late} of them late", times.len());
+    (late > MAX_LATE_RUNS).then(|| format!("{subject} ran {late} times though quarantined"))
+}
+
 /// Runs one seed; returns the violated guarantees and the injected faults as an error.
 async fn run_seed(seed: u64) -> Result<(), String> {
     let mut site = Site::with_proxies(GATEWAYS, 4, 6).await;
@@ -321,6 +401,13 @@
         let until = until + RECOVERY_TIME;
         tasks.push(tokio::spawn(send_crashing(path.clone(), seed, Arc::clone(&addresses), until)));
     }
+    let crashing_part = format!("dead{seed:04x}");
+    tasks.push(tokio::spawn(send_crashing_part(
+        crashing_part.clone(),
+        seed,
+        Arc::clone(&addresses),
+        until + RECOVERY_TIME,
+    )));
     let mut rng = ChoiceRng::new(seed);
     let mut version = 1;
     let mut injected = Vec::new();
@@ -346,22 +433,21 @@
             problems.push(format!("{problem}: ran {ran} times, {answer:?}"));
         }
     }
+    let is_path = |run: &LedgerEntry, path: &str| run.path == path;
+    let has_part =
+        |run: &LedgerEntry, part: &str| run.head.prompt_parts.iter().any(|id| id == part);
     for path in &crashing {
-        let mut times: Vec<Instant> = Vec::new();
-        for server in site.engines.iter().chain(&site.bookings) {
-            times.extend(server.ledger().iter().filter(|run| run.path == *path).map(|run| run.at));
-        }
-        times.sort_unstable();
-        let third = times.get(QUARANTINE_CRASHES - 1).copied();
-        let late =
-            times.iter().filter(|at| third.is_some_and(|third| **at > third + PROPAGATION_TIME));
-        let late = late.count();
-        eprintln!("seed {seed}: {path} ran {} times, {late} of them late", times.len());
-        if late > MAX_LATE_RUNS {
-            problems.push(format!("{path} ran {late} times after it should be quarantined"));
-        }
+        problems.extend(find_late_runs(&site, seed, path, QUARANTINE_CRASHES, is_path));
     }
+    problems.extend(find_late_runs(&site, seed, &crashing_part, PART_QUARANTINE_CRASHES, has_part));
     for number in 0..6 {
+        let attempt = format!("after-parts-{number}");
+        let parts = [COMMON_PART, attempt.as_str()];
+        let answer =
+            site.call_with_parts(number % GATEWAYS, "/draft/stream/2", &attempt, &parts).await;
+        if answer.status != Some(StatusCode::OK) {
+            problems.push(format!("not served after the faults: with parts {answer:?}"));
+        }
         for path in ["/book/after", "/look/after", "/draft/stream/2"] {
             let answer =
                 site.call_at(number % GATEWAYS, path, &format!("after-{number}"), Some(KEY)).await;
