Split trials, crash records, the choice of a server and the request log by stage

Change: core::part_trials has claims and stakes of trials; gateway::crash_records keeps crashes in the store; serve::choice chooses the server of an attempt, serve::request_log records how a request ended.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,7 +27,8 @@
 //!   too slow for their group, [`crash_detection`] finds the
 //!   requests that were at a crashed server, and [`quarantine`] decides which of them are
 //!   refused for a time because servers keep crashing while running them;
-//!   [`part_quarantine`] does so for parts that the prompts of such requests share.
+//!   [`part_quarantine`] does so for parts that the prompts of such requests share, and
+//!   [`part_trials`] decides which request tries a suspected part.
 //! - For groups of ranks, [`election`] selects the process that leads; [`demand`] estimates the load of experts, [`experts`] plans expert
 //!   maps and [`switch`] puts them in force by [`orders`], from what [`rank_views`] knows of
 //!   the ranks. [`expert_counts`] and [`updates`]
@@ -78,6 +79,7 @@
 pub mod orders;
 pub mod outage;
 pub mod part_quarantine;
+pub mod part_trials;
 pub mod quarantine;
 pub mod queue;
 pub mod rank_views;
--- a/crates/core/src/part_quarantine.rs
+++ b/crates/core/src/part_quarantine.rs
@@ -14,10 +14,9 @@
 //! part was at all servers that crashed together but at few others, which another cause is
 //! unlikely to meet. A
 //! crash that a quarantined part explains does not count against others. Before that, a
-//! suspected part is tried by one request at a time over all gateways, so that requests
-//! which wait for the same group do not each crash a server. A trial may cost all callers
-//! an outage of the service, so requests are refused until those that were refused weigh
-//! as much as that risk, summed over all gateways. Parts that are less likely at fault are tried early: those that
+//! suspected part is tried by one request at a time over all gateways ([`crate::part_trials`]).
+//! A trial may cost all callers an outage of the service, so requests are refused until those
+//! that were refused weigh as much as that risk, summed over all gateways. Parts that are less likely at fault are tried early: those that
 //! were answered before, and those that were at only one of several servers which crashed
 //! together.
 //!
@@ -33,6 +32,9 @@
 use crate::ids::PartDigest;
 use crate::ids::RequestDigest;
 use crate::ids::ServiceName;
+use crate::part_trials::TrialContext;
+use crate::part_trials::TrialStakes;
+use crate::part_trials::sum_stakes;
 
 /// Separate crashes after which a part is quarantined that was never answered.
 pub const NEW_PART_CRASHES: usize = 2;
@@ -53,8 +55,6 @@
 const TRIAL_RISK: f64 = 0.5;
 /// Time between crashes that have a common cause, such as the loss of a zone.
 const COMMON_CAUSE_WINDOW: Duration = Duration::from_secs(2);
-/// Longest time for which a trial keeps other requests with its part waiting.
-pub const TRIAL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Crashes that are kept per part; more would not change the decision.
 const MAX_CRASHES_PER_PART: usize = 6;
 /// Refused requests that are counted per part and gateway.
@@ -86,24 +86,6 @@
     pub held_by_few: bool,
 }
 
-/// What speaks for and against a trial of a suspected part, in requests of one gateway.
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
-pub struct TrialStakes {
-    /// Requests that were refused because the part is suspected, each once.
-    pub refused: f64,
-    /// Requests that would be lost if the trial crashes a server.
-    pub at_risk: f64,
-}
-
-/// What this gateway knows of a service when it decides on a trial.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct TrialContext {
-    /// Requests of this gateway that would be lost if the trial crashes a server.
-    pub at_risk: f64,
-    /// Number of gateways, including this one.
-    pub gateways: usize,
-}
-
 /// Whether a request may be sent, by the parts of its prompt.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PartStatus {
@@ -181,42 +163,18 @@
         other.crashes.iter().all(|known| self.has_crash(&known.crash.incarnation))
     }
 
-    /// Returns the stakes over all gateways, estimated from those that have reported; `None`
-    /// until half of them have.
-    fn total_stakes(&self, context: TrialContext) -> Option<TrialStakes> {
-        let own = TrialStakes { refused: self.refused.len() as f64, at_risk: context.at_risk };
-        let known = (self.reports.len() + 1) as f64;
-        let gateways = context.gateways as f64;
-        if known * 2.0 < gateways {
-            return None;
-        }
-        let scale = (gateways / known).max(1.0);
-        let total = self.reports.values().fold(own, |sum, report| TrialStakes {
-            refused: sum.refused + report.refused,
-            at_risk: sum.at_risk + report.at_risk,
-        });
-        Some(TrialStakes { refused: total.refused * scale, at_risk: total.at_risk * scale })
-    }
-
     fn required_crashes(&self) -> usize {
         if self.answered_before { KNOWN_PART_CRASHES } else { NEW_PART_CRASHES }
     }
 }
 
-#[derive(Debug, Clone)]
-struct PartTrial {
-    owner: MemberId,
-    until: Duration,
-}
-
-/// Crashes, answers and trials by prompt part.
+/// Crashes and answers by prompt part.
 #[derive(Debug, Clone, Default)]
 pub struct PartQuarantine {
     suspects: FastMap<PartDigest, SuspectPart>,
     /// When each part was last answered.
     answered: FastMap<PartDigest, Duration>,
     older_answered: FastMap<PartDigest, Duration>,
-    trials: FastMap<PartDigest, PartTrial>,
     report_count: usize,
     evicted: u64,
 }
@@ -283,7 +241,6 @@
         suspect.answered_before = true;
         if suspect.crashes.is_empty() {
             self.suspects.remove(&part);
-            self.trials.remove(&part);
         } else {
             let quarantined = self.unexplained_crashes(part) >= KNOWN_PART_CRASHES;
             if let Some(suspect) = self.suspects.get_mut(&part) {
@@ -329,7 +286,9 @@
             if suspect.answered_before {
                 continue;
             }
-            let stakes = suspect.total_stakes(context);
+            let own =
+                TrialStakes { refused: suspect.refused.len() as f64, at_risk: context.at_risk };
+            let stakes = sum_stakes(own, suspect.reports.values(), context.gateways);
             if stakes.is_some_and(|stakes| stakes.at_risk * TRIAL_RISK < 1.0) {
                 continue;
             }
@@ -459,46 +418,6 @@
         unsupported
     }
 
-    /// Claims the trial of suspected parts for `owner`. Returns false while another gateway
-    /// or another request tries one of them.
-    pub fn try_claim(&mut self, now: Duration, parts: &[PartDigest], owner: &str) -> bool {
-        if parts.iter().any(|part| self.trials.get(part).is_some_and(|trial| now < trial.until)) {
-            return false;
-        }
-        for part in parts {
-            let trial = PartTrial { owner: owner.to_string(), until: now + TRIAL_TIMEOUT };
-            self.trials.insert(*part, trial);
-        }
-        true
-    }
-
-    /// Records that another gateway claims a trial. Of two that claim the same trial at the
-    /// same time, the one whose name sorts first gets it.
-    pub fn record_claim(&mut self, now: Duration, part: PartDigest, owner: &str) {
-        if !self.suspects.contains_key(&part) && self.trials.len() >= MAX_SUSPECTS {
-            return;
-        }
-        let trial = self.trials.get(&part).filter(|trial| now < trial.until);
-        if trial.is_none_or(|trial| owner <= trial.owner.as_str()) {
-            let trial = PartTrial { owner: owner.to_string(), until: now + TRIAL_TIMEOUT };
-            self.trials.insert(part, trial);
-        }
-    }
-
-    /// Returns whether `owner` still holds the trials of all the given parts.
-    pub fn holds_trials(&self, parts: &[PartDigest], owner: &str) -> bool {
-        parts.iter().all(|part| self.trials.get(part).is_some_and(|trial| trial.owner == owner))
-    }
-
-    /// Ends the trials of parts that `owner` holds.
-    pub fn release_trials(&mut self, parts: &[PartDigest], owner: &str) {
-        for part in parts {
-            if self.trials.get(part).is_some_and(|trial| trial.owner == owner) {
-                self.trials.remove(part);
-            }
-        }
-    }
-
     /// Returns at most `limit` crashes that this gateway noticed, those of the parts with the
     /// most crashes first.
     pub fn local_crashes(&self, limit: usize) -> Vec<PartCrash> {
@@ -530,14 +449,13 @@
             || self.suspects.get(&part).is_some_and(|suspect| suspect.answered_before)
     }
 
-    /// Drops crashes that are too old and trials that are over.
+    /// Drops crashes that are too old.
     pub fn sweep(&mut self, now: Duration) {
         for suspect in self.suspects.values_mut() {
             suspect.crashes.retain(|known| now < known.crash.noticed_at + PART_RETENTION);
         }
         self.suspects.retain(|_, suspect| !suspect.crashes.is_empty());
         self.report_count = self.suspects.values().map(|suspect| suspect.reports.len()).sum();
-        self.trials.retain(|_, trial| now < trial.until);
     }
 
     /// Returns the parts that are quarantined.
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -36,7 +36,7 @@
 use tokio::sync::Notify;
 use tokio::task::LocalSet;
 
-use crate::crash_tracking::maintain_crash_record;
+use crate::crash_records::maintain_crash_record;
 use crate::crash_tracking::sweep_crashes;
 use crate::gate::process_gate_queues;
 use crate::listen::accept_callers;
@@ -108,6 +108,7 @@
         probe_finished: Notify::new(),
         quarantine: RefCell::new(CrashQuarantine::default()),
         part_quarantine: RefCell::new(PartQuarantine::default()),
+        part_trials: RefCell::default(),
         part_news: RefCell::new(PartNews::default()),
         request_limits: RefCell::new(RequestLimits::default()),
         limit_news: RefCell::new(Vec::new()),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,7 +13,10 @@
 //! - [`serve`] handles a request from its head to its answer, [`attempt`] sends it to a
 //!   server, and [`relay`] forwards a stream.
 //! - [`crash_tracking`] detects servers that crash while they run a request, and shares the
-//!   crashes.
+//!   crashes, [`crash_records`] also by the store; [`part_tracking`] does so for parts of
+//!   prompts.
+//! - [`announcements`] heeds servers that leave or ask for a pause, and [`permits`] the limits
+//!   that they state.
 //! - [`gate`] delays or refuses streams that would make passes too slow.
 //! - [`framing`] rejects requests whose body could be framed in two ways.
 //! - [`answer`] builds the answers to callers, among them refusals.
@@ -21,6 +24,7 @@
 pub mod announcements;
 pub mod answer;
 pub mod attempt;
+pub mod crash_records;
 pub mod crash_tracking;
 pub mod daemon;
 pub mod framing;
--- a/crates/gateway/src/part_tracking.rs
+++ b/crates/gateway/src/part_tracking.rs
@@ -14,8 +14,8 @@
 use cuminpick::part_quarantine::PartChange;
 use cuminpick::part_quarantine::PartCrash;
 use cuminpick::part_quarantine::PartStatus;
-use cuminpick::part_quarantine::TrialContext;
-use cuminpick::part_quarantine::TrialStakes;
+use cuminpick::part_trials::TrialContext;
+use cuminpick::part_trials::TrialStakes;
 use cuminpick::updates::PartAnswerNotice;
 use cuminpick::updates::PartCrashNotice;
 use cuminpick::updates::PartUpdate;
@@ -212,7 +212,7 @@
         gateway.part_quarantine.borrow_mut().record_stakes(part, &update.from, stakes);
     }
     for part in update.trials {
-        gateway.part_quarantine.borrow_mut().record_claim(now, part, &update.from);
+        gateway.part_trials.borrow_mut().record_claim(now, part, &update.from);
     }
 }
 
@@ -307,6 +307,7 @@
 
 /// Removes outdated crashes and trials, and updates the metrics.
 pub fn sweep_parts(gateway: &Gateway) {
+    gateway.part_trials.borrow_mut().sweep(part_time(gateway));
     let mut quarantine = gateway.part_quarantine.borrow_mut();
     quarantine.sweep(part_time(gateway));
     let held = quarantine.quarantined_parts().len();
@@ -328,7 +329,7 @@
     pub fn claim(gateway: &Rc<Gateway>, parts: Vec<PartDigest>) -> Option<TrialGuard> {
         let now = part_time(gateway);
         let owner = &gateway.settings.node;
-        if !gateway.part_quarantine.borrow_mut().try_claim(now, &parts, owner) {
+        if !gateway.part_trials.borrow_mut().try_claim(now, &parts, owner) {
             return None;
         }
         let mut news = gateway.part_news.borrow_mut();
@@ -341,7 +342,7 @@
     /// Returns whether no other gateway has taken precedence.
     pub fn is_held(&self) -> bool {
         let owner = &self.gateway.settings.node;
-        self.gateway.part_quarantine.borrow().holds_trials(&self.parts, owner)
+        self.gateway.part_trials.borrow().holds_trials(&self.parts, owner)
     }
 
     /// Returns the parts that are tried.
@@ -353,6 +354,6 @@
 impl Drop for TrialGuard {
     fn drop(&mut self) {
         let owner = &self.gateway.settings.node;
-        self.gateway.part_quarantine.borrow_mut().release_trials(&self.parts, owner);
+        self.gateway.part_trials.borrow_mut().release_trials(&self.parts, owner);
     }
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -4,6 +4,8 @@
 //! Complete answers are returned from here; a stream goes to [`crate::relay`] once its
 //! first event is there.
 
+mod choice;
+mod request_log;
 mod suspects;
 
 use std::rc::Rc;
@@ -12,8 +14,6 @@
 use bytes::Bytes;
 use cuminpick::admission::GateRequest;
 use cuminpick::balance::BalanceChoice;
-use cuminpick::balance::BalanceQuery;
-use cuminpick::balance::ChoiceError;
 use cuminpick::crash_detection::AttemptContent;
 use cuminpick::event_stream::EventNumber;
 use cuminpick::event_stream::EventSplitter;
@@ -24,7 +24,6 @@
 use cuminpick::ids::digest_request;
 use cuminpick::refusal::Refusal;
 use cuminpick::refusal::RefusalKind;
-use cuminpick::request_limits::LimitFilter;
 use cuminpick::retry::AttemptFailure;
 use cuminpick::retry::RetryState;
 use cuminpick::routing::RepeatRule;
@@ -45,10 +44,10 @@
 use slog::o;
 use tokio::time::Instant;
 
+pub use self::request_log::RequestLog;
 use crate::answer::AnswerBody;
 use crate::answer::complete_answer;
 use crate::answer::refusal_answer;
-use crate::answer::refusal_status;
 use crate::attempt::BufferedBytes;
 use crate::attempt::CallerMessage;
 use crate::attempt::FailedAttempt;
@@ -65,10 +64,8 @@
 use crate::gate::record_stream_refusal;
 use crate::gate::record_stream_success;
 use crate::gate::wait_for_admission;
-use crate::permits::obtain_permit;
 use crate::relay::start_relay;
 use crate::state::Gateway;
-use crate::state::OpenRequestGuard;
 
 /// `Retry-After` of a refusal while the configuration is not loaded or no server is
 /// available; listing them in the store takes a few milliseconds.
@@ -77,20 +74,12 @@
 const RETRY_WHEN_FULL: Duration = Duration::from_millis(150);
 /// `Retry-After` of a gateway that is shutting down; another gateway can serve at once.
 const RETRY_WHEN_LEAVING: Duration = Duration::from_millis(20);
-/// Part of the target latency that a request may wait for a server with a free slot.
-const CAPACITY_WAIT_SHARE: f64 = 0.6;
 /// Part of the target latency after which a queued stream can no longer start on time:
 /// reading the prompt and making the first event take about half of the target.
 const ON_TIME_START_SHARE: f64 = 0.45;
 /// Part of the caller's timeout for the first event after which a queued stream is
 /// refused; the rest is left for making that event.
 const LATEST_START_SHARE: f64 = 0.7;
-/// Interval at which a request that waits for a free slot checks again without being woken.
-const CAPACITY_POLL_INTERVAL: Duration = Duration::from_millis(10);
-/// Time over which callers are spread that return when a server takes requests again.
-const RETURN_SPREAD: Duration = Duration::from_millis(500);
-/// Servers with a limit that are asked for a permit before only others are chosen.
-const MAX_REFUSED_PERMITS: u32 = 2;
 /// Multiple of the target latency after which an idempotent request is sent to another
 /// server; nearly all answers come within the target.
 const RETRY_TARGET_MULTIPLE: u32 = 2;
@@ -117,63 +106,6 @@
     }
 }
 
-/// Records the outcome of one request in the log and metrics. If it is dropped before an
-/// outcome is recorded, the caller has left.
-pub struct RequestLog {
-    gateway: Rc<Gateway>,
-    request_id: String,
-    route: String,
-    arrived: Duration,
-    ended: bool,
-    _open: OpenRequestGuard,
-}
-
-impl RequestLog {
-    fn begin(gateway: &Rc<Gateway>) -> RequestLog {
-        RequestLog {
-            gateway: Rc::clone(gateway),
-            request_id: String::new(),
-            route: String::new(),
-            arrived: gateway.now(),
-            ended: false,
-            _open: OpenRequestGuard::begin(gateway),
-        }
-    }
-
-    /// Returns the time since the request arrived.
-    pub fn age(&self) -> Duration {
-        self.gateway.now().saturating_sub(self.arrived)
-    }
-
-    /// Records how the request ended; `status` is 0 if no answer was sent.
-    pub fn record_end(&mut self, outcome: &'static str, status: u16, detail: &str) {
-        self.ended = true;
-        let age = self.age();
-        self.gateway.metrics.count_request(&self.route, outcome);
-        self.gateway.metrics.record_latency("request", &self.route, age);
-        self.gateway.journal.note(
-            "request-ended",
-            Some(&self.request_id),
-            o!("outcome" => outcome, "status" => status, "detail" => detail.to_string(),
-               "route" => self.route.clone(), "after_ms" => age.as_millis() as u64),
-        );
-    }
-
-    /// Records that the gateway itself refused the request.
-    pub fn record_refusal(&mut self, refusal: &Refusal) {
-        self.gateway.metrics.count_refusal(refusal.kind.name());
-        self.record_end("refused", refusal_status(refusal).as_u16(), refusal.kind.name());
-    }
-}
-
-impl Drop for RequestLog {
-    fn drop(&mut self) {
-        if !self.ended {
-            self.record_end("caller-left", 0, "the caller closed its connection");
-        }
-    }
-}
-
 /// Finds the route of a request, checks its key and reads its body.
 async fn accept_request(
     gateway: &Rc<Gateway>,
@@ -449,72 +381,6 @@
         self.gateway.retry_budget.borrow_mut().try_take(self.gateway.now(), &self.service, gateways)
     }
 
-    /// Chooses a server. While all are full, waits for a free slot for a part of the target
-    /// latency.
-    async fn choose_server(&mut self) -> Result<BalanceChoice, Refusal> {
-        let wait_until = self.arrived + self.route.target_latency.mul_f64(CAPACITY_WAIT_SHARE);
-        let mut refused_permits = 0;
-        loop {
-            let chosen = {
-                let limits = self.gateway.request_limits.borrow();
-                let unlimited_only = refused_permits >= MAX_REFUSED_PERMITS;
-                let query = BalanceQuery {
-                    service: &self.service,
-                    zone: &self.gateway.settings.zone,
-                    excluded: &self.tried_servers,
-                    cold_requests_per_second: self.cold_requests_per_second,
-                    limits: Some(LimitFilter { limits: &limits, unlimited_only }),
-                };
-                let mut rng = self.gateway.rng.borrow_mut();
-                self.gateway.balance.borrow().choose(self.gateway.now(), &query, &mut rng)
-            };
-            match chosen {
-                Ok(choice) => {
-                    if obtain_permit(&self.gateway, &choice.server).await {
-                        return Ok(choice);
-                    }
-                    refused_permits += 1;
-                }
-                Err(ChoiceError::AllClosed) => {
-                    let wait = self.wait_for_opening();
-                    if Instant::now() + wait > wait_until {
-                        let spread = RETURN_SPREAD.mul_f64(self.gateway.random_share());
-                        return Err(self.refusal(RefusalKind::Overloaded, wait + spread));
-                    }
-                    tokio::time::sleep(wait).await;
-                    refused_permits = 0;
-                }
-                Err(ChoiceError::AllFull) if Instant::now() < wait_until => {
-                    refused_permits = 0;
-                    let _ = tokio::time::timeout(
-                        CAPACITY_POLL_INTERVAL,
-                        self.gateway.capacity_changed.notified(),
-                    )
-                    .await;
-                }
-                Err(ChoiceError::AllFull) => {
-                    return Err(self.refusal(RefusalKind::Overloaded, RETRY_WHEN_FULL));
-                }
-                Err(ChoiceError::AllTried | ChoiceError::NoneAvailable) => {
-                    return Err(self.refusal(RefusalKind::NoServer, RETRY_WHEN_UNAVAILABLE));
-                }
-            }
-        }
-    }
-
-    /// Returns the time after which a server that wants no requests now may take this one.
-    fn wait_for_opening(&self) -> Duration {
-        let now = self.gateway.now();
-        let balance = self.gateway.balance.borrow();
-        let limits = self.gateway.request_limits.borrow();
-        let servers = balance.available_servers(&self.service);
-        let untried = servers.filter(|server| !self.tried_servers.contains(server));
-        let openings =
-            untried.map(|server| limits.closed_until(server).max(balance.paused_until(server)));
-        let wait = openings.min().unwrap_or_default().saturating_sub(now);
-        wait.max(CAPACITY_POLL_INTERVAL)
-    }
-
     /// Sends the request to one server and reads the start of its answer.
     async fn try_server(
         &mut self,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -20,6 +20,7 @@
 use cuminpick::ids::ServerId;
 use cuminpick::ids::ServiceName;
 use cuminpick::part_quarantine::PartQuarantine;
+use cuminpick::part_trials::TrialClaims;
 use cuminpick::quarantine::CrashQuarantine;
 use cuminpick::request_limits::RequestLimits;
 use cuminpick::retry::WindowedRetryBudget;
@@ -86,6 +87,8 @@
     pub quarantine: RefCell<CrashQuarantine>,
     /// Prompt parts to which crashes of servers are attributed.
     pub part_quarantine: RefCell<PartQuarantine>,
+    /// Trials of prompt parts that are suspected.
+    pub part_trials: RefCell<TrialClaims>,
     /// Answers and trials of prompt parts that are to be sent to the other gateways.
     pub part_news: RefCell<PartNews>,
     /// Limits on requests that servers state.
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -27,10 +27,10 @@
 use cuminpick_platform::store::StoreRevision;
 use slog::o;
 
-use crate::crash_tracking::apply_crash_record;
-use crate::crash_tracking::is_outdated;
+use crate::crash_records::apply_crash_record;
+use crate::crash_records::is_outdated;
+use crate::crash_records::remove_outdated_record;
 use crate::crash_tracking::record_registration;
-use crate::crash_tracking::remove_outdated_record;
 use crate::gate::record_new_server;
 use crate::state::Gateway;
 
