Say of a stream that ran before its service was lost that it may have run

What callers saw: a stream that a server had begun and failed with status 500 was refused with 503 and "ran: no".

Cause: before a further attempt a stream asks for admission once more if its service has an outage, and the refusal of the gate was written for streams that have not been sent. The other refusals of an exchange go by its attempts already.

Before: failed_probe (a lost server, refusals until the breaker opens, then a probe that fails) fails as above. After: it passes.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -325,7 +325,7 @@
             .await
         {
             None => Ok(()),
-            Some(retry) => Err(Refusal::not_run(RefusalKind::Overloaded, Some(retry))),
+            Some(retry_after) => Err(self.refusal(RefusalKind::Overloaded, retry_after)),
         }
     }
 
--- a/crates/gateway/tests/broken_answers.rs
+++ b/crates/gateway/tests/broken_answers.rs
@@ -188,3 +188,25 @@
         tokio::time::sleep(Duration::from_millis(900)).await;
     }
 }
+
+/// Guards against a stream that ran, failed and is then refused as not run, since its service
+/// has lost a server and refuses all streams.
+#[tokio::test(flavor = "multi_thread")]
+async fn failed_probe() {
+    let site = Site::with_sizes(1, 2, 1).await;
+    for fault in [EngineFault::Full; 8].into_iter().chain([EngineFault::Error; 100]) {
+        site.engines[0].inject_fault(fault);
+    }
+    let mut failed = 0;
+    for number in 0..80 {
+        site.engines[1].crash();
+        let attempt = format!("probe-{number}");
+        let answer = site.call("/draft/stream/3", &attempt).await;
+        let runs = site.runs_of_attempt(&attempt);
+        failed += usize::from(runs > 0);
+        let says_not_run = answer.status == Some(StatusCode::SERVICE_UNAVAILABLE);
+        assert!(!says_not_run || runs == 0, "{answer:?}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert!(failed > 0, "no stream ran");
+}
