End a server's limit only by what the server says later

What callers saw: nothing yet; found by asking what may end a limit. A server in need could get far more than it takes when its limit was forgotten by a gateway while it was in force.

Cause: four things ended a limit that do not tell that it is over. A refusal (503) need not name it; an answer that was made before the limit, or received late, states none; the record of the server in the store lapses while the store is away; and, the other way round, a limit was heeded for the next incarnation under the same id until its first answer.

Change: only an answer to a request that was sent after the last statement, and that the server ran, ends a limit. It belongs to one incarnation. Records that go missing end nothing; limits that nobody states for ten minutes are dropped, and the oldest when there are too many (before, new ones were refused then). The stand-in counts arrivals, refused ones too, and the tests of limits go by them.

Before: record_lapses 20 requests where 8 are allowed; refusal_between: the limit is lifted by the refusal. Both fail on the code before, run from these test files. After: they pass, as do delayed_answers, later_incarnation and many_limits.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -429,7 +429,9 @@
         }
         let admits = |backend: &&Backend| {
             now >= backend.paused_until
-                && query.limits.is_none_or(|limits| limits.admits(now, &backend.record.id))
+                && query.limits.is_none_or(|limits| {
+                    limits.admits(now, &backend.record.id, backend.record.started_ms)
+                })
         };
         let untried: Vec<&Backend> = untried.into_iter().filter(admits).collect();
         if untried.is_empty() {
--- a/crates/core/src/request_limits.rs
+++ b/crates/core/src/request_limits.rs
@@ -7,7 +7,9 @@
 //! A refused permit names the time until the next one, for which the gateway chooses among
 //! the other servers.
 //!
-//! A limit is what a server's latest answer states, and ends when an answer states none.
+//! A limit is what a server's latest answer states. It ends with the incarnation of the
+//! server, or when the answer to a request that was sent after the last statement states
+//! none: answers may be delayed, and be received by other gateways.
 
 use std::time::Duration;
 
@@ -22,10 +24,13 @@
 const MIN_RATE: f64 = 0.25;
 /// Highest limit that is heeded; no server runs as many requests per second.
 const MAX_LIMIT: f64 = 1e6;
+/// Time after which a limit is dropped that no answer has stated again, such as that of a
+/// server that is gone.
+const LIMIT_RETENTION: Duration = Duration::from_secs(600);
 /// Time in which permits may accumulate while none is used.
 const ACCUMULATION_TIME: f64 = 0.5;
-/// Limits that are kept; the largest site has 4,800 servers.
-const MAX_LIMITS: usize = 16_384;
+/// Limits that are kept, the oldest out first; the largest site has 4,800 servers.
+pub const MAX_LIMITS: usize = 16_384;
 /// Time for which a server is not chosen after its issuer did not reply.
 const SILENT_ISSUER_PAUSE: Duration = Duration::from_millis(100);
 /// Consecutive requests without a reply after which an issuer is replaced. Fewer may be lost
@@ -45,6 +50,8 @@
     pub incarnation: ServerIncarnation,
     /// Requests per second over all gateways; `None` if the answer states no limit.
     pub per_second: Option<f64>,
+    /// When the request was sent that the server answered so.
+    pub asked_at: Duration,
     /// When the answer arrived.
     pub stated_at: Duration,
 }
@@ -59,9 +66,9 @@
 }
 
 impl LimitFilter<'_> {
-    /// Returns whether a server may be chosen now.
-    pub fn admits(&self, now: Duration, server: &str) -> bool {
-        self.limits.is_open(now, server, self.unlimited_only)
+    /// Returns whether an incarnation of a server may be chosen now.
+    pub fn admits(&self, now: Duration, server: &str, started_ms: u64) -> bool {
+        self.limits.is_open(now, server, started_ms, self.unlimited_only)
     }
 }
 
@@ -79,6 +86,18 @@
 }
 
 impl ServerLimit {
+    fn statement(&self, server: &str) -> LimitStatement {
+        LimitStatement {
+            incarnation: ServerIncarnation {
+                server: server.to_string(),
+                started_ms: self.started_ms,
+            },
+            per_second: self.per_second,
+            asked_at: self.stated_at,
+            stated_at: self.stated_at,
+        }
+    }
+
     fn rate(&self, share: f64) -> Option<f64> {
         self.per_second.map(|limit| (limit * share).max(MIN_RATE))
     }
@@ -104,12 +123,15 @@
     /// Records what a server states, here or to another gateway; returns whether this changes
     /// its limit.
     pub fn record_statement(&mut self, statement: &LimitStatement) -> bool {
-        let LimitStatement { incarnation, per_second, stated_at } = statement;
+        let LimitStatement { incarnation, per_second, asked_at, stated_at } = statement;
         let stated = per_second.map(|limit| limit.clamp(0.0, MAX_LIMIT));
         let Some(known) = self.limits.get_mut(&incarnation.server) else {
-            if stated.is_none() || self.limits.len() >= MAX_LIMITS {
+            if stated.is_none() {
                 return false;
             }
+            if self.limits.len() >= MAX_LIMITS {
+                self.remove_oldest();
+            }
             let limit = ServerLimit {
                 started_ms: incarnation.started_ms,
                 per_second: stated,
@@ -122,8 +144,12 @@
             self.limits.insert(incarnation.server.clone(), limit);
             return true;
         };
+        let may_precede = match stated {
+            Some(_) => *stated_at < known.stated_at,
+            None => *asked_at < known.stated_at,
+        };
         if incarnation.started_ms < known.started_ms
-            || (incarnation.started_ms == known.started_ms && *stated_at < known.stated_at)
+            || (incarnation.started_ms == known.started_ms && may_precede)
         {
             return false;
         }
@@ -138,35 +164,27 @@
         changed
     }
 
-    /// Returns the latest statement of a server that has a limit.
-    pub fn statement(&self, server: &str) -> Option<LimitStatement> {
-        let known = self.limits.get(server)?;
-        let incarnation =
-            ServerIncarnation { server: server.to_string(), started_ms: known.started_ms };
-        known.per_second?;
-        Some(LimitStatement {
-            incarnation,
-            per_second: known.per_second,
-            stated_at: known.stated_at,
-        })
+    /// Returns the latest statement of an incarnation of a server that has a limit.
+    pub fn statement(&self, incarnation: &ServerIncarnation) -> Option<LimitStatement> {
+        let known = self.limits.get(&incarnation.server)?;
+        let is_limited = known.started_ms == incarnation.started_ms && known.per_second.is_some();
+        is_limited.then(|| known.statement(&incarnation.server))
     }
 
     /// Returns the latest statements of servers whose limits changed since `since`, also of
     /// those without a limit now.
     pub fn changed_statements(&self, since: Duration) -> Vec<LimitStatement> {
         let recent = self.limits.iter().filter(|(_, known)| known.changed_at >= since);
-        let statements = recent.map(|(server, known)| LimitStatement {
-            incarnation: ServerIncarnation { server: server.clone(), started_ms: known.started_ms },
-            per_second: known.per_second,
-            stated_at: known.stated_at,
-        });
-        statements.collect()
+        recent.map(|(server, known)| known.statement(server)).collect()
     }
 
-    /// Returns whether a server may be chosen: it has no limit, or a permit may be had now.
-    fn is_open(&self, now: Duration, server: &str, unlimited_only: bool) -> bool {
+    /// Returns whether an incarnation of a server may be chosen: it has no limit, or a permit
+    /// may be had now.
+    fn is_open(&self, now: Duration, server: &str, started_ms: u64, unlimited_only: bool) -> bool {
         self.limits.get(server).is_none_or(|known| {
-            known.per_second.is_none() || (!unlimited_only && now >= known.closed_until)
+            known.started_ms != started_ms
+                || known.per_second.is_none()
+                || (!unlimited_only && now >= known.closed_until)
         })
     }
 
@@ -245,13 +263,20 @@
         self.silences.remove(issuer);
     }
 
-    /// Drops the limit of a server that is gone.
-    pub fn remove(&mut self, server: &str) {
-        self.limits.remove(server);
+    /// Drops limits that were not stated again for a long time.
+    pub fn sweep(&mut self, now: Duration) {
+        self.limits.retain(|_, known| now < known.stated_at + LIMIT_RETENTION);
     }
 
     /// Returns the number of servers with a limit.
     pub fn limited_count(&self) -> usize {
         self.limits.values().filter(|known| known.per_second.is_some()).count()
     }
+
+    fn remove_oldest(&mut self) {
+        let oldest = self.limits.iter().min_by_key(|(_, known)| known.stated_at);
+        if let Some(server) = oldest.map(|(server, _)| server.clone()) {
+            self.limits.remove(&server);
+        }
+    }
 }
--- a/crates/core/tests/request_limits.rs
+++ b/crates/core/tests/request_limits.rs
@@ -6,6 +6,7 @@
 use cuminpick::ids::ChoiceRng;
 use cuminpick::request_limits::LimitFilter;
 use cuminpick::request_limits::LimitStatement;
+use cuminpick::request_limits::MAX_LIMITS;
 use cuminpick::request_limits::RequestLimits;
 
 /// Window over which the platform counts the requests of a server.
@@ -18,12 +19,20 @@
 }
 
 fn statement(started_ms: u64, per_second: Option<f64>, stated_at: Duration) -> LimitStatement {
-    let incarnation = ServerIncarnation { server: SERVER.to_string(), started_ms };
-    LimitStatement { incarnation, per_second, stated_at }
+    LimitStatement {
+        incarnation: incarnation(started_ms),
+        per_second,
+        asked_at: stated_at,
+        stated_at,
+    }
 }
 
 fn is_open(limits: &RequestLimits, now: Duration, unlimited_only: bool) -> bool {
-    LimitFilter { limits, unlimited_only }.admits(now, SERVER)
+    LimitFilter { limits, unlimited_only }.admits(now, SERVER, 5)
+}
+
+fn incarnation(started_ms: u64) -> ServerIncarnation {
+    ServerIncarnation { server: SERVER.to_string(), started_ms }
 }
 
 /// Returns the most of `times`, which are in order, that lie in one window.
@@ -40,7 +49,7 @@
     let names: Vec<String> = (0..loads.len()).map(|index| format!("edge-{index}")).collect();
     let mut gateways = vec![RequestLimits::default(); loads.len()];
     for limits in &mut gateways {
-        limits.record_statement(&statement(1, Some(limit), Duration::ZERO));
+        limits.record_statement(&statement(5, Some(limit), Duration::ZERO));
     }
     let mut rng = ChoiceRng::new(seed);
     let mut happens = |chance: f64| (rng.next_bits() as f64 / u64::MAX as f64) < chance;
@@ -140,7 +149,53 @@
     assert!(!is_open(&limits, 4 * SECOND, false) && is_open(&limits, 5 * SECOND, false));
     assert!(!is_open(&limits, 5 * SECOND, true));
     assert!(limits.record_statement(&statement(6, None, 5 * SECOND)));
-    assert!(is_open(&limits, 5 * SECOND, true) && limits.statement(SERVER).is_none());
+    assert!(is_open(&limits, 5 * SECOND, true) && limits.statement(&incarnation(6)).is_none());
+}
+
+/// Guards against a limit that is lifted by an answer from before: one that is delayed, or the
+/// head of a stream, states none because it was made before the limit was.
+#[test]
+fn delayed_answers() {
+    let mut limits = RequestLimits::default();
+    limits.record_statement(&statement(5, Some(2.0), 3 * SECOND));
+    let delayed = LimitStatement { asked_at: 2 * SECOND, ..statement(5, None, 4 * SECOND) };
+    assert!(!limits.record_statement(&delayed));
+    assert!(limits.statement(&incarnation(5)).is_some());
+    let later = LimitStatement { asked_at: 3 * SECOND, ..statement(5, None, 4 * SECOND) };
+    assert!(limits.record_statement(&later));
+    assert!(limits.statement(&incarnation(5)).is_none());
+}
+
+/// Guards against a limit that outlives its incarnation: the server that starts again under the
+/// same id gets requests at once.
+#[test]
+fn later_incarnation() {
+    let mut limits = RequestLimits::default();
+    limits.record_statement(&statement(4, Some(0.0), SECOND));
+    limits.close(SECOND, SERVER, 4 * SECOND);
+    assert!(limits.statement(&incarnation(5)).is_none());
+    assert!(is_open(&limits, 2 * SECOND, true));
+}
+
+/// Guards against limits that are no longer heeded once many servers stated one: the oldest are
+/// dropped, and those that nobody states any more.
+#[test]
+fn many_limits() {
+    let mut limits = RequestLimits::default();
+    for index in 0..=MAX_LIMITS {
+        let server = format!("s{index}");
+        let incarnation = ServerIncarnation { server, started_ms: 1 };
+        let stated_at = at(index as f64 / 1e3);
+        assert!(limits.record_statement(&LimitStatement {
+            incarnation,
+            ..statement(1, Some(1.0), stated_at)
+        }));
+    }
+    assert_eq!(limits.limited_count(), MAX_LIMITS);
+    limits.sweep(60 * SECOND);
+    assert_eq!(limits.limited_count(), MAX_LIMITS);
+    limits.sweep(3_600 * SECOND);
+    assert_eq!(limits.limited_count(), 0);
 }
 
 /// A server that states zero still gets a request every few seconds, since only an answer
@@ -148,7 +203,7 @@
 #[test]
 fn zero_limit() {
     let mut limits = RequestLimits::default();
-    limits.record_statement(&statement(1, Some(0.0), Duration::ZERO));
+    limits.record_statement(&statement(5, Some(0.0), Duration::ZERO));
     let permits = (0..40_000)
         .filter(|step| limits.issue_permit(at(f64::from(*step) / 1e3), SERVER, 1.0).is_ok());
     assert!((5..=12).contains(&permits.count()));
@@ -158,7 +213,7 @@
 #[test]
 fn silent_issuer() {
     let mut limits = RequestLimits::default();
-    limits.record_statement(&statement(1, Some(4.0), SECOND));
+    limits.record_statement(&statement(5, Some(4.0), SECOND));
     let names = ["a", "b", "c"];
     let issuer = |limits: &RequestLimits, now| limits.issuer(now, SERVER, names.into_iter());
     let first = issuer(&limits, SECOND).unwrap();
@@ -182,7 +237,7 @@
 #[test]
 fn new_issuer() {
     let mut limits = RequestLimits::default();
-    limits.record_statement(&statement(1, Some(4.0), SECOND));
+    limits.record_statement(&statement(5, Some(4.0), SECOND));
     assert!(limits.issue_permit(SECOND, SERVER, 1.0).is_err());
     assert!(limits.issue_permit(2 * SECOND, SERVER, 1.0).is_ok());
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -129,6 +129,7 @@
     let mut connection = connecting.map_err(connect_failure)?;
     let request = build_request(message, facts)?;
     on_sent();
+    let sent_at = gateway.now();
     let attempt_guard =
         AttemptGuard::begin(gateway, choice.address, choice.incarnation(), content.clone());
     let answer = connection
@@ -137,7 +138,7 @@
         .map_err(|error| FailedAttempt::disconnected(error.to_string()))?;
     let (parts, body) = Response::into_parts(answer);
     let head = decode_answer(parts.status, &parts.headers);
-    record_stated_limit(gateway, choice.incarnation(), &head);
+    record_stated_limit(gateway, choice.incarnation(), sent_at, &head);
     record_announcement(gateway, choice.incarnation(), &head);
     let answer = OpenAnswer {
         head,
--- a/crates/gateway/src/crash_tracking.rs
+++ b/crates/gateway/src/crash_tracking.rs
@@ -35,6 +35,7 @@
 use crate::part_tracking::record_part_answers;
 use crate::part_tracking::record_part_crashes;
 use crate::part_tracking::sweep_parts;
+use crate::permits::sweep_limits;
 use crate::state::Gateway;
 
 /// Maximum number of crashes in a datagram, which has to fit a packet of 1,500 bytes.
@@ -408,6 +409,7 @@
         let now = gateway.now();
         gateway.crash_detector.borrow_mut().sweep(now);
         sweep_parts(&gateway);
+        sweep_limits(&gateway);
         let mut quarantine = gateway.quarantine.borrow_mut();
         quarantine.sweep(now);
         // Removes voided crashes from the stored record, which is not urgent.
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -27,12 +27,19 @@
 /// Maximum number of statements in a datagram, which has to fit a packet of 1,500 bytes.
 const MAX_DATAGRAM_LIMITS: usize = 32;
 
-/// Records the limit that an answer of a server states, if any.
-pub fn record_stated_limit(gateway: &Gateway, incarnation: ServerIncarnation, head: &AnswerHead) {
+/// Records the limit that an answer of a server states, if any. A server may refuse a request
+/// without naming a limit that is in force, so only a run request tells that it has ended.
+pub fn record_stated_limit(
+    gateway: &Gateway,
+    incarnation: ServerIncarnation,
+    sent_at: Duration,
+    head: &AnswerHead,
+) {
     if head.from_other_server {
         return;
     }
     let per_second = match head.request_limit {
+        StatedLimit::None if head.not_run => return,
         StatedLimit::None => None,
         StatedLimit::PerSecond(limit) => Some(limit),
         StatedLimit::Unreadable => {
@@ -41,7 +48,8 @@
             return;
         }
     };
-    let statement = LimitStatement { incarnation, per_second, stated_at: gateway.now() };
+    let statement =
+        LimitStatement { incarnation, per_second, asked_at: sent_at, stated_at: gateway.now() };
     if record_statement(gateway, &statement, true) {
         gateway.limit_news.borrow_mut().push(statement.incarnation.server);
         gateway.crash_update_due.notify_one();
@@ -62,12 +70,22 @@
                "noticed_here" => noticed_here,
                "age_ms" => gateway.now().saturating_sub(statement.stated_at).as_millis() as u64),
         );
-        let limited = gateway.request_limits.borrow().limited_count();
-        gateway.metrics.set_state("limited_servers", limited as f64);
+        update_metric(gateway);
     }
     changed
 }
 
+/// Drops limits of servers that are gone, and updates the metric.
+pub fn sweep_limits(gateway: &Gateway) {
+    gateway.request_limits.borrow_mut().sweep(gateway.now());
+    update_metric(gateway);
+}
+
+fn update_metric(gateway: &Gateway) {
+    let limited = gateway.request_limits.borrow().limited_count();
+    gateway.metrics.set_state("limited_servers", limited as f64);
+}
+
 /// Applies statements that another gateway sent.
 pub fn apply_limit_notices(gateway: &Gateway, notices: Vec<LimitNotice>) {
     for notice in notices {
@@ -76,13 +94,15 @@
 }
 
 fn apply_notice(gateway: &Gateway, notice: &LimitNotice) {
+    let stated_at = gateway.now().saturating_sub(Duration::from_millis(notice.age_ms));
     let statement = LimitStatement {
         incarnation: ServerIncarnation {
             server: notice.server.clone(),
             started_ms: notice.started_ms,
         },
         per_second: notice.per_second.filter(|limit| limit.is_finite()),
-        stated_at: gateway.now().saturating_sub(Duration::from_millis(notice.age_ms)),
+        asked_at: stated_at,
+        stated_at,
     };
     record_statement(gateway, &statement, false);
 }
@@ -111,10 +131,11 @@
 
 /// Obtains a permit to send a request to a server, if it has a limit. If none is to be had,
 /// the server is not chosen again until the next one is expected.
-pub async fn obtain_permit(gateway: &Rc<Gateway>, server: &str) -> bool {
-    let Some(statement) = gateway.request_limits.borrow().statement(server) else {
+pub async fn obtain_permit(gateway: &Rc<Gateway>, incarnation: &ServerIncarnation) -> bool {
+    let Some(statement) = gateway.request_limits.borrow().statement(incarnation) else {
         return true;
     };
+    let server = incarnation.server.as_str();
     let refused = match issuer_of(gateway, server) {
         None => issue_permit(gateway, server).err(),
         Some(issuer) => {
--- a/crates/gateway/src/serve/choice.rs
+++ b/crates/gateway/src/serve/choice.rs
@@ -46,7 +46,7 @@
             };
             match chosen {
                 Ok(choice) => {
-                    if obtain_permit(&self.gateway, &choice.server).await {
+                    if obtain_permit(&self.gateway, &choice.incarnation()).await {
                         return Ok(choice);
                     }
                     refused_permits += 1;
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -187,7 +187,6 @@
                 let id = event.object.name;
                 self.gateway.balance.borrow_mut().remove(now, &id);
                 self.gateway.silence_detector.borrow_mut().remove(&id);
-                self.gateway.request_limits.borrow_mut().remove(&id);
                 self.gateway.crash_detector.borrow_mut().mark_leaving(&id);
                 self.gateway.journal.note("server-removed", None, o!("server" => id));
             }
--- a/crates/gateway/tests/server_limits.rs
+++ b/crates/gateway/tests/server_limits.rs
@@ -6,6 +6,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cuminpick::routing::ServerState;
+use cuminpick_platform::store::SERVER_KIND;
+use cuminpick_standins::site::engine::EngineFault;
 use cuminpick_standins::site::engine::SiteEngine;
 use hyper::StatusCode;
 use support::KEY;
@@ -49,8 +52,8 @@
 
 /// Returns the most requests that a server got in a window that begins after `from`.
 fn busiest_window(engine: &SiteEngine, from: Instant) -> usize {
-    let times: Vec<Instant> =
-        engine.ledger().iter().map(|run| run.at).filter(|at| *at >= from).collect();
+    let mut times = engine.arrivals();
+    times.retain(|at| *at >= from);
     let in_window = |start: &Instant| {
         times.iter().filter(|at| **at >= *start && **at < *start + WINDOW).count()
     };
@@ -125,3 +128,37 @@
     let later = site.engines[0].ledger().len() - limited;
     assert!(later > 20, "{limited} requests under the limit, {later} later");
 }
+
+/// Guards against a limit that is lifted by a refusal, which need not name it.
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_between() {
+    let site = Arc::new(Site::with_sizes(2, 2, 1).await);
+    site.engines[0].state_limit(Some(2.0));
+    let interval = Duration::from_millis(50);
+    send_steadily(&site, &[0, 1], interval, Duration::from_secs(1)).await;
+    site.engines[0].inject_fault(EngineFault::Full);
+    send_steadily(&site, &[0, 1], interval, Duration::from_secs(2)).await;
+    assert!(site.engines[0].arrivals().len() > site.engines[0].ledger().len());
+    let changes = site.log_lines("limit-changed");
+    assert!(changes.iter().all(|line| !line.contains("none")), "{changes:?}");
+}
+
+/// Guards against a limit that is forgotten when the server's record is missing for a moment,
+/// as it may be after the store was away.
+#[tokio::test(flavor = "multi_thread")]
+async fn record_lapses() {
+    let site = Arc::new(Site::with_sizes(2, 2, 1).await);
+    let limit = 0.5;
+    site.engines[0].state_limit(Some(limit));
+    let interval = Duration::from_millis(50);
+    send_steadily(&site, &[0, 1], interval, STABLE_TIME).await;
+    let from = Instant::now();
+    site.store.remove(SERVER_KIND, "model-0");
+    site.wait_propagated().await;
+    site.set_server_state("model-0", ServerState::Ready);
+    site.wait_propagated().await;
+    let burst = [[0; 20], [1; 20]].concat();
+    send_steadily(&site, &burst, interval, interval / 2).await;
+    let most = busiest_window(&site.engines[0], from);
+    assert!(most <= allowed(limit), "{most} requests where {} are allowed", allowed(limit));
+}
--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -129,6 +129,7 @@
 struct EngineState {
     crashes: u32,
     faults: VecDeque<EngineFault>,
+    arrivals: Vec<Instant>,
     ledger: Vec<LedgerEntry>,
     running: u32,
     cancelled: u32,
@@ -240,6 +241,11 @@
         }
     }
 
+    /// Returns when requests arrived, also those that were refused, oldest first.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.lock().arrivals.clone()
+    }
+
     /// Returns the requests that began to run, oldest first.
     pub fn ledger(&self) -> Vec<LedgerEntry> {
         self.lock().ledger.clone()
@@ -282,6 +288,7 @@
         if head.server.as_ref().is_some_and(|server| *server != self.incarnation.borrow().id) {
             return Some(full_answer(StatusCode::MISDIRECTED_REQUEST, HeaderMap::new(), ""));
         }
+        self.lock().arrivals.push(Instant::now());
         let fault = self.lock().faults.pop_front();
         if fault == Some(EngineFault::Full) {
             return Some(full_answer(StatusCode::SERVICE_UNAVAILABLE, not_run_headers(), ""));
