Keep a server's pause while its record is missing

A server that asked for a pause got requests from the same gateway within it, if its record in the store lapsed and came back (the store away, leases run out) or the answer was heard before the record was.

Cause: the pause was kept in the entry of the listed server and went with it.

Change: core::announcements (before: departures) keeps leaving and pauses by incarnation, apart from the records.

Before: pause_outlives_record fails, the server is chosen 3 s into its pause of 10 s. After: it passes.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -10,8 +10,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::announcements::AnnouncementLog;
 use crate::crash_detection::ServerIncarnation;
-use crate::departures::DepartureLog;
 use crate::ids::ChoiceRng;
 use crate::ids::FastMap;
 use crate::ids::FastSet;
@@ -73,8 +73,6 @@
     /// Requests in flight of the other gateways: the sum of the last count of each.
     others_in_flight: u32,
     avoid_until: Duration,
-    /// Time until which the server wants no requests from this gateway.
-    paused_until: Duration,
     missing_since: Option<Duration>,
     recent_starts: VecDeque<Duration>,
 }
@@ -147,7 +145,7 @@
 /// Backend servers and their load, as known to this gateway.
 #[derive(Debug, Clone, Default)]
 pub struct BalanceTable {
-    departures: DepartureLog,
+    announcements: AnnouncementLog,
     backends: FastMap<ServerId, Backend>,
     /// Server that was last recorded at each address.
     by_address: FastMap<SocketAddr, ServerId>,
@@ -202,7 +200,6 @@
                 let is_new = backend.record.started_ms != record.started_ms;
                 if is_new {
                     backend.avoid_until = Duration::ZERO;
-                    backend.paused_until = Duration::ZERO;
                 }
                 backend.record = record;
                 backend.cold_until = cold_until;
@@ -217,7 +214,6 @@
                     in_flight: 0,
                     others_in_flight: reported.sum(),
                     avoid_until: Duration::ZERO,
-                    paused_until: Duration::ZERO,
                     missing_since: None,
                     recent_starts: VecDeque::new(),
                     record: record.clone(),
@@ -345,12 +341,13 @@
         self.peer_counts.keys().map(String::as_str)
     }
 
-    /// Returns the servers of a service that may get requests.
-    pub fn available_servers(&self, service: &str) -> impl Iterator<Item = &ServerId> {
+    /// Returns the servers of a service that may get requests, with the time until which each
+    /// wants none.
+    pub fn available_servers(&self, service: &str) -> impl Iterator<Item = (&ServerId, Duration)> {
         let backends = self.backends.iter().filter(move |(_, backend)| {
             backend.record.service == service && self.is_available(backend)
         });
-        backends.map(|(id, _)| id)
+        backends.map(|(id, backend)| (id, self.paused_until(&backend.record)))
     }
 
     /// Returns the number of gateways that send updates, including this one.
@@ -428,7 +425,7 @@
             return Err(ChoiceError::AllTried);
         }
         let admits = |backend: &&Backend| {
-            now >= backend.paused_until
+            now >= self.paused_until(&backend.record)
                 && query.limits.is_none_or(|limits| {
                     limits.admits(now, &backend.record.id, backend.record.started_ms)
                 })
@@ -529,28 +526,23 @@
 
     /// Returns when this incarnation of a server announced that it leaves.
     fn leaving_since(&self, record: &ServerRecord) -> Option<Duration> {
-        self.departures.announced_at(&record.id, record.started_ms)
+        self.announcements.leaving_since(&record.id, record.started_ms)
     }
 
     /// Records that an incarnation of a server announced that it leaves; returns whether that
     /// is new.
     pub fn record_leaving(&mut self, now: Duration, incarnation: &ServerIncarnation) -> bool {
-        self.departures.record(now, incarnation)
+        self.announcements.record_leaving(now, incarnation)
     }
 
     /// Records that an incarnation of a server wants no requests from this gateway for a time.
     pub fn pause(&mut self, now: Duration, incarnation: &ServerIncarnation, pause: Duration) {
-        let backend = self.backends.get_mut(&incarnation.server);
-        if let Some(backend) =
-            backend.filter(|backend| backend.record.started_ms == incarnation.started_ms)
-        {
-            backend.paused_until = backend.paused_until.max(now + pause);
-        }
+        self.announcements.record_pause(now, incarnation, pause);
     }
 
-    /// Returns until when a server wants no requests from this gateway.
-    pub fn paused_until(&self, id: &str) -> Duration {
-        self.backends.get(id).map_or(Duration::ZERO, |backend| backend.paused_until)
+    /// Returns until when this incarnation of a server wants no requests from this gateway.
+    fn paused_until(&self, record: &ServerRecord) -> Duration {
+        self.announcements.paused_until(&record.id, record.started_ms)
     }
 
     /// Returns servers that may serve although they leave, for a service without others.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,7 +22,7 @@
 //!   requests that return after a refusal. [`admission`] delays streams that would slow
 //!   their group too much, and [`breaker`] delays requests while a service refuses all;
 //!   [`outage`] estimates for how long. [`request_limits`] keeps to the limits that servers
-//!   state, and [`departures`] remembers which of them announced that they leave.
+//!   state, and [`announcements`] remembers which of them leave or want a pause.
 //!   [`silence`] detects servers that send nothing any more, [`relocation`] those that are
 //!   too slow for their group, [`crash_detection`] finds the
 //!   requests that were at a crashed server, and [`quarantine`] decides which of them are
@@ -52,6 +52,7 @@
 
 pub mod admission;
 pub mod agent;
+pub mod announcements;
 pub mod answer;
 pub mod balance;
 pub mod breaker;
@@ -62,7 +63,6 @@
 pub mod crash_detection;
 pub mod deadlines;
 pub mod demand;
-pub mod departures;
 pub mod election;
 pub mod entry;
 pub mod entry_assignment;
--- a/crates/core/tests/leaving_servers.rs
+++ b/crates/core/tests/leaving_servers.rs
@@ -1,12 +1,12 @@
-//! Servers that announce in their answers that they leave.
+//! Servers that announce in their answers that they leave, or want a pause.
 
 use std::time::Duration;
 
+use cuminpick::announcements::MAX_ANNOUNCEMENTS;
 use cuminpick::balance::BalanceQuery;
 use cuminpick::balance::BalanceTable;
 use cuminpick::balance::ChoiceError;
 use cuminpick::crash_detection::ServerIncarnation;
-use cuminpick::departures::MAX_DEPARTURES;
 use cuminpick::ids::ChoiceRng;
 use cuminpick::routing::ServerRecord;
 use cuminpick::routing::ServerState;
@@ -88,16 +88,33 @@
     assert!(!table.is_ready(&incarnation("a", 1)));
 }
 
+/// Guards against a pause that is forgotten when the server's record is missing for a moment,
+/// as it may be after the store was away. The next incarnation gets requests.
+#[test]
+fn pause_outlives_record() {
+    let mut table = BalanceTable::default();
+    table.replace_all(START, vec![record("a", 1, 1)]);
+    table.pause(START, &incarnation("a", 1), Duration::from_secs(10));
+    assert_eq!(chosen(&table, START), Err(ChoiceError::AllClosed));
+    let later = START + Duration::from_secs(3);
+    table.remove(later, "a");
+    assert_eq!(chosen(&table, later), Err(ChoiceError::NoneAvailable));
+    table.upsert(later, record("a", 1, 1));
+    assert_eq!(chosen(&table, later), Err(ChoiceError::AllClosed));
+    table.upsert(later, record("a", 1, 2));
+    assert_eq!(chosen(&table, later), Ok("a".to_string()));
+}
+
 /// Guards against announcements that are no longer heeded once many servers have left: the
 /// oldest are dropped.
 #[test]
-fn many_departures() {
+fn many_announcements() {
     let mut table = BalanceTable::default();
-    for index in 0..MAX_DEPARTURES {
+    for index in 0..MAX_ANNOUNCEMENTS {
         let announced_at = START + Duration::from_secs(index as u64);
         assert!(table.record_leaving(announced_at, &incarnation(&format!("s{index}"), 1)));
     }
-    let now = START + Duration::from_secs(MAX_DEPARTURES as u64);
+    let now = START + Duration::from_secs(MAX_ANNOUNCEMENTS as u64);
     table.replace_all(now, vec![record("a", 1, 1), record("s1", 2, 1)]);
     assert!(table.record_leaving(now, &incarnation("a", 1)));
     let later = now + Duration::from_secs(2);
--- a/crates/gateway/src/serve/choice.rs
+++ b/crates/gateway/src/serve/choice.rs
@@ -84,9 +84,9 @@
         let balance = self.gateway.balance.borrow();
         let limits = self.gateway.request_limits.borrow();
         let servers = balance.available_servers(&self.service);
-        let untried = servers.filter(|server| !self.tried_servers.contains(server));
+        let untried = servers.filter(|(server, _)| !self.tried_servers.contains(server));
         let openings =
-            untried.map(|server| limits.closed_until(server).max(balance.paused_until(server)));
+            untried.map(|(server, paused_until)| limits.closed_until(server).max(paused_until));
         let wait = openings.min().unwrap_or_default().saturating_sub(now);
         wait.max(CAPACITY_POLL_INTERVAL)
     }
