Use the last servers of a service for their whole drain time

What callers saw: when all servers of a service announced that they leave, requests were rejected after one second, although the servers serve for the drain time that the platform states (2 and 3 s on the users' sites) and others may start meanwhile.

Cause: a constant of one second stood for a bound of the deployment.

Change: the bound is read from the settings; such servers are chosen until half a second before its end, the time between a choice and the request's arrival.

Before: others_chosen fails 2 s after the announcement with a drain time of 3 s, service_leaves 1.2 s after it with 2 s. After: both pass. service_leaves waits for the end of the drain time instead of 1.2 s, since the rule binds from there on.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -61,9 +61,9 @@
 const COLD_RATE_WINDOW: Duration = Duration::from_secs(1);
 /// Share of the rate that a cold server tolerates that all gateways together use.
 const COLD_RATE_SHARE: f64 = 0.8;
-/// Time for which a server that announced that it leaves still gets requests if no other
-/// server is available; half of the time for which leaving servers accept them.
-const LEAVING_USE_TIME: Duration = Duration::from_secs(1);
+/// Time before the end of its drain time from which a leaving server gets no more requests:
+/// that between the choice of a server and the request's arrival there.
+const DRAIN_MARGIN: Duration = Duration::from_millis(500);
 
 #[derive(Debug, Clone)]
 struct Backend {
@@ -94,6 +94,8 @@
     pub excluded: &'a [ServerId],
     /// Most requests per second that a cold server tolerates; 0 means no limit.
     pub cold_requests_per_second: f64,
+    /// Time for which a server that announced that it leaves still serves.
+    pub drain_time: Duration,
     /// Limits that servers state; `None` if they are not heeded.
     pub limits: Option<LimitFilter<'a>>,
 }
@@ -412,7 +414,7 @@
             .filter(|backend| backend.record.service == query.service && self.is_available(backend))
             .collect();
         if available.is_empty() {
-            available = self.departing_servers(now, query.service);
+            available = self.departing_servers(now, query);
         }
         if available.is_empty() {
             return Err(ChoiceError::NoneAvailable);
@@ -546,13 +548,13 @@
     }
 
     /// Returns servers that may serve although they leave, for a service without others.
-    fn departing_servers(&self, now: Duration, service: &str) -> Vec<&Backend> {
-        let listed = self
-            .backends
-            .values()
-            .filter(|backend| backend.record.service == service && self.is_listed_ready(backend));
+    fn departing_servers(&self, now: Duration, query: &BalanceQuery<'_>) -> Vec<&Backend> {
+        let use_time = query.drain_time.saturating_sub(DRAIN_MARGIN);
+        let listed = self.backends.values().filter(|backend| {
+            backend.record.service == query.service && self.is_listed_ready(backend)
+        });
         let departing = listed.filter(|backend| {
-            self.leaving_since(&backend.record).is_some_and(|since| now < since + LEAVING_USE_TIME)
+            self.leaving_since(&backend.record).is_some_and(|since| now < since + use_time)
         });
         departing.collect()
     }
--- a/crates/core/tests/balance_choice.rs
+++ b/crates/core/tests/balance_choice.rs
@@ -38,6 +38,7 @@
         zone: "bole",
         excluded,
         cold_requests_per_second: cold,
+        drain_time: Duration::from_secs(3),
         limits: None,
     }
 }
--- a/crates/core/tests/gateway_updates.rs
+++ b/crates/core/tests/gateway_updates.rs
@@ -66,6 +66,7 @@
                 zone: "bole",
                 excluded: &[],
                 cold_requests_per_second: 0.0,
+                drain_time: Duration::from_secs(3),
                 limits: None,
             };
             let choice = node.table.choose(now, &query, &mut rng).unwrap();
--- a/crates/gateway/src/serve/choice.rs
+++ b/crates/gateway/src/serve/choice.rs
@@ -39,6 +39,7 @@
                     zone: &self.gateway.settings.zone,
                     excluded: &self.tried_servers,
                     cold_requests_per_second: self.cold_requests_per_second,
+                    drain_time: self.gateway.settings.bounds.drain,
                     limits: Some(LimitFilter { limits: &limits, unlimited_only }),
                 };
                 let mut rng = self.gateway.rng.borrow_mut();
--- a/crates/gateway/tests/server_announcements.rs
+++ b/crates/gateway/tests/server_announcements.rs
@@ -35,8 +35,8 @@
     assert_eq!(site.log_lines("leaving-announced").len(), 3);
 }
 
-/// A whole service that leaves is used for a moment longer; then requests are rejected at
-/// once, as not run. A server that starts again under the same id gets requests.
+/// A whole service that leaves is used for most of its drain time; then requests are rejected
+/// at once, as not run.
 #[tokio::test(flavor = "multi_thread")]
 async fn service_leaves() {
     let site = Site::with_sizes(1, 1, 2).await;
@@ -46,6 +46,9 @@
         assert_eq!(answer.status, Some(StatusCode::OK), "{answer:?}");
     }
     tokio::time::sleep(Duration::from_millis(1_200)).await;
+    let answer = site.call(PATH, "still").await;
+    assert_eq!(answer.status, Some(StatusCode::OK), "{answer:?}");
+    tokio::time::sleep(Duration::from_millis(800)).await;
     let answer = site.call(PATH, "later").await;
     assert_eq!(answer.status, Some(StatusCode::SERVICE_UNAVAILABLE), "{answer:?}");
     assert!(answer.body.contains("\"ran\":\"no\"") && answer.headers.contains_key("retry-after"));
--- a/crates/standins/src/site/nodes.rs
+++ b/crates/standins/src/site/nodes.rs
@@ -19,6 +19,7 @@
 /// Rule bounds of the first site files, with a shorter grace period.
 const RULE_BOUNDS: RuleBounds = RuleBounds {
     grace: Duration::from_secs(6),
+    drain: Duration::from_secs(2),
     retry_ratio: 0.2,
     retry_window: Duration::from_secs(10),
     retry_slack: 90.0,
