Take back requests with a suspected part before they crash another server

What callers saw: on a site with two model groups, both were out at the same time: two requests with the part that crashes servers were sent within a second, one to each group, and the second group crashed 0.13 to 0.24 s after the first crash was known to all gateways.

Cause: one request at a time tries a suspected part, but only those not yet sent waited for their turn; those at servers already were taken back at quarantine only, the second crash.

Change: an attempt whose answer has not begun, and that may be retried, is taken back 40 ms after a crash makes a part of its prompt suspected, unless it is the trial or other gateways have told by then that the part was answered. It then waits for the trial like a new one. A request that waited for a free server is checked again before it is sent.

--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -113,6 +113,8 @@
     Replaced,
     /// The connection broke, the answer was invalid, or none came in time.
     Broken,
+    /// The request was taken back before its answer began, since it may crash the server.
+    Recalled,
     /// The server answered with a failure.
     Failed,
 }
@@ -143,7 +145,7 @@
         match failure {
             AttemptFailure::NotConnected => self.failed_connects += 1,
             AttemptFailure::NotRun | AttemptFailure::Replaced => self.sent += 1,
-            AttemptFailure::Broken | AttemptFailure::Failed => {
+            AttemptFailure::Broken | AttemptFailure::Recalled | AttemptFailure::Failed => {
                 self.sent += 1;
                 self.may_have_run = true;
             }
--- a/crates/gateway/src/crash_tracking.rs
+++ b/crates/gateway/src/crash_tracking.rs
@@ -29,9 +29,7 @@
 use slog::o;
 use tokio::io::AsyncReadExt;
 
-use crate::attempt::FailedAttempt;
 use crate::gate::record_lost_server;
-use crate::part_tracking::is_part_quarantined;
 use crate::part_tracking::record_part_answers;
 use crate::part_tracking::record_part_crashes;
 use crate::part_tracking::sweep_parts;
@@ -289,7 +287,7 @@
         QuarantineChange::AlreadyAnswered if noticed_here => {}
         QuarantineChange::AlreadyAnswered => queue_answer(gateway, digest),
         QuarantineChange::Quarantined => {
-            gateway.newly_quarantined.notify_waiters();
+            gateway.crash_evidence_changed.notify_waiters();
             let status = gateway.quarantine.borrow().status(now, digest);
             if let QuarantineStatus::Quarantined(crashes) = status {
                 gateway.journal.warn(
@@ -302,31 +300,6 @@
     }
 }
 
-/// Waits for `work` on a request, but cancels it when the request or a part of its prompt is
-/// quarantined meanwhile: the request may still be queued at its server.
-pub async fn unless_quarantined<T>(
-    gateway: &Gateway,
-    content: &AttemptContent,
-    work: impl Future<Output = Result<T, FailedAttempt>>,
-) -> Result<T, FailedAttempt> {
-    let quarantined = async {
-        loop {
-            gateway.newly_quarantined.notified().await;
-            let status = gateway.quarantine.borrow().status(gateway.now(), content.digest);
-            if matches!(status, QuarantineStatus::Quarantined(_))
-                || is_part_quarantined(gateway, &content.parts)
-            {
-                return;
-            }
-        }
-    };
-    tokio::select! {
-        biased;
-        result = work => result,
-        () = quarantined => Err(FailedAttempt::broken("the request was quarantined")),
-    }
-}
-
 /// Formats server, start time and age of each crash as they appear in logs.
 pub fn format_evidence(now: Duration, crashes: &[CrashReport]) -> String {
     let texts = crashes.iter().map(|crash| {
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -115,7 +115,7 @@
         leaving_news: RefCell::new(Vec::new()),
         pending_permits: RefCell::new(FastMap::default()),
         peer_links: RefCell::new(None),
-        newly_quarantined: Notify::new(),
+        crash_evidence_changed: Notify::new(),
         answers_to_broadcast: RefCell::new(Vec::new()),
         crash_update_due: Notify::new(),
         crash_record_changed: Notify::new(),
--- a/crates/gateway/src/part_tracking.rs
+++ b/crates/gateway/src/part_tracking.rs
@@ -83,12 +83,6 @@
     requests / servers.max(1) as f64
 }
 
-/// Returns whether a part of a request is quarantined.
-pub fn is_part_quarantined(gateway: &Gateway, parts: &[PartDigest]) -> bool {
-    let status = gateway.part_quarantine.borrow().status(part_time(gateway), parts, NO_TRIAL);
-    matches!(status, PartStatus::Quarantined(_))
-}
-
 /// Records that a server crashed which had not begun to answer requests with these parts.
 pub fn record_part_crashes(
     gateway: &Gateway,
@@ -132,6 +126,9 @@
                "crashed_without" => crash.incarnation.server.clone()),
         );
     }
+    if change != PartChange::Unchanged {
+        gateway.crash_evidence_changed.notify_waiters();
+    }
     match change {
         PartChange::Unchanged | PartChange::Added => {}
         PartChange::AnsweredSince if noticed_here => {}
@@ -142,7 +139,6 @@
             }
         }
         PartChange::Quarantined => {
-            gateway.newly_quarantined.notify_waiters();
             let status = gateway.part_quarantine.borrow().status(now, &[part], NO_TRIAL);
             let evidence = match status {
                 PartStatus::Quarantined(crashes) => format_part_evidence(gateway, &crashes),
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -5,6 +5,7 @@
 //! first event is there.
 
 mod choice;
+mod recall;
 mod request_log;
 mod suspects;
 
@@ -44,6 +45,8 @@
 use slog::o;
 use tokio::time::Instant;
 
+use self::recall::RecallRule;
+use self::recall::unless_recalled;
 pub use self::request_log::RequestLog;
 use crate::answer::AnswerBody;
 use crate::answer::complete_answer;
@@ -57,13 +60,13 @@
 use crate::attempt::with_timeout;
 use crate::crash_tracking::format_digest;
 use crate::crash_tracking::format_digests;
-use crate::crash_tracking::unless_quarantined;
 use crate::framing::HeadBytes;
 use crate::gate::outage_retry_after;
 use crate::gate::record_lost_server;
 use crate::gate::record_stream_refusal;
 use crate::gate::record_stream_success;
 use crate::gate::wait_for_admission;
+use crate::part_tracking::TrialGuard;
 use crate::relay::start_relay;
 use crate::state::Gateway;
 
@@ -346,13 +349,16 @@
     ) -> Result<ValidAnswer, Refusal> {
         loop {
             self.delay_suspect().await;
-            let _trial = self.claim_trial().await?;
+            let trial = self.claim_trial().await?;
             let choice = self.choose_server().await?;
             self.check_quarantine()?;
+            if self.needs_trial(trial.as_ref()) {
+                continue;
+            }
             if !self.take_retry_budget() {
                 return Err(self.final_refusal("the retry budget is used up"));
             }
-            let failed = match self.try_server(&choice, after).await {
+            let failed = match self.try_server(&choice, after, trial.as_ref()).await {
                 Ok(answer) => return Ok(answer),
                 Err(failed) => failed,
             };
@@ -386,6 +392,7 @@
         &mut self,
         choice: &BalanceChoice,
         after: Option<EventNumber>,
+        trial: Option<&TrialGuard>,
     ) -> Result<ValidAnswer, FailedAttempt> {
         self.log_attempt(choice, after);
         let timeout = self.attempt_timeout();
@@ -409,7 +416,8 @@
                     .await?;
             read_answer_start(gateway, answer, choice, streaming, retryable).await
         };
-        let attempt = unless_quarantined(gateway, content, attempt);
+        let rule = RecallRule { service: &self.service, content, trial, may_retry: retryable };
+        let attempt = unless_recalled(gateway, rule, attempt);
         let result = if streaming && retryable {
             fail_if_degraded(gateway, &self.service, &choice.server, attempt).await
         } else {
@@ -460,7 +468,7 @@
         self.tried_servers.push(server.to_string());
         let now = self.gateway.now();
         match failed.failure {
-            AttemptFailure::Failed => {}
+            AttemptFailure::Failed | AttemptFailure::Recalled => {}
             AttemptFailure::Replaced => {
                 self.gateway.balance.borrow_mut().avoid_replaced(now, server)
             }
@@ -590,6 +598,7 @@
         AttemptFailure::NotRun => "not-run",
         AttemptFailure::Replaced => "replaced",
         AttemptFailure::Broken => "broken",
+        AttemptFailure::Recalled => "recalled",
         AttemptFailure::Failed => "failed",
     }
 }
--- a/crates/gateway/src/serve/suspects.rs
+++ b/crates/gateway/src/serve/suspects.rs
@@ -18,6 +18,7 @@
 use tokio::time::Instant;
 
 use super::Exchange;
+use super::recall::is_tried;
 use crate::attempt::FailedAttempt;
 use crate::crash_tracking::CONFIRMING_HOLD_TIME;
 use crate::crash_tracking::PROBE_HOLD_TIME;
@@ -135,6 +136,14 @@
         }
     }
 
+    /// Returns whether a part of the prompt is suspected that `trial` is not for.
+    pub(super) fn needs_trial(&self, trial: Option<&TrialGuard>) -> bool {
+        match part_status(&self.gateway, &self.service, &self.content.parts) {
+            PartStatus::Suspected { parts, .. } => !is_tried(trial, &parts),
+            PartStatus::Allowed | PartStatus::Quarantined(_) => false,
+        }
+    }
+
     /// Delays a request that one more crash would quarantine. Gateways that have the same
     /// request at the same time then do not each crash a server with it, and unconfirmed
     /// crashes are confirmed or dismissed first.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -101,8 +101,8 @@
     pub pending_permits: RefCell<FastMap<u64, oneshot::Sender<PermitReply>>>,
     /// Socket and addresses for datagrams to the other gateways, once it is open.
     pub peer_links: RefCell<Option<PeerLinks>>,
-    /// Notified when a request or a prompt part becomes quarantined.
-    pub newly_quarantined: Notify,
+    /// Notified when a request becomes quarantined, or there is a new crash with a prompt part.
+    pub crash_evidence_changed: Notify,
     /// Answered requests that are to be sent to the other gateways.
     pub answers_to_broadcast: RefCell<Vec<RequestDigest>>,
     /// Notified when there are crashes or answers to send to the other gateways.
--- a/crates/gateway/tests/crashing_parts.rs
+++ b/crates/gateway/tests/crashing_parts.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -60,6 +61,29 @@
     assert!(site.crash_count() <= MAX_CRASHES, "{} servers crashed", site.crash_count());
 }
 
+/// Guards against requests that crash one server each because they were all sent before the first
+/// crash: those whose answers have not begun are taken back, and tried one at a time.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_recalled() {
+    let site = Arc::new(Site::with_sizes(3, 8, 1).await);
+    for gateway in 0..3 {
+        assert_eq!(send_sound(&site, 3, 100 + gateway).await.status, Some(StatusCode::OK));
+    }
+    site.engines.iter().for_each(|engine| engine.delay_crashes(Duration::from_millis(300)));
+    let mut calls = Vec::new();
+    for number in 0..8 {
+        let site = Arc::clone(&site);
+        calls.push(tokio::spawn(async move { send_crashing(&site, 3, number).await }));
+        tokio::time::sleep(Duration::from_millis(40)).await;
+    }
+    for call in calls {
+        let answer = call.await.unwrap();
+        assert_ne!(answer.status, Some(StatusCode::OK), "{answer:?}");
+    }
+    assert!(site.crash_count() <= MAX_CRASHES, "{} servers crashed", site.crash_count());
+    assert_eq!(send_sound(&site, 3, 200).await.status, Some(StatusCode::OK));
+}
+
 /// A gateway that is restarted after the crashes, with the store as its only source, refuses
 /// requests with the part without sending them, and serves sound ones.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -314,7 +314,8 @@
             return None;
         }
         if head.prompt_parts.iter().any(|id| id.starts_with(CRASHING_PART)) {
-            tokio::time::sleep(PROMPT_TIME).await;
+            let crash_delay = self.lock().crash_delay;
+            tokio::time::sleep(PROMPT_TIME + crash_delay).await;
             self.crash();
             return None;
         }
