Take a stream without length that ends before its first event for broken

What callers saw: an empty stream with status 200 that looked complete, where the server closed its connection after the head of an answer with neither a length nor chunks, as one may that crashes when it begins to write.

Cause: such an answer ends with its connection, and an end on the boundary of events counted as complete; before the first event nothing has been answered, so there is no boundary.

Change: it is a lost connection, which is retried where the route allows it and probed like others.

Before: streams of unframed_answers with an empty body fails (200, complete, empty). After: it passes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -224,12 +224,16 @@
         self.attempt_guard.begin_answer();
     }
 
+    /// Whether the answer has a length or comes in chunks, so that its end is known.
+    pub fn is_framed(&self) -> bool {
+        let framing_headers = [CONTENT_LENGTH, TRANSFER_ENCODING];
+        framing_headers.iter().any(|name| self.headers.contains_key(name))
+    }
+
     /// Records that the answer was read to its end. An answer whose end is that of the
     /// connection is no evidence that the server is alive.
     pub fn record_end(&mut self) {
-        let framing_headers = [CONTENT_LENGTH, TRANSFER_ENCODING];
-        let framed = framing_headers.iter().any(|name| self.headers.contains_key(name));
-        if framed {
+        if self.is_framed() {
             self.attempt_guard.record_answer(self.head.status.is_success());
         }
     }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -580,6 +580,9 @@
     if ended && !splitter.partial().is_empty() {
         return Err(FailedAttempt::disconnected("the stream ended inside an event"));
     }
+    if ended && events.is_empty() && !answer.is_framed() {
+        return Err(FailedAttempt::disconnected("the connection ended before the first event"));
+    }
     let choice = choice.clone();
     Ok(ValidAnswer::Stream(Box::new(OpenStream {
         answer,
