Count a refused request once for the trial of a suspected part

What callers saw: a second outage of their model group some 20 s after the first, from a trial of the suspected part, although the requests refused for it weighed little beside an outage.

Cause: a gateway counts each refused request once, but their callers return to other gateways, which counted them again; the sum over gateways was several times the requests.

Change: a request whose caller returns, known by its deadline as at the gate, is not counted.

Before: returning_callers, 4 gateways, three returns each: the first trial after 28 s; the run takes the new argument out. After: none within 50 s, with 4, 53 and 350 gateways.

--- a/crates/core/src/part_quarantine.rs
+++ b/crates/core/src/part_quarantine.rs
@@ -328,8 +328,17 @@
         })
     }
 
-    /// Records that a request was refused because a part of it is suspected.
-    pub fn record_refusal(&mut self, parts: &[PartDigest], digest: RequestDigest) {
+    /// Records that a request was refused because a part of it is suspected. One whose caller
+    /// returns after an earlier refusal was counted then, perhaps by another gateway.
+    pub fn record_refusal(
+        &mut self,
+        parts: &[PartDigest],
+        digest: RequestDigest,
+        is_returning: bool,
+    ) {
+        if is_returning {
+            return;
+        }
         for part in parts {
             if let Some(suspect) = self.suspects.get_mut(part)
                 && suspect.refused.len() < MAX_COUNTED_REFUSALS
--- a/crates/core/tests/part_quarantine.rs
+++ b/crates/core/tests/part_quarantine.rs
@@ -224,18 +224,19 @@
     record(&mut quarantine, &[CRASHING], 1, 10.0);
     assert_eq!(trial_from(&quarantine, 11.0, &[CRASHING]), Some(at(10.0) + MAX_TRIAL_HOLD));
     for digest in 0..9 {
-        quarantine.record_refusal(&[CRASHING], digest);
-        quarantine.record_refusal(&[CRASHING], digest);
+        quarantine.record_refusal(&[CRASHING], digest, false);
+        quarantine.record_refusal(&[CRASHING], digest, false);
     }
     assert_eq!(trial_from(&quarantine, 11.0, &[CRASHING]), Some(at(10.0) + MAX_TRIAL_HOLD));
-    quarantine.record_refusal(&[CRASHING], 9);
+    quarantine.record_refusal(&[CRASHING], 9, false);
     assert_eq!(trial_from(&quarantine, 11.0, &[CRASHING]), Some(at(10.0) + TRIAL_DELAY));
 }
 
 /// Plays `gateways` gateways with unequal loads, which together refuse `refused_per_s`
 /// requests a second for a part after its first crash and would lose `at_risk` requests in
-/// an outage; returns after how many seconds the first of them tries the part.
-fn first_trial(gateways: usize, refused_per_s: f64, at_risk: f64) -> Option<u32> {
+/// an outage; each caller returns `returns` times. Returns after how many seconds the first of
+/// them tries the part.
+fn first_trial(gateways: usize, refused_per_s: f64, returns: usize, at_risk: f64) -> Option<u32> {
     let mut rng = ChoiceRng::new(gateways as u64);
     let weight = |index: usize| (0.2 + 1.6 * (index % 2) as f64) / gateways as f64;
     let context = |index: usize| TrialContext { at_risk: at_risk * weight(index), gateways };
@@ -257,7 +258,10 @@
         }
         for _ in 0..refused_per_s as usize {
             digest += 1;
-            nodes[rng.below(gateways)].record_refusal(&[CRASHING], digest);
+            nodes[rng.below(gateways)].record_refusal(&[CRASHING], digest, false);
+            for _ in 0..returns {
+                nodes[rng.below(gateways)].record_refusal(&[CRASHING], digest, true);
+            }
         }
         // Each gateway reports to a random one twice a second.
         for index in 0..2 * gateways {
@@ -277,14 +281,23 @@
 #[test]
 fn summed_stakes() {
     for gateways in [4, 53, 350] {
-        assert_eq!(first_trial(gateways, 7.0, 1_200.0), None, "{gateways} gateways");
+        assert_eq!(first_trial(gateways, 7.0, 0, 1_200.0), None, "{gateways} gateways");
     }
     for gateways in [4, 53] {
-        let seconds = first_trial(gateways, 40.0, 800.0).unwrap();
+        let seconds = first_trial(gateways, 40.0, 0, 800.0).unwrap();
         assert!((10..=25).contains(&seconds), "{gateways} gateways: {seconds} s");
     }
 }
 
+/// Guards against trials that come early because callers return to other gateways after a
+/// refusal, each of which counts them again.
+#[test]
+fn returning_callers() {
+    for gateways in [4, 53, 350] {
+        assert_eq!(first_trial(gateways, 7.0, 3, 1_200.0), None, "{gateways} gateways");
+    }
+}
+
 /// One request at a time tries a part; of two gateways that claim it at once, the one whose
 /// name sorts first does.
 #[test]
--- a/crates/gateway/src/serve/suspects.rs
+++ b/crates/gateway/src/serve/suspects.rs
@@ -167,7 +167,8 @@
     /// Logs that the request is refused because of suspected parts, and returns the refusal.
     fn suspicion_refusal(&self, parts: &[PartDigest], wait: Duration) -> Refusal {
         let digest = self.content.digest;
-        self.gateway.part_quarantine.borrow_mut().record_refusal(parts, digest);
+        let is_returning = !self.elapsed_before_arrival.is_zero();
+        self.gateway.part_quarantine.borrow_mut().record_refusal(parts, digest, is_returning);
         self.gateway.journal.note(
             "request-held-back",
             self.message.attempt_id.as_deref(),
