Let the set-up of store_unavailable wait for the crashes that it needs

Change: the set-up sends until the request has run three times, twelve attempts at most. The checks stay: each resend is refused as not run, and the request has run three times in the end.

--- a/crates/gateway/tests/crashing_requests.rs
+++ b/crates/gateway/tests/crashing_requests.rs
@@ -22,12 +22,16 @@
 const PROPAGATION_TIME: Duration = Duration::from_millis(1_500);
 const BOOKING: &str = "/book/ends-servers/1";
 
-/// Sends a request that crashes servers as often as it may run.
+/// Sends a request that crashes servers until it has run as often as it may. While the store is
+/// unavailable, an attempt may meet only servers that are gone or have started anew, and not run.
 async fn crash_servers(site: &Site, gateways: &[usize], path: &str, key: Option<&str>) {
-    for attempt in 0..MAX_CRASHES {
+    let mut attempt = 0;
+    while site.runs_of_path(path) < MAX_CRASHES {
+        assert!(attempt < 4 * MAX_CRASHES, "the request does not run");
         let gateway = gateways[attempt % gateways.len()];
         site.call_at(gateway, path, &format!("{path}-first-{attempt}"), key).await;
         tokio::time::sleep(RETRY_INTERVAL).await;
+        attempt += 1;
     }
 }
 
