Wrap and complete module pages of prompt parts

No change of behaviour: two module pages had broken lines, and the task that removes outdated crashes also removes outdated limits and is named for that.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,14 +24,13 @@
 //!   [`outage`] estimates for how long. [`request_limits`] keeps to the limits that servers
 //!   state, and [`announcements`] remembers which of them leave or want a pause.
 //!   [`silence`] detects servers that send nothing any more, [`relocation`] those that are
-//!   too slow for their group, [`crash_detection`] finds the
-//!   requests that were at a crashed server, and [`quarantine`] decides which of them are
-//!   refused for a time because servers keep crashing while running them;
-//!   [`part_quarantine`] does so for parts that the prompts of such requests share, and
-//!   [`part_trials`] decides which request tries a suspected part.
-//! - For groups of ranks, [`election`] selects the process that leads; [`demand`] estimates the load of experts, [`experts`] plans expert
-//!   maps and [`switch`] puts them in force by [`orders`], from what [`rank_views`] knows of
-//!   the ranks. [`expert_counts`] and [`updates`]
+//!   too slow for their group, [`crash_detection`] finds the requests that were at a crashed
+//!   server, and [`quarantine`] decides which of them are refused for a time because servers
+//!   keep crashing while running them; [`part_quarantine`] does so for parts that the prompts
+//!   of such requests share, and [`part_trials`] decides which request tries a suspected part.
+//! - For groups of ranks, [`election`] selects the process that leads; [`demand`] estimates the
+//!   load of experts, [`experts`] plans expert maps and [`switch`] puts them in force by
+//!   [`orders`], from what [`rank_views`] knows of the ranks. [`expert_counts`] and [`updates`]
 //!   are messages between processes.
 //! - [`answer`] checks that the frames of an answer belong together.
 //! - [`refusal`] lists the reasons for which a request is refused.
--- a/crates/core/src/part_quarantine.rs
+++ b/crates/core/src/part_quarantine.rs
@@ -12,13 +12,13 @@
 //! answered before after [`KNOWN_PART_CRASHES`]. Crashes count separately only if a
 //! request was sent after the earlier one was noticed, so a lost zone counts once; or if the
 //! part was at all servers that crashed together but at few others, which another cause is
-//! unlikely to meet. A
-//! crash that a quarantined part explains does not count against others. Before that, a
-//! suspected part is tried by one request at a time over all gateways ([`crate::part_trials`]).
-//! A trial may cost all callers an outage of the service, so requests are refused until those
-//! that were refused weigh as much as that risk, summed over all gateways. Parts that are less likely at fault are tried early: those that
-//! were answered before, and those that were at only one of several servers which crashed
-//! together.
+//! unlikely to meet. A crash that a quarantined part explains does not count against others.
+//!
+//! Before that, a suspected part is tried by one request at a time over all gateways
+//! ([`crate::part_trials`]). A trial may cost all callers an outage of the service, so requests
+//! are refused until those that were refused weigh as much as that risk, summed over all
+//! gateways. Parts that are less likely at fault are tried early: those that were answered
+//! before, and those that were at only one of several servers which crashed together.
 //!
 //! Times count from any fixed moment that is at least [`PART_RETENTION`] before the start
 //! of the process, so that crashes from before the start have one.
--- a/crates/gateway/src/crash_tracking.rs
+++ b/crates/gateway/src/crash_tracking.rs
@@ -375,8 +375,8 @@
     since.as_millis() as u64
 }
 
-/// Removes outdated crashes and attempts at intervals, and updates the metrics.
-pub async fn sweep_crashes(gateway: Rc<Gateway>) {
+/// Removes outdated crashes, attempts and limits at intervals, and updates the metrics.
+pub async fn sweep_outdated(gateway: Rc<Gateway>) {
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
         let now = gateway.now();
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -37,7 +37,7 @@
 use tokio::task::LocalSet;
 
 use crate::crash_records::maintain_crash_record;
-use crate::crash_tracking::sweep_crashes;
+use crate::crash_tracking::sweep_outdated;
 use crate::gate::process_gate_queues;
 use crate::listen::accept_callers;
 use crate::listen::bind_listener;
@@ -146,7 +146,7 @@
     }
     start_store_watches(&gateway);
     tokio::task::spawn_local(maintain_crash_record(Rc::clone(&gateway)));
-    tokio::task::spawn_local(sweep_crashes(Rc::clone(&gateway)));
+    tokio::task::spawn_local(sweep_outdated(Rc::clone(&gateway)));
     tokio::task::spawn_local(process_gate_queues(Rc::clone(&gateway)));
     tokio::task::spawn_local(serve_readiness(Rc::clone(&gateway), ready_listener));
     tokio::task::spawn_local(accept_callers(Rc::clone(&gateway), caller_listener));
