Weigh against a trial for how long parts were observed before the crash

What callers saw: a second outage of their model group 2 to 15 s after the first, from a trial of the part, where many requests hold it; taking requests back made it likelier, since a second crash within the same outage had named the part.

Cause: a part that had no answer when a server crashed was taken for sound or crashing with even odds, whatever else is known. A sound part of many requests stays without an answer for a moment only; that this moment meets a crash is the less likely the longer parts were observed.

Change: crash reports carry for how long their gateway had seen parts answered. What was refused has to outweigh the risk by the ratio of that time and the one for which a part with as many requests stays without an answer. 60 s remain the longest hold; with nothing observed all is as before.

Before: popular_part fails without the ratio: after an hour of observation the first trial comes after 9 s. After: 59 s; 9 s with half a second of observation, 19 s with 1.2 s.

--- a/crates/core/src/part_quarantine.rs
+++ b/crates/core/src/part_quarantine.rs
@@ -51,10 +51,8 @@
 pub const TRIAL_DELAY: Duration = Duration::from_millis(1_500);
 /// Longest time after a crash for which a suspected part is not tried.
 pub const MAX_TRIAL_HOLD: Duration = Duration::from_secs(60);
-/// Probability with which a suspected part is assumed to crash the server that tries it.
-const TRIAL_RISK: f64 = 0.5;
-/// Time since the first answer from which a part without one counts as rare. Before it, the
-/// parts that most requests share have not been answered either.
+/// Time for which parts have to be observed before one without an answer counts as rare. Before
+/// it, the parts that most requests share have not been answered either.
 const MIN_OBSERVED_TIME: Duration = Duration::from_secs(1);
 /// Time between crashes that have a common cause, such as the loss of a zone.
 const COMMON_CAUSE_WINDOW: Duration = Duration::from_secs(2);
@@ -87,6 +85,15 @@
     pub answered_before: bool,
     /// Whether few of the other servers with requests of the same gateway had the part.
     pub held_by_few: bool,
+    /// Time for which that gateway had seen parts answered when it noticed the crash.
+    pub observed: Duration,
+}
+
+impl PartCrash {
+    /// Returns whether the part was rare at the gateway that noticed the crash.
+    fn is_rare(&self) -> bool {
+        self.held_by_few && self.observed >= MIN_OBSERVED_TIME
+    }
 }
 
 /// Whether a request may be sent, by the parts of its prompt.
@@ -153,6 +160,16 @@
 }
 
 impl SuspectPart {
+    fn first(&self) -> Duration {
+        self.crashes.iter().map(|known| known.crash.noticed_at).min().unwrap_or_default()
+    }
+
+    /// Returns for how long parts had been answered, but not this one, before its first crash.
+    fn observed(&self) -> Duration {
+        let first = self.crashes.iter().min_by_key(|known| known.crash.noticed_at);
+        first.map_or(Duration::ZERO, |known| known.crash.observed)
+    }
+
     fn latest(&self) -> Duration {
         self.crashes.iter().map(|known| known.crash.noticed_at).max().unwrap_or_default()
     }
@@ -202,6 +219,7 @@
         if let Some(known) = known {
             known.crash.sent_at = known.crash.sent_at.max(crash.sent_at);
             known.crash.held_by_few |= crash.held_by_few;
+            known.crash.observed = known.crash.observed.max(crash.observed);
             let changed = local && !known.local;
             known.local |= local;
             return if changed { PartChange::Added } else { PartChange::Unchanged };
@@ -262,10 +280,9 @@
         })
     }
 
-    /// Returns whether parts have been answered for long enough that one which never was is
-    /// rare or at fault.
-    pub fn has_observed(&self, now: Duration) -> bool {
-        self.first_answer_at.is_some_and(|first| now >= first + MIN_OBSERVED_TIME)
+    /// Returns for how long this gateway has seen parts answered.
+    pub fn observed_time(&self, now: Duration) -> Duration {
+        self.first_answer_at.map_or(Duration::ZERO, |first| now.saturating_sub(first))
     }
 
     /// Returns when a part was last answered, as far as it is remembered.
@@ -300,11 +317,12 @@
             let own =
                 TrialStakes { refused: suspect.refused.len() as f64, at_risk: context.at_risk };
             let stakes = sum_stakes(own, suspect.reports.values(), context.gateways);
-            if stakes.is_some_and(|stakes| stakes.at_risk * TRIAL_RISK < 1.0) {
+            if stakes.is_some_and(|stakes| stakes.is_negligible()) {
                 continue;
             }
+            let refused_for = now.saturating_sub(suspect.first());
             let is_outweighed =
-                stakes.is_some_and(|stakes| stakes.refused >= stakes.at_risk * TRIAL_RISK);
+                stakes.is_some_and(|stakes| stakes.outweigh_risk(refused_for, suspect.observed()));
             let hold = if is_outweighed || self.missed_common_crash(suspect) {
                 TRIAL_DELAY
             } else {
@@ -402,9 +420,7 @@
             let explained = explanations.iter().any(|other| other.has_crash(&crash.incarnation));
             let separate = last_counted.is_none_or(|counted| {
                 crash.sent_at >= counted.noticed_at
-                    || (counted.held_by_few
-                        && crash.held_by_few
-                        && self.was_at_all_crashes(suspect))
+                    || (counted.is_rare() && crash.is_rare() && self.was_at_all_crashes(suspect))
             });
             if !explained && separate {
                 count += 1;
--- a/crates/core/src/part_trials.rs
+++ b/crates/core/src/part_trials.rs
@@ -11,6 +11,11 @@
 use crate::ids::MemberId;
 use crate::ids::PartDigest;
 
+/// Probability with which a suspected part is assumed to crash the server that tries it, if
+/// nothing else is known of it.
+const TRIAL_RISK: f64 = 0.5;
+/// Time within which most requests begin to be answered.
+const ANSWER_TIME: Duration = Duration::from_millis(500);
 /// Longest time for which a trial keeps other requests with its part waiting.
 const TRIAL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Parts whose trials are kept.
@@ -25,6 +30,25 @@
     pub at_risk: f64,
 }
 
+impl TrialStakes {
+    /// Returns whether a trial risks less than a request.
+    pub fn is_negligible(&self) -> bool {
+        self.at_risk * TRIAL_RISK < 1.0
+    }
+
+    /// Returns whether what was refused for `refused_for` weighs as much as what a trial risks.
+    ///
+    /// A sound part of many requests stays without an answer only until the first of them is
+    /// answered. The longer parts were observed before the crash in comparison, the less likely
+    /// it is that the part was new just then, and so that it is sound.
+    pub fn outweigh_risk(&self, refused_for: Duration, observed: Duration) -> bool {
+        let request_interval = refused_for.as_secs_f64() / self.refused.max(1.0);
+        let unanswered_time = ANSWER_TIME.as_secs_f64() + request_interval;
+        let odds = (observed.as_secs_f64() / unanswered_time).max(1.0);
+        self.refused >= self.at_risk * TRIAL_RISK * odds
+    }
+}
+
 /// What this gateway knows of a service when it decides on a trial.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct TrialContext {
--- a/crates/core/src/updates.rs
+++ b/crates/core/src/updates.rs
@@ -81,6 +81,8 @@
     pub answered_before: bool,
     /// Whether few of the other servers had the part.
     pub held_by_few: bool,
+    /// Time for which parts had been seen answered before the crash, in milliseconds.
+    pub observed_ms: u64,
     /// Requests that the sender refused because the part is suspected.
     pub refused: u32,
     /// Requests of the sender that would be lost if a trial of the part crashes a server.
--- a/crates/core/tests/part_quarantine.rs
+++ b/crates/core/tests/part_quarantine.rs
@@ -37,12 +37,14 @@
         noticed_at: at(seconds),
         answered_before: false,
         held_by_few: false,
+        observed: Duration::ZERO,
     }
 }
 
 /// The same for a part that few of the other servers had.
 fn rare_crash(part: PartDigest, server: u64, seconds: f64) -> PartCrash {
-    PartCrash { held_by_few: true, ..crash(part, server, seconds) }
+    let observed = Duration::from_secs(1);
+    PartCrash { held_by_few: true, observed, ..crash(part, server, seconds) }
 }
 
 fn record(
@@ -177,11 +179,19 @@
 #[test]
 fn first_answers() {
     let mut quarantine = PartQuarantine::default();
-    assert!(!quarantine.has_observed(at(100.0)));
-    quarantine.record_answer(COMMON, at(10.0));
-    quarantine.record_answer(7, at(10.5));
-    assert!(!quarantine.has_observed(at(10.9)));
-    assert!(quarantine.has_observed(at(11.0)));
+    assert_eq!(quarantine.observed_time(at(100.0)), Duration::ZERO);
+    quarantine.record_answer(7, at(10.0));
+    quarantine.record_answer(8, at(10.5));
+    assert_eq!(quarantine.observed_time(at(10.9)), Duration::from_millis(900));
+    for (observed_ms, quarantined) in [(900, false), (1_000, true)] {
+        let observed = Duration::from_millis(observed_ms);
+        let mut quarantine = PartQuarantine::default();
+        for server in 1..=2 {
+            let crash = PartCrash { observed, ..rare_crash(COMMON, server, 10.9) };
+            quarantine.record_crash(at(10.9), crash, true);
+        }
+        assert_eq!(is_quarantined(&quarantine, 11.0, &[COMMON]), quarantined);
+    }
 }
 
 /// Two new parts that were at the same crashes: requests with both are refused, and one with
@@ -289,6 +299,35 @@
     }
 }
 
+/// Guards against trials that crash a further server although the part had many requests and no
+/// answer long after others had: it was hardly new just when the server crashed. After a few
+/// seconds nobody knows yet, and the refused requests decide.
+#[test]
+fn popular_part() {
+    let first_trial = |observed: f64| {
+        let mut quarantine = PartQuarantine::default();
+        let observed = Duration::from_secs_f64(observed);
+        let crash = PartCrash { observed, ..crash(CRASHING, 1, 10.0) };
+        quarantine.record_crash(at(10.0), crash, true);
+        (0..600).find(|step| {
+            for number in 0..10 {
+                quarantine.record_refusal(&[CRASHING], step * 10 + number, false);
+            }
+            let now = 10.0 + (*step + 1) as f64;
+            let context = TrialContext { at_risk: 200.0, gateways: 1 };
+            match quarantine.status(at(now), &[CRASHING], context) {
+                PartStatus::Suspected { trial_from, .. } => {
+                    trial_from.is_some_and(|from| from <= at(now))
+                }
+                other => panic!("the part is not suspected: {other:?}"),
+            }
+        })
+    };
+    assert_eq!(first_trial(0.5), Some(9));
+    assert_eq!(first_trial(1.2), Some(19));
+    assert_eq!(first_trial(3_600.0), Some(59));
+}
+
 /// Guards against trials that come early because callers return to other gateways after a
 /// refusal, each of which counts them again.
 #[test]
--- a/crates/gateway/src/part_tracking.rs
+++ b/crates/gateway/src/part_tracking.rs
@@ -91,7 +91,7 @@
 ) {
     let noticed_at = part_time(gateway);
     let service = service_of(gateway, &incarnation.server);
-    let has_observed = gateway.part_quarantine.borrow().has_observed(noticed_at);
+    let observed = gateway.part_quarantine.borrow().observed_time(noticed_at);
     for suspect in suspects {
         let crash = PartCrash {
             part: suspect.part,
@@ -100,8 +100,8 @@
             sent_at: suspect.sent_at + PART_RETENTION,
             noticed_at,
             answered_before: false,
-            held_by_few: has_observed
-                && gateway.crash_detector.borrow().is_held_by_few(suspect.part, incarnation),
+            held_by_few: gateway.crash_detector.borrow().is_held_by_few(suspect.part, incarnation),
+            observed,
         };
         record_part_crash(gateway, crash, true);
     }
@@ -205,6 +205,7 @@
             noticed_at: time_at(crash.age_ms),
             answered_before: crash.answered_before,
             held_by_few: crash.held_by_few,
+            observed: Duration::from_millis(crash.observed_ms),
         };
         record_part_crash(gateway, crash, false);
         gateway.part_quarantine.borrow_mut().record_stakes(part, &update.from, stakes);
@@ -226,6 +227,7 @@
         part: crash.part,
         answered_before: quarantine.is_answered(crash.part),
         held_by_few: crash.held_by_few,
+        observed_ms: crash.observed.as_millis() as u64,
         refused: quarantine.refused_count(crash.part) as u32,
         at_risk: requests_at_risk(gateway, &crash.service).round() as u32,
         service: crash.service,
@@ -265,6 +267,7 @@
             noticed_at: time_at(crash.noticed_ms),
             answered_before: crash.answered_before,
             held_by_few: crash.held_by_few,
+            observed: Duration::from_millis(crash.observed_ms),
         };
         record_part_crash(gateway, crash, noticed_here);
     }
@@ -279,6 +282,7 @@
         part: crash.part,
         answered_before: quarantine.is_answered(crash.part),
         held_by_few: crash.held_by_few,
+        observed_ms: crash.observed.as_millis() as u64,
         service: crash.service,
         server: crash.incarnation.server,
         started_ms: crash.incarnation.started_ms,
