--- a/crates/gateway/src/part_tracking.rs
+++ b/crates/gateway/src/part_tracking.rs
@@ -27,7 +27,7 @@
 use crate::state::Gateway;
 
 /// Maximum number of crashes in a datagram, which has to fit a packet of 1,500 bytes.
-const MAX_DATAGRAM_CRASHES: usize = 20;
+const MAX_DATAGRAM_CRASHES: usize = 16;
 /// Maximum number of answers, and of trials, that are queued for broadcast.
 const MAX_QUEUED_NEWS: usize = 16;
 /// Age up to which crashes are sent again to gateways that may have missed them.
