Serve waiting requests in turn, and reject at once what would come too late

Cause: requests that find no server each looked again every 10 ms until 0.6 of the target latency, in no order, however little was left. The same for full servers.

Change: core::capacity_queue orders the requests of a service that wait: by priority, then those that can still be answered on time, in turn between organisations. A request that would not get a server by then, by how long turns took lately, is rejected at once. Streams that have begun come first; a retry keeps out of the queue, since others can do without the servers that it waits for.

Urgent requests are told by the organisation's priority there, so dawn-brief stays below season-digest, which may wait twice as long.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,7 +22,8 @@
 //!   requests that return after a refusal. [`admission`] delays streams that would slow
 //!   their group too much, and [`breaker`] delays requests while a service refuses all;
 //!   [`outage`] estimates for how long. [`request_limits`] keeps to the limits that servers
-//!   state, and [`announcements`] remembers which of them leave or want a pause.
+//!   state, [`capacity_queue`] orders requests where all servers state one, and
+//!   [`announcements`] remembers which of them leave or want a pause.
 //!   [`silence`] detects servers that send nothing any more, [`relocation`] those that are
 //!   too slow for their group, [`crash_detection`] finds the requests that were at a crashed
 //!   server, and [`quarantine`] decides which of them are refused for a time because servers
@@ -56,6 +57,7 @@
 pub mod balance;
 pub mod breaker;
 pub mod budget;
+pub mod capacity_queue;
 pub mod choose;
 pub mod clock;
 pub mod config;
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -76,6 +76,15 @@
         self.length += 1;
     }
 
+    /// Returns the request to be served next.
+    pub fn first(&self) -> Option<RequestId> {
+        let mut levels = self.levels.values().rev();
+        levels.find_map(|level| {
+            let name = next_organisation(level, &[])?;
+            level.queues.get(&name)?.waiting.front().map(|waiting| waiting.request)
+        })
+    }
+
     /// Removes the request to be served next; returns it with its expiry time.
     pub fn pop(&mut self) -> Option<(RequestId, Duration)> {
         self.pop_except(&[])
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -111,6 +111,7 @@
         part_trials: RefCell::default(),
         part_news: RefCell::new(PartNews::default()),
         request_limits: RefCell::new(RequestLimits::default()),
+        capacity_queues: RefCell::default(),
         limit_news: RefCell::new(Vec::new()),
         leaving_news: RefCell::new(Vec::new()),
         pending_permits: RefCell::new(FastMap::default()),
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -8,6 +8,7 @@
 mod recall;
 mod request_log;
 mod suspects;
+mod turn;
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -350,7 +351,8 @@
         loop {
             self.delay_suspect().await;
             let trial = self.claim_trial().await?;
-            let choice = self.choose_server().await?;
+            let stream_begun = after != self.caller_last_event;
+            let choice = self.choose_server(stream_begun).await?;
             self.check_quarantine()?;
             if self.needs_trial(trial.as_ref()) {
                 continue;
@@ -368,9 +370,8 @@
             if !self.retry_state.may_retry() {
                 return Err(self.final_refusal("no further attempt is allowed"));
             }
-            let stream_started = after != self.caller_last_event;
             if self.route.streaming
-                && !stream_started
+                && !stream_begun
                 && outage_retry_after(&self.gateway, &self.service).is_some()
             {
                 self.admit_stream().await?;
--- a/crates/gateway/src/serve/choice.rs
+++ b/crates/gateway/src/serve/choice.rs
@@ -5,14 +5,19 @@
 use cuminpick::balance::BalanceChoice;
 use cuminpick::balance::BalanceQuery;
 use cuminpick::balance::ChoiceError;
+use cuminpick::capacity_queue::TurnRequest;
 use cuminpick::refusal::Refusal;
 use cuminpick::refusal::RefusalKind;
 use cuminpick::request_limits::LimitFilter;
+use slog::o;
 use tokio::time::Instant;
 
 use super::Exchange;
+use super::ON_TIME_START_SHARE;
 use super::RETRY_WHEN_FULL;
 use super::RETRY_WHEN_UNAVAILABLE;
+use super::turn::CapacityTurn;
+use super::turn::is_contended;
 use crate::permits::obtain_permit;
 
 /// Part of the target latency that a request may wait for a server with a free slot.
@@ -25,62 +30,135 @@
 const MAX_REFUSED_PERMITS: u32 = 2;
 
 impl Exchange {
-    /// Chooses a server. While all are full, waits for a free slot for a part of the target
-    /// latency.
-    pub(super) async fn choose_server(&mut self) -> Result<BalanceChoice, Refusal> {
-        let wait_until = self.arrived + self.route.target_latency.mul_f64(CAPACITY_WAIT_SHARE);
+    /// Chooses a server. While none takes requests, waits for its turn and for one that does, for
+    /// a part of the target latency. A stream that has begun, and is to go on at another server,
+    /// waits from now on.
+    pub(super) async fn choose_server(
+        &mut self,
+        stream_begun: bool,
+    ) -> Result<BalanceChoice, Refusal> {
+        let since = if stream_begun { Instant::now() } else { self.arrived };
+        let mut wait_until = since + self.route.target_latency.mul_f64(CAPACITY_WAIT_SHARE);
+        // A retry may wait for servers that others can do without, so it keeps out of the queue.
+        let mut may_queue = self.tried_servers.is_empty();
+        let mut turn: Option<CapacityTurn> = None;
         let mut refused_permits = 0;
         loop {
-            let chosen = {
-                let limits = self.gateway.request_limits.borrow();
-                let unlimited_only = refused_permits >= MAX_REFUSED_PERMITS;
-                let query = BalanceQuery {
-                    service: &self.service,
-                    zone: &self.gateway.settings.zone,
-                    excluded: &self.tried_servers,
-                    cold_requests_per_second: self.cold_requests_per_second,
-                    drain_time: self.gateway.settings.bounds.drain,
-                    limits: Some(LimitFilter { limits: &limits, unlimited_only }),
-                };
-                let mut rng = self.gateway.rng.borrow_mut();
-                self.gateway.balance.borrow().choose(self.gateway.now(), &query, &mut rng)
-            };
-            match chosen {
-                Ok(choice) => {
-                    if obtain_permit(&self.gateway, &choice.incarnation()).await {
-                        return Ok(choice);
-                    }
-                    refused_permits += 1;
+            if turn.as_ref().is_some_and(|turn| !turn.has_come()) {
+                if Instant::now() >= wait_until {
+                    return Err(self.capacity_refusal(Duration::ZERO));
                 }
-                Err(ChoiceError::AllClosed) => {
-                    let wait = self.wait_for_opening();
-                    if Instant::now() + wait > wait_until {
-                        let spread = RETURN_SPREAD.mul_f64(self.gateway.random_share());
-                        return Err(self.refusal(RefusalKind::Overloaded, wait + spread));
+                self.wait_for_change().await;
+                continue;
+            }
+            let chosen = self.find_server(refused_permits >= MAX_REFUSED_PERMITS);
+            if matches!(chosen, Err(ChoiceError::AllTried | ChoiceError::NoneAvailable)) {
+                return Err(self.refusal(RefusalKind::NoServer, RETRY_WHEN_UNAVAILABLE));
+            }
+            let must_wait = chosen.is_err() || is_contended(&self.gateway, &self.service);
+            if may_queue && must_wait {
+                may_queue = false;
+                turn = Some(self.join_queue(stream_begun, &mut wait_until)?);
+                refused_permits = 0;
+                continue;
+            }
+            if let Ok(choice) = chosen {
+                if obtain_permit(&self.gateway, &choice.incarnation()).await {
+                    if let Some(turn) = turn {
+                        turn.record_served();
                     }
-                    tokio::time::sleep(wait).await;
-                    refused_permits = 0;
-                }
-                Err(ChoiceError::AllFull) if Instant::now() < wait_until => {
-                    refused_permits = 0;
-                    let _ = tokio::time::timeout(
-                        CAPACITY_POLL_INTERVAL,
-                        self.gateway.capacity_changed.notified(),
-                    )
-                    .await;
-                }
-                Err(ChoiceError::AllFull) => {
-                    return Err(self.refusal(RefusalKind::Overloaded, RETRY_WHEN_FULL));
-                }
-                Err(ChoiceError::AllTried | ChoiceError::NoneAvailable) => {
-                    return Err(self.refusal(RefusalKind::NoServer, RETRY_WHEN_UNAVAILABLE));
+                    return Ok(choice);
                 }
+                refused_permits += 1;
+                continue;
+            }
+            refused_permits = 0;
+            if Instant::now() >= wait_until {
+                return Err(self.capacity_refusal(Duration::ZERO));
             }
+            self.wait_for_change().await;
         }
     }
 
-    /// Returns the time after which a server that wants no requests now may take this one.
-    fn wait_for_opening(&self) -> Duration {
+    /// Chooses among the servers that take requests now.
+    fn find_server(&self, unlimited_only: bool) -> Result<BalanceChoice, ChoiceError> {
+        let limits = self.gateway.request_limits.borrow();
+        let query = BalanceQuery {
+            service: &self.service,
+            zone: &self.gateway.settings.zone,
+            excluded: &self.tried_servers,
+            cold_requests_per_second: self.cold_requests_per_second,
+            drain_time: self.gateway.settings.bounds.drain,
+            limits: Some(LimitFilter { limits: &limits, unlimited_only }),
+        };
+        let mut rng = self.gateway.rng.borrow_mut();
+        self.gateway.balance.borrow().choose(self.gateway.now(), &query, &mut rng)
+    }
+
+    /// Joins the requests that wait for a server. The request is refused at once if its turn would
+    /// come too late. One that can be answered on time waits until it can't be any more, at most.
+    fn join_queue(
+        &self,
+        stream_begun: bool,
+        wait_until: &mut Instant,
+    ) -> Result<CapacityTurn, Refusal> {
+        let on_time_until = self.on_time_until();
+        let is_on_time = !stream_begun && on_time_until > Instant::now();
+        if is_on_time {
+            *wait_until = on_time_until.min(*wait_until);
+        }
+        let time_left = self.time_left(*wait_until);
+        let turn_request = TurnRequest {
+            request: self.gateway.random_bits(),
+            priority: if stream_begun { 0 } else { self.priority },
+            organisation: self.organisation.clone().unwrap_or_default(),
+            is_overdue: !stream_begun && !is_on_time,
+            expires_at: self.gateway.now() + time_left,
+        };
+        if self.times_to_opening().into_iter().min().unwrap_or_default() > time_left {
+            return Err(self.capacity_refusal(Duration::ZERO));
+        }
+        CapacityTurn::join(&self.gateway, &self.service, &turn_request)
+            .map_err(|wait| self.capacity_refusal(wait))
+    }
+
+    /// Returns the latest time at which the request can be sent and still be answered on time.
+    fn on_time_until(&self) -> Instant {
+        let share = if self.route.streaming { ON_TIME_START_SHARE } else { CAPACITY_WAIT_SHARE };
+        let first_sent = self.arrived.checked_sub(self.elapsed_before_arrival);
+        first_sent.unwrap_or(self.arrived) + self.route.target_latency.mul_f64(share)
+    }
+
+    /// Waits until a request leaves a server or the queue, but at most a few milliseconds.
+    async fn wait_for_change(&self) {
+        let changed = self.gateway.capacity_changed.notified();
+        let _ = tokio::time::timeout(CAPACITY_POLL_INTERVAL, changed).await;
+    }
+
+    /// Logs that no server takes the request in time, and returns the refusal. `wait` is the
+    /// expected wait for a turn, if it is known. Where servers have limits or want pauses, callers
+    /// are spread over the time after which these take requests again.
+    fn capacity_refusal(&self, wait: Duration) -> Refusal {
+        let openings = self.times_to_opening();
+        let opening = openings.iter().copied().min().unwrap_or_default();
+        let spread = match openings.iter().all(Duration::is_zero) {
+            true => Duration::ZERO,
+            false => RETURN_SPREAD.mul_f64(self.gateway.random_share()),
+        };
+        let retry_after = wait.max(opening).max(RETRY_WHEN_FULL) + spread;
+        self.gateway.journal.note(
+            "capacity-lacking",
+            self.attempt_id(),
+            o!("service" => self.service.clone(), "turn_ms" => wait.as_millis() as u64,
+               "opening_ms" => opening.as_millis() as u64,
+               "retry_ms" => retry_after.as_millis() as u64),
+        );
+        self.refusal(RefusalKind::Overloaded, retry_after)
+    }
+
+    /// Returns the time until each server that was not tried takes requests again, by its limit
+    /// and the pause that it wants.
+    fn times_to_opening(&self) -> Vec<Duration> {
         let now = self.gateway.now();
         let balance = self.gateway.balance.borrow();
         let limits = self.gateway.request_limits.borrow();
@@ -88,7 +166,6 @@
         let untried = servers.filter(|(server, _)| !self.tried_servers.contains(server));
         let openings =
             untried.map(|(server, paused_until)| limits.closed_until(server).max(paused_until));
-        let wait = openings.min().unwrap_or_default().saturating_sub(now);
-        wait.max(CAPACITY_POLL_INTERVAL)
+        openings.map(|opening| opening.saturating_sub(now)).collect()
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -9,6 +9,7 @@
 
 use cuminpick::admission::EventGapMeter;
 use cuminpick::balance::BalanceTable;
+use cuminpick::capacity_queue::CapacityQueue;
 use cuminpick::clock::Clock;
 use cuminpick::crash_detection::CrashDetector;
 use cuminpick::deadlines::DeadlineTracker;
@@ -93,6 +94,8 @@
     pub part_news: RefCell<PartNews>,
     /// Limits on requests that servers state.
     pub request_limits: RefCell<RequestLimits>,
+    /// Requests that wait while no server of their service takes one, by service.
+    pub capacity_queues: RefCell<FastMap<ServiceName, CapacityQueue>>,
     /// Servers whose limit has changed, to be sent to the other gateways.
     pub limit_news: RefCell<Vec<ServerId>>,
     /// Servers that announced that they leave, to be sent to the other gateways.
