Read and log the era of the store

All clients of a process share an EraTracker, which records the era of each answer, refusals too; store-era, store-restored and era-unreadable log what it learns. No decision uses it yet.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -33,6 +33,8 @@
 //!   load of experts, [`experts`] plans expert maps and [`switch`] puts them in force by
 //!   [`orders`], from what [`rank_views`] knows of the ranks. [`expert_counts`] and [`updates`]
 //!   are messages between processes.
+//! - [`store_history`] tells which answers of the platform's store are outdated, since the store
+//!   may come back from an older copy.
 //! - [`answer`] checks that the frames of an answer belong together.
 //! - [`refusal`] lists the reasons for which a request is refused.
 //! - [`journal`] merges the logged events of all processes into causal order.
@@ -95,6 +97,7 @@
 pub mod settings;
 pub mod share;
 pub mod silence;
+pub mod store_history;
 pub mod switch;
 pub mod updates;
 pub mod watcher;
--- /dev/null
+++ b/crates/core/src/store_history.rs
@@ -0,0 +1,59 @@
+//! Which answers of the platform's store belong to its present history.
+//!
+//! The store may come back from an older copy. What it acknowledged since that copy is then
+//! lost, the revisions since are given out again for other changes, and its era rises.
+//! Revisions can only be compared within an era.
+
+use std::time::Duration;
+
+/// Era of the store, which rises each time that it comes back from an older copy; 0 while no
+/// answer has stated one.
+pub type StoreEra = u64;
+
+/// Time after a change of the era within which an answer of a lower era counts as delayed. It
+/// bounds how often a store that states several eras by turns is taken for restored.
+const MIN_ERA_TIME: Duration = Duration::from_secs(2);
+
+/// What a process knows of the store's era.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct KnownEra {
+    /// Latest era that an answer stated.
+    pub era: StoreEra,
+    /// When it was learned.
+    pub since: Duration,
+}
+
+/// How an answer relates to the store's history.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerAge {
+    /// The answer belongs to the known era, or states none.
+    Current,
+    /// The answer is the first one that states an era.
+    First,
+    /// The store came back from an older copy since the last answer.
+    Restored,
+    /// The answer was given before the store came back, and arrived later.
+    Outdated,
+}
+
+/// Relates an answer that arrives at `now` and states an era to what is known. `asked` is what
+/// was known when the call began.
+pub fn place_answer(
+    now: Duration,
+    asked: StoreEra,
+    known: KnownEra,
+    stated: StoreEra,
+) -> AnswerAge {
+    if stated == known.era || stated == 0 {
+        AnswerAge::Current
+    } else if known.era == 0 {
+        AnswerAge::First
+    } else if stated > known.era {
+        AnswerAge::Restored
+    } else if asked != known.era || now < known.since + MIN_ERA_TIME {
+        AnswerAge::Outdated
+    } else {
+        // The store was set up anew and counts its eras from the start.
+        AnswerAge::Restored
+    }
+}
--- /dev/null
+++ b/crates/core/tests/store_history.rs
@@ -0,0 +1,43 @@
+//! Which answers of a store that came back from an older copy belong to its present history.
+
+use std::time::Duration;
+
+use cuminpick::store_history::AnswerAge;
+use cuminpick::store_history::KnownEra;
+use cuminpick::store_history::place_answer;
+
+const LEARNED: Duration = Duration::from_secs(10);
+const LATER: Duration = Duration::from_secs(60);
+
+fn known(era: u64) -> KnownEra {
+    KnownEra { era, since: LEARNED }
+}
+
+/// A store that states no era is taken as it was before eras were stated.
+#[test]
+fn no_era() {
+    assert_eq!(place_answer(LATER, 0, known(0), 0), AnswerAge::Current);
+    assert_eq!(place_answer(LATER, 4, known(4), 0), AnswerAge::Current);
+    assert_eq!(place_answer(LATER, 0, known(0), 4), AnswerAge::First);
+}
+
+#[test]
+fn risen_era() {
+    assert_eq!(place_answer(LATER, 4, known(4), 4), AnswerAge::Current);
+    assert_eq!(place_answer(LEARNED, 4, known(4), 5), AnswerAge::Restored);
+    assert_eq!(place_answer(LEARNED, 4, known(4), 7), AnswerAge::Restored);
+}
+
+/// An answer that was given before the store came back, and arrives after another call told
+/// so, must not be taken for current.
+#[test]
+fn delayed_answer() {
+    assert_eq!(place_answer(LATER, 4, known(5), 4), AnswerAge::Outdated);
+    assert_eq!(place_answer(LEARNED + Duration::from_secs(1), 5, known(5), 4), AnswerAge::Outdated);
+}
+
+/// A store that was set up anew, and counts from the start, is not refused for ever.
+#[test]
+fn lowered_era() {
+    assert_eq!(place_answer(LATER, 5, known(5), 1), AnswerAge::Restored);
+}
--- a/crates/gateway/src/crash_records.rs
+++ b/crates/gateway/src/crash_records.rs
@@ -54,7 +54,7 @@
 
 /// Keeps this gateway's record in the store up to date for as long as the process runs.
 pub async fn maintain_crash_record(gateway: Rc<Gateway>) {
-    let store = StoreClient::new(gateway.settings.store);
+    let store = gateway.store.clone();
     let mut revision = None;
     let mut written = CrashRecord::default();
     loop {
@@ -106,8 +106,7 @@
 /// Removes another gateway's record whose crashes are all outdated, such as that of a VM
 /// that was removed.
 pub async fn remove_outdated_record(gateway: Rc<Gateway>, object: StoreObject) {
-    let store = StoreClient::new(gateway.settings.store);
-    let removed = store.remove(CRASH_KIND, &object.name, Some(object.revision)).await;
+    let removed = gateway.store.remove(CRASH_KIND, &object.name, Some(object.revision)).await;
     if let Err(error) = removed {
         let detail = error.to_string();
         gateway.journal.note(
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -28,6 +28,8 @@
 use cuminpick_operators::metrics::Metrics;
 use cuminpick_operators::metrics_server::serve_metrics;
 use cuminpick_platform::settings::NodeSettings;
+use cuminpick_platform::store::StoreClient;
+use cuminpick_platform::store_era::EraTracker;
 use eyre::WrapErr;
 use slog::o;
 use tokio::runtime::Builder;
@@ -47,6 +49,7 @@
 use crate::state::DRAIN_LINGER;
 use crate::state::GRACE_FRACTION;
 use crate::state::Gateway;
+use crate::store_return::follow_era;
 use crate::store_watch::start_store_watches;
 
 /// Interval at which a leaving gateway checks for open requests.
@@ -92,6 +95,7 @@
     let seed = hash_parts(&[settings.node.as_bytes(), &started.as_nanos().to_le_bytes()]);
     Ok(Gateway {
         metrics: Metrics::new(&settings.node)?,
+        store: StoreClient::new(settings.store, EraTracker::new(Arc::clone(&clock))),
         settings,
         clock,
         journal,
@@ -146,6 +150,7 @@
         start_metrics(&gateway, port);
     }
     start_store_watches(&gateway);
+    tokio::task::spawn_local(follow_era(Rc::clone(&gateway)));
     tokio::task::spawn_local(maintain_crash_record(Rc::clone(&gateway)));
     tokio::task::spawn_local(sweep_outdated(Rc::clone(&gateway)));
     tokio::task::spawn_local(process_gate_queues(Rc::clone(&gateway)));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,7 +8,8 @@
 //! - [`daemon`] starts the tasks and drains the gateway on SIGTERM.
 //! - [`state`] holds the state that the tasks share.
 //! - [`listen`] accepts callers' connections, and answers readiness checks.
-//! - [`store_watch`] watches configuration, servers, take-outs and crash records in the store.
+//! - [`store_watch`] watches configuration, servers, take-outs and crash records in the store,
+//!   and [`store_return`] notices when the store came back from an older copy.
 //! - [`peers`] exchanges requests in flight and crashes with the other gateways.
 //! - [`serve`] handles a request from its head to its answer, [`attempt`] sends it to a
 //!   server, and [`relay`] forwards a stream.
@@ -36,4 +37,5 @@
 pub mod relay;
 pub mod serve;
 pub mod state;
+pub mod store_return;
 pub mod store_watch;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -114,7 +114,7 @@
 
 /// Registers this gateway in the store and keeps track of the other registered gateways.
 async fn discover_gateways(gateway: Rc<Gateway>, address: SocketAddr, addresses: PeerAddresses) {
-    let store = StoreClient::new(gateway.settings.store);
+    let store = gateway.store.clone();
     let node = gateway.settings.node.clone();
     let record = GatewayRecord { address };
     while let Err(error) = register_once(&store, &node, &record).await {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -36,6 +36,7 @@
 use cuminpick_platform::store::EVACUATION_KIND;
 use cuminpick_platform::store::ObjectKind;
 use cuminpick_platform::store::SERVER_KIND;
+use cuminpick_platform::store::StoreClient;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
@@ -62,6 +63,8 @@
     pub journal: Journal,
     /// Counters and latencies, served on the metrics page.
     pub metrics: Metrics,
+    /// Client of the platform's metadata store.
+    pub store: StoreClient,
     /// Configuration in force; `None` until one was received.
     pub routing: RefCell<Option<Rc<RoutingTable>>>,
     /// Known backend servers with their load.
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -58,7 +58,7 @@
     for kind in [CONFIG_KIND, SERVER_KIND, EVACUATION_KIND, CRASH_KIND] {
         let watcher = KindWatcher {
             gateway: Rc::clone(gateway),
-            store: StoreClient::new(gateway.settings.store),
+            store: gateway.store.clone(),
             kind,
             failures: 0,
         };
--- a/crates/gateway/tests/endless_bytes.rs
+++ b/crates/gateway/tests/endless_bytes.rs
@@ -14,6 +14,7 @@
 use cuminpick_platform::store::ReadMode;
 use cuminpick_platform::store::SERVER_KIND;
 use cuminpick_platform::store::StoreClient;
+use cuminpick_platform::store_era::EraTracker;
 use cuminpick_standins::site::flood::FloodKind;
 use cuminpick_standins::site::flood::FloodServer;
 use http_body_util::Full;
@@ -136,7 +137,7 @@
             let mut engine = EngineClient::new(address);
             assert!(whole || engine.report().await.is_err(), "{kind:?} {slow}");
             assert!(engine.counts().await.is_err());
-            let store = StoreClient::new(address);
+            let store = StoreClient::new(address, EraTracker::default());
             assert!(store.watch(SERVER_KIND, 1, WAIT).await.is_err());
             assert!(store.list(SERVER_KIND, ReadMode::Linearizable).await.is_err());
             assert!(started.elapsed() < Duration::from_secs(6), "{kind:?} {slow}");
--- a/crates/objects/src/store.rs
+++ b/crates/objects/src/store.rs
@@ -21,6 +21,7 @@
 use cuminpick_platform::store::StoreListing;
 use cuminpick_platform::store::StoreObject;
 use cuminpick_platform::store::VM_KIND;
+use cuminpick_platform::store_era::EraTracker;
 use serde_json::Value;
 
 use crate::CONFIG_PREFIX;
@@ -58,7 +59,8 @@
                 "'{url}' is not a store's URL of the form http://HOST:PORT"
             ))
         })?;
-        Ok(PlatformStore { client: StoreClient::new(address), known_names: Mutex::default() })
+        let client = StoreClient::new(address, EraTracker::default());
+        Ok(PlatformStore { client, known_names: Mutex::default() })
     }
 
     fn lock_known_names(&self) -> std::sync::MutexGuard<'_, BTreeSet<String>> {
--- a/crates/rank-agent/src/daemon.rs
+++ b/crates/rank-agent/src/daemon.rs
@@ -14,6 +14,9 @@
 use cuminpick_operators::metrics::Metrics;
 use cuminpick_operators::metrics_server::serve_metrics;
 use cuminpick_platform::settings::NodeSettings;
+use cuminpick_platform::store::StoreClient;
+use cuminpick_platform::store_era::EraChange;
+use cuminpick_platform::store_era::EraTracker;
 use eyre::WrapErr;
 use slog::o;
 use tokio::net::UdpSocket;
@@ -91,6 +94,7 @@
     let seed = hash_parts(&[settings.node.as_bytes(), &started.as_nanos().to_le_bytes()]);
     let agent = Rc::new(Agent {
         metrics: Metrics::new(&settings.node)?,
+        store: StoreClient::new(settings.store, EraTracker::new(Arc::clone(&clock))),
         tuning,
         engine,
         clock,
@@ -113,6 +117,7 @@
     tokio::task::spawn_local(watch_leader(Rc::clone(&agent)));
     tokio::task::spawn_local(lead_group(Rc::clone(&agent)));
     tokio::task::spawn_local(follow_group(Rc::clone(&agent)));
+    tokio::task::spawn_local(log_eras(Rc::clone(&agent)));
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
@@ -136,6 +141,30 @@
     });
 }
 
+/// Logs each change of the store's era.
+async fn log_eras(agent: Rc<Agent>) {
+    let mut statuses = agent.store.eras().subscribe();
+    let mut logged = *statuses.borrow_and_update();
+    while statuses.changed().await.is_ok() {
+        let status = *statuses.borrow_and_update();
+        let era = status.known.era;
+        for change in status.changes_since(&logged) {
+            match change {
+                EraChange::Unreadable => {
+                    agent.metrics.count_unreadable("era");
+                    agent.journal.warn("era-unreadable", o!("answers" => status.unreadable));
+                }
+                EraChange::First => agent.journal.note("store-era", None, o!("era" => era)),
+                EraChange::Restored => {
+                    let before = status.previous;
+                    agent.journal.warn("store-restored", o!("era" => era, "before" => before));
+                }
+            }
+        }
+        logged = status;
+    }
+}
+
 /// Receives the messages of other agents; those of other groups are ignored.
 async fn receive_messages(agent: Rc<Agent>) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
--- a/crates/rank-agent/src/elect.rs
+++ b/crates/rank-agent/src/elect.rs
@@ -32,7 +32,7 @@
 /// Watches the leader, and claims the leadership when it is silent; runs as long as the
 /// process.
 pub async fn watch_leader(agent: Rc<Agent>) {
-    let store = StoreClient::new(agent.settings.store);
+    let store = agent.store.clone();
     let mut election = LeaderElection::new(agent.now(), agent.jitter(MAX_CLAIM_JITTER));
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
--- a/crates/rank-agent/src/group.rs
+++ b/crates/rank-agent/src/group.rs
@@ -28,7 +28,7 @@
 
 /// Keeps the leader's knowledge of its group current; runs as long as the process.
 pub async fn follow_group(agent: Rc<Agent>) {
-    let store = StoreClient::new(agent.settings.store);
+    let store = agent.store.clone();
     loop {
         let is_incomplete = {
             let state = agent.state.borrow();
--- a/crates/rank-agent/src/state.rs
+++ b/crates/rank-agent/src/state.rs
@@ -20,6 +20,7 @@
 use cuminpick_operators::journal::Journal;
 use cuminpick_operators::metrics::Metrics;
 use cuminpick_platform::settings::NodeSettings;
+use cuminpick_platform::store::StoreClient;
 use slog::o;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
@@ -96,6 +97,8 @@
     pub journal: Journal,
     /// Metrics of the process.
     pub metrics: Metrics,
+    /// Client of the platform's metadata store.
+    pub store: StoreClient,
     /// UDP socket for messages between agents and updates to gateways.
     pub socket: UdpSocket,
     /// State that changes while the agent runs.
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -27,6 +27,7 @@
 use cuminpick_objects::VmState;
 use cuminpick_platform::store::StoreClient;
 use cuminpick_platform::store::VM_KIND;
+use cuminpick_platform::store_era::EraTracker;
 use eyre::WrapErr;
 use eyre::eyre;
 use serde_json::Value;
@@ -182,7 +183,7 @@
             service: Some(server.service.clone()),
             state: VmState::Live,
         });
-        let client = StoreClient::new(self.platform_address);
+        let client = StoreClient::new(self.platform_address, EraTracker::default());
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         runtime.block_on(async {
             for vm in entries.chain(servers) {
