--- a/crates/rank-agent/tests/group_switch.rs
+++ b/crates/rank-agent/tests/group_switch.rs
@@ -29,6 +29,7 @@
 use cuminpick_standins::site::nodes::agent_settings;
 use cuminpick_standins::site::store::SiteStore;
 use cuminpick_standins::site::store::StoreMode;
+use cuminpick_standins::site::store::StoreReturn;
 
 const LAYOUT: ExpertLayout = ExpertLayout {
     sets: 2,
@@ -132,6 +133,25 @@
         }
     }
 
+    async fn restart_agent(&mut self, rank: usize) {
+        self.agents[rank].as_mut().unwrap().kill().unwrap();
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        self.start_agent(rank);
+    }
+
+    /// Returns how often agents claimed the leadership.
+    fn claim_count(&self) -> usize {
+        let logs = self.agents.iter().flatten().map(|agent| agent.read_log().unwrap());
+        logs.map(|log| log.matches("\"event\":\"leadership-claimed\"").count()).sum()
+    }
+
+    /// Brings the store back from a copy that was made at `copied`.
+    fn restore_store(&self, copied: Instant, rewritten_within: Duration) {
+        let copy_age = copied.elapsed();
+        let how = StoreReturn { copy_age, rewritten_within, keeps_watches: false, seed: 1 };
+        self.store.restore(how);
+    }
+
     fn logs(&self) -> String {
         let read_tail = |agent: &NodeProcess| {
             let text = agent.read_log().unwrap_or_default();
@@ -168,9 +188,7 @@
     group.wait_for_switches(1, "before the kill").await;
     for _ in 0..2 {
         let leader = group.leader().unwrap();
-        group.agents[leader].as_mut().unwrap().kill().unwrap();
-        tokio::time::sleep(Duration::from_millis(300)).await;
-        group.start_agent(leader);
+        group.restart_agent(leader).await;
         group.wait_for_switches(1, "after the leader was killed").await;
     }
 }
@@ -234,3 +252,50 @@
     let logs = group.logs();
     assert!(!logs.contains("message-unreadable"), "{logs}");
 }
+
+/// Guards against a group that no agent can lead: the store came back from an older copy, and
+/// the terms that it gives lie below the fences that the engines have seen.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_terms() {
+    let mut group = TestGroup::start().await;
+    group.wait_for_switches(1, "at first").await;
+    let copied = Instant::now();
+    for revision in 0..2_000 {
+        group.store.put("notes", "one", serde_json::json!(revision));
+    }
+    for _ in 0..2 {
+        let leader = group.leader().unwrap();
+        group.restart_agent(leader).await;
+        group.wait_for_switches(1, "before the store came back").await;
+    }
+    group.restore_store(copied, Duration::ZERO);
+    for _ in 0..2 {
+        for rank in 0..RANKS {
+            group.agents[rank].as_mut().unwrap().kill().unwrap();
+        }
+        for rank in 0..RANKS {
+            group.start_agent(rank);
+        }
+        let before = group.claim_count();
+        group.wait_for_switches(1, "after the store came back").await;
+        let claims = group.claim_count() - before;
+        assert!(claims <= 2, "{claims} claims:\n{}", group.logs());
+    }
+}
+
+/// Guards against a leader that is replaced though it leads: the store came back from a copy
+/// that has neither its claim nor the records of its engines.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_claim() {
+    let started = Instant::now();
+    let mut group = TestGroup::start().await;
+    group.wait_for_switches(1, "at first").await;
+    let before = group.claim_count();
+    let leader = group.leader().unwrap();
+    group.restore_store(started, Duration::from_secs(60));
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    group.restart_agent((leader + 1) % RANKS).await;
+    group.wait_for_switches(2, "after the store came back").await;
+    assert_eq!(group.claim_count(), before, "{}", group.logs());
+    assert_eq!(group.leader(), Some(leader));
+}
--- a/crates/standins/src/site/store.rs
+++ b/crates/standins/src/site/store.rs
@@ -1,5 +1,9 @@
 //! Stand-in for the platform's metadata store: versioned objects with list, watch and
 //! conditional writes, all in memory.
+//!
+//! The store can come back from an older copy. What its operators and servers wrote, by
+//! [`SiteStore::put`] and [`SiteStore::remove`], is then written again after a while; what the
+//! system wrote by calls is not.
 
 use std::collections::BTreeMap;
 use std::net::IpAddr;
@@ -9,8 +13,11 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
+use std::time::Instant;
 
+use cuminpick::ids::ChoiceRng;
 use cuminpick_platform::platform_side::StoreCall;
+use cuminpick_platform::platform_side::add_era;
 use cuminpick_platform::platform_side::decode_store_call;
 use cuminpick_platform::platform_side::encode_changes;
 use cuminpick_platform::platform_side::encode_object;
@@ -48,15 +55,113 @@
     LoseWriteAnswers,
 }
 
-#[derive(Default)]
+/// How the store comes back from an older copy.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StoreReturn {
+    /// Age of the copy.
+    pub copy_age: Duration,
+    /// Time within which operators and servers write their objects again, in random order.
+    pub rewritten_within: Duration,
+    /// Whether watches that wait survive; otherwise their connections are closed.
+    pub keeps_watches: bool,
+    /// Seed of the order and times of the writes.
+    pub seed: u64,
+}
+
+/// Kind and name of an object.
+type ObjectKey = (String, String);
+
+/// Change of the store's state, kept to go back to an earlier one.
+struct StoredChange {
+    at: Instant,
+    key: ObjectKey,
+    /// The object after the change; for a removal, its last state at the change's revision.
+    object: StoreObject,
+    removed: bool,
+}
+
 struct StoreState {
-    objects: BTreeMap<(String, String), StoreObject>,
+    objects: BTreeMap<ObjectKey, StoreObject>,
     revision: StoreRevision,
-    history: Vec<(StoreRevision, String, StoreEvent)>,
+    changes: Vec<StoredChange>,
     compacted_revision: StoreRevision,
     mode: StoreMode,
     list_delays: BTreeMap<String, Duration>,
     call_count: u64,
+    era: u64,
+    /// Text of the header that states the era, in place of its number; empty for no header.
+    era_text: Option<String>,
+    keeps_watches: bool,
+    /// Latest content that operators and servers gave to each object; `None` if removed.
+    outside_writes: BTreeMap<ObjectKey, Option<Value>>,
+}
+
+impl Default for StoreState {
+    fn default() -> StoreState {
+        StoreState {
+            objects: BTreeMap::new(),
+            revision: 0,
+            changes: Vec::new(),
+            compacted_revision: 0,
+            mode: StoreMode::Normal,
+            list_delays: BTreeMap::new(),
+            call_count: 0,
+            era: 1,
+            era_text: None,
+            keeps_watches: false,
+            outside_writes: BTreeMap::new(),
+        }
+    }
+}
+
+impl StoreState {
+    /// Writes an object under the next revision.
+    fn write(&mut self, key: ObjectKey, content: Value) -> StoreObject {
+        self.revision += 1;
+        let object = StoreObject { name: key.1.clone(), revision: self.revision, content };
+        self.objects.insert(key.clone(), object.clone());
+        self.record_change(key, object.clone(), false);
+        object
+    }
+
+    /// Removes an object, if it exists, under the next revision.
+    fn delete(&mut self, key: ObjectKey) {
+        if let Some(object) = self.objects.remove(&key) {
+            self.revision += 1;
+            let object = StoreObject { revision: self.revision, ..object };
+            self.record_change(key, object, true);
+        }
+    }
+
+    fn record_change(&mut self, key: ObjectKey, object: StoreObject, removed: bool) {
+        self.changes.push(StoredChange { at: Instant::now(), key, object, removed });
+    }
+
+    /// Returns the changes of a kind after a revision, as events.
+    fn events(&self, kind: &str, revision: StoreRevision) -> Vec<StoreEvent> {
+        let after = revision.max(self.compacted_revision);
+        let changes = self.changes.iter();
+        let newer = changes.filter(|change| change.key.0 == kind && change.object.revision > after);
+        let events = newer
+            .map(|change| StoreEvent { object: change.object.clone(), removed: change.removed });
+        events.collect()
+    }
+
+    /// Goes back to the state at `until`.
+    fn go_back(&mut self, until: Instant) {
+        self.changes.retain(|change| change.at <= until);
+        self.revision = self.changes.last().map_or(0, |change| change.object.revision);
+        self.compacted_revision = self.compacted_revision.min(self.revision);
+        self.objects.clear();
+        for change in &self.changes {
+            if change.removed {
+                self.objects.remove(&change.key);
+            } else {
+                self.objects.insert(change.key.clone(), change.object.clone());
+            }
+        }
+        self.era += 1;
+    }
 }
 
 /// Handle of the store; clones share the store.
@@ -78,20 +183,57 @@
 
     /// Writes an object unconditionally; unchanged content keeps its revision.
     pub fn put(&self, kind: &str, name: &str, content: Value) {
+        let key = (kind.to_string(), name.to_string());
+        self.lock().outside_writes.insert(key, Some(content.clone()));
         self.write(kind, name, content);
         self.changed.notify_waiters();
     }
 
     /// Removes an object if it exists.
     pub fn remove(&self, kind: &str, name: &str) {
+        self.lock().outside_writes.insert((kind.to_string(), name.to_string()), None);
+        self.delete(kind, name);
+        self.changed.notify_waiters();
+    }
+
+    /// Loses everything written within the copy's age, and has operators and servers write
+    /// their objects again.
+    pub fn restore(&self, how: StoreReturn) {
+        let mut rng = ChoiceRng::new(how.seed);
         let mut state = self.lock();
-        if let Some(object) = state.objects.remove(&(kind.to_string(), name.to_string())) {
-            state.revision += 1;
-            let revision = state.revision;
-            let event = StoreEvent { object: StoreObject { revision, ..object }, removed: true };
-            state.history.push((revision, kind.to_string(), event));
-        }
+        let until = Instant::now().checked_sub(how.copy_age);
+        let until = until.or(state.changes.first().map(|change| change.at));
+        state.go_back(until.unwrap_or_else(Instant::now));
+        state.keeps_watches = how.keeps_watches;
+        let writes = state.outside_writes.iter().filter(|(key, content)| {
+            state.objects.get(*key).map(|object| &object.content) != content.as_ref()
+        });
+        let lost: Vec<ObjectKey> = writes.map(|(key, _)| key.clone()).collect();
         drop(state);
+        for key in lost {
+            let delay = how.rewritten_within.mul_f64(rng.below(1_000) as f64 / 1_000.0);
+            let store = self.clone();
+            tokio::spawn(async move {
+                tokio::time::sleep(delay).await;
+                store.write_again(&key);
+            });
+        }
+        self.changed.notify_waiters();
+    }
+
+    /// Sets the text that states the era in place of its number; empty for no statement.
+    pub fn state_era(&self, text: &str) {
+        self.lock().era_text = Some(text.to_string());
+    }
+
+    /// Writes or removes an object as its operator or server last did.
+    fn write_again(&self, key: &ObjectKey) {
+        let content = self.lock().outside_writes.get(key).cloned();
+        match content {
+            Some(Some(content)) => drop(self.write(&key.0, &key.1, content)),
+            Some(None) => self.delete(&key.0, &key.1),
+            None => {}
+        }
         self.changed.notify_waiters();
     }
 
@@ -110,7 +252,6 @@
     pub fn drop_history(&self) {
         let mut state = self.lock();
         state.compacted_revision = state.revision;
-        state.history.clear();
         drop(state);
         self.changed.notify_waiters();
     }
@@ -136,17 +277,26 @@
         {
             return current.clone();
         }
-        state.revision += 1;
-        let revision = state.revision;
-        let object = StoreObject { name: name.to_string(), revision, content };
-        state.objects.insert(key, object.clone());
-        let event = StoreEvent { object: object.clone(), removed: false };
-        state.history.push((revision, kind.to_string(), event));
-        object
+        state.write(key, content)
+    }
+
+    fn delete(&self, kind: &str, name: &str) {
+        self.lock().delete((kind.to_string(), name.to_string()));
     }
 
     /// Answers a call; `None` closes the connection without an answer.
     pub async fn answer(self, request: SiteRequest) -> Option<Response<SiteBody>> {
+        let mut answer = self.answer_call(request).await?;
+        let state = self.lock();
+        let era = state.era_text.clone().unwrap_or_else(|| state.era.to_string());
+        if !era.is_empty() {
+            add_era(answer.headers_mut(), &era);
+        }
+        drop(state);
+        Some(answer)
+    }
+
+    async fn answer_call(&self, request: SiteRequest) -> Option<Response<SiteBody>> {
         let mode = {
             let mut state = self.lock();
             state.call_count += 1;
@@ -164,23 +314,29 @@
             call,
             StoreCall::List { .. } | StoreCall::Watch { .. } | StoreCall::Get { .. }
         );
-        let answer = self.execute(call).await;
+        let answer = self.execute(call).await?;
         if is_write {
             self.changed.notify_waiters();
         }
         (mode != StoreMode::LoseWriteAnswers || !is_write).then_some(answer)
     }
 
-    async fn execute(&self, call: StoreCall) -> Response<SiteBody> {
+    /// Executes a call; `None` closes its connection.
+    async fn execute(&self, call: StoreCall) -> Option<Response<SiteBody>> {
+        if let StoreCall::Watch { kind, revision, wait } = &call {
+            return self.wait_changes(kind, *revision, *wait).await;
+        }
+        Some(self.execute_at_once(call).await)
+    }
+
+    async fn execute_at_once(&self, call: StoreCall) -> Response<SiteBody> {
         match call {
+            StoreCall::Watch { .. } => error_answer(StatusCode::BAD_REQUEST),
             StoreCall::List { kind, after } => {
                 let delay = self.lock().list_delays.get(&kind).copied().unwrap_or_default();
                 tokio::time::sleep(delay).await;
                 self.list_page(&kind, after.as_deref())
             }
-            StoreCall::Watch { kind, revision, wait } => {
-                self.wait_changes(&kind, revision, wait).await
-            }
             StoreCall::Get { kind, name } => match self.get(&kind, &name) {
                 Some(object) => json_answer(StatusCode::OK, &encode_object(&object)),
                 None => error_answer(StatusCode::NOT_FOUND),
@@ -202,7 +358,7 @@
                     json_answer(StatusCode::CONFLICT, &encode_object(&object))
                 }
                 Some(_) => {
-                    self.remove(&kind, &name);
+                    self.delete(&kind, &name);
                     json_answer(StatusCode::OK, &json!({}))
                 }
             },
@@ -230,32 +386,33 @@
     }
 
     /// Answers with the events of `kind` after `revision`, or with none once `wait` has passed.
+    /// `None` closes the connection of a watch that does not survive a return of the store.
     async fn wait_changes(
         &self,
         kind: &str,
         revision: StoreRevision,
         wait: Duration,
-    ) -> Response<SiteBody> {
+    ) -> Option<Response<SiteBody>> {
         let deadline = tokio::time::Instant::now() + wait;
+        let era = self.lock().era;
         loop {
             let changed = self.changed.notified();
             {
                 let state = self.lock();
                 if state.mode != StoreMode::Normal && state.mode != StoreMode::LoseWriteAnswers {
-                    return error_answer(StatusCode::SERVICE_UNAVAILABLE);
+                    return Some(error_answer(StatusCode::SERVICE_UNAVAILABLE));
+                }
+                if state.era != era && !state.keeps_watches {
+                    return None;
                 }
-                if revision < state.compacted_revision {
-                    return error_answer(StatusCode::GONE);
+                let is_unknown = state.era == era && revision > state.revision;
+                if revision < state.compacted_revision || is_unknown {
+                    return Some(error_answer(StatusCode::GONE));
                 }
-                let new_events = state
-                    .history
-                    .iter()
-                    .filter(|(at, event_kind, _)| *at > revision && event_kind == kind)
-                    .map(|(_, _, event)| event.clone());
-                let events: Vec<StoreEvent> = new_events.collect();
+                let events = state.events(kind, revision);
                 if !events.is_empty() || tokio::time::Instant::now() >= deadline {
                     let changes = StoreChanges { events, revision: state.revision };
-                    return json_answer(StatusCode::OK, &encode_changes(&changes));
+                    return Some(json_answer(StatusCode::OK, &encode_changes(&changes)));
                 }
             }
             let _ = tokio::time::timeout_at(deadline, changed).await;
