Begin the terms of leaders with the era of the store

Cause: the revision of the claim was the leader's term, and engines keep the highest fence that they have seen. Revisions go back with the store, engines do not. Each claim raised the term by one, so that a group stayed without a leader for as many claims as revisions had been lost. Class: a number that only orders events within one history of the store, used to order them across its returns.

Change: the claim holds its term, which is higher than the stored one, those that were heard, and all of earlier eras (era in the upper bits). A claim counts only if the store did not come back between its read and its write. A process whose term is refused while nobody else has claimed claims again at once, 16 times further each time; that also helps where the store states no era, or counts its eras from the start.

--- a/crates/core/src/election.rs
+++ b/crates/core/src/election.rs
@@ -1,13 +1,19 @@
 //! Decides when a process claims the leadership of its group.
 //!
-//! A claim is a conditional write to a store; its revision is the leader's term. A claim
-//! does not expire, so a process that starts cannot tell from the store whether the holder
-//! still runs: it waits for a message of that leader before it claims in its place, unless
-//! the holder was an earlier process on its own VM.
+//! A claim is a conditional write to a store, and holds the leader's term. A claim does not
+//! expire, so a process that starts cannot tell from the store whether the holder still runs:
+//! it waits for a message of that leader before it claims in its place, unless the holder was
+//! an earlier process on its own VM.
+//!
+//! A term has to be higher than those of all earlier leaders, since ranks refuse the orders of
+//! lower ones. The store may come back from an older copy and lose claims, so a term begins
+//! with the store's era.
 
 use std::time::Duration;
 
 use crate::orders::LeaderTerm;
+use crate::store_history::StoreEra;
+use crate::store_history::StoreRevision;
 
 /// Silence after which a leader is replaced; several beacon intervals.
 pub const LEADER_TIMEOUT: Duration = Duration::from_millis(450);
@@ -16,12 +22,22 @@
 /// Store calls that a new leader makes before its first message: it lists the engines and
 /// the gateways, and its claim has to be answered.
 const CALLS_BEFORE_MESSAGE: u32 = 3;
+/// Bits of a term below the era; 400 writes per second use up as many revisions in 87 years.
+const ERA_SHIFT: u32 = 40;
+/// Highest era that terms tell apart; with it, fences still fit 63 bits.
+const MAX_TERM_ERA: StoreEra = 2_047;
+/// Factor by which the next term exceeds the known ones further after each refused one.
+const REFUSED_STEP_FACTOR: u64 = 16;
+/// Time after which a refused term no longer counts.
+const REFUSAL_MEMORY: Duration = Duration::from_secs(5);
 
 /// A claim that lies in the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct KnownClaim {
     /// Term of the claim.
     pub term: LeaderTerm,
+    /// Revision of the object that holds it.
+    pub revision: StoreRevision,
     /// Whether an earlier process on this VM made it, and so no longer leads.
     pub is_own_earlier: bool,
 }
@@ -33,13 +49,20 @@
     /// Delay that is due before the next claim.
     claim_delay: Duration,
     seen_term: Option<LeaderTerm>,
+    /// Number of terms of this process in a row that ranks refused, and when they last did.
+    refused_terms: (u32, Duration),
 }
 
 impl LeaderElection {
     /// Returns the state of a process that starts at `now`. `jitter` is a random delay that
     /// keeps the ranks from claiming at the same time.
     pub fn new(now: Duration, jitter: Duration) -> LeaderElection {
-        LeaderElection { silent_since: now, claim_delay: jitter, seen_term: None }
+        LeaderElection {
+            silent_since: now,
+            claim_delay: jitter,
+            seen_term: None,
+            refused_terms: (0, Duration::ZERO),
+        }
     }
 
     /// Records that the leader was heard at `heard`, or that this process leads.
@@ -64,6 +87,34 @@
         claim.is_own_earlier || !is_new || claim.term <= known_term
     }
 
+    /// Returns the term of a claim that is made now, in place of `existing`. It is higher than
+    /// all that this process knows, and than all of earlier eras.
+    pub fn next_term(
+        &self,
+        now: Duration,
+        era: StoreEra,
+        existing: Option<KnownClaim>,
+        known_term: LeaderTerm,
+    ) -> LeaderTerm {
+        let (stored_term, revision) = existing.map_or((0, 0), |claim| (claim.term, claim.revision));
+        let era_term = (era.min(MAX_TERM_ERA) << ERA_SHIFT) + revision;
+        let step = REFUSED_STEP_FACTOR.saturating_pow(self.refusals(now));
+        stored_term.max(known_term).max(era_term).saturating_add(step)
+    }
+
+    /// Records that ranks have seen a higher fence than those of this process's term. Unless
+    /// another claim is in the store, the next one is due at once, with a higher term.
+    pub fn record_refused_term(&mut self, now: Duration) {
+        self.refused_terms = (self.refusals(now) + 1, now);
+        self.silent_since = now.saturating_sub(LEADER_TIMEOUT);
+        self.claim_delay = Duration::ZERO;
+    }
+
+    fn refusals(&self, now: Duration) -> u32 {
+        let (count, last) = self.refused_terms;
+        if now < last + REFUSAL_MEMORY { count } else { 0 }
+    }
+
     /// Sets the time of the next attempt after a claim was left to its holder. `call_time` is
     /// the time that the store took to answer.
     pub fn record_wait(&mut self, now: Duration, call_time: Duration, jitter: Duration) {
--- a/crates/core/src/store_history.rs
+++ b/crates/core/src/store_history.rs
@@ -9,6 +9,8 @@
 /// Era of the store, which rises each time that it comes back from an older copy; 0 while no
 /// answer has stated one.
 pub type StoreEra = u64;
+/// Revision of the store or of an object; increases with each change within an era.
+pub type StoreRevision = u64;
 
 /// Time after a change of the era within which an answer of a lower era counts as delayed. It
 /// bounds how often a store that states several eras by turns is taken for restored.
--- a/crates/core/tests/leader_election.rs
+++ b/crates/core/tests/leader_election.rs
@@ -14,7 +14,7 @@
 }
 
 fn claim(term: u64, is_own_earlier: bool) -> Option<KnownClaim> {
-    Some(KnownClaim { term, is_own_earlier })
+    Some(KnownClaim { term, revision: term, is_own_earlier })
 }
 
 /// The former leader claims again at its first attempt.
@@ -65,3 +65,58 @@
     assert!(election.is_due(START + millis(930) + LEADER_TIMEOUT, true));
     assert!(election.may_claim(claim(7, false), 7));
 }
+
+/// Guards against a term below those of leaders whose claims the store has lost: it came back
+/// from an older copy, and gives its revisions out again.
+#[test]
+fn restored_store() {
+    let election = LeaderElection::new(START, millis(0));
+    let lost = election.next_term(START, 1, claim(9_000, false), 9_000);
+    assert!(lost > 9_000);
+    let returned = Some(KnownClaim { term: 40, revision: 12, is_own_earlier: false });
+    assert!(election.next_term(START, 2, returned, 0) > lost);
+    assert!(election.next_term(START, 2, None, 0) > lost);
+}
+
+/// Terms rise with each claim, and above those that were heard, also where the store states no
+/// era or counts its eras from the start again.
+#[test]
+fn rising_terms() {
+    let election = LeaderElection::new(START, millis(0));
+    let first = election.next_term(START, 0, None, 0);
+    let second = election.next_term(START, 0, claim(first, false), 0);
+    assert!(first > 0 && second > first);
+    assert!(election.next_term(START, 1, None, 3 << 50) > 3 << 50);
+    let highest = election.next_term(START, u64::MAX, claim(1 << 39, false), 0);
+    assert!(highest < 1 << 51, "a fence of this term exceeds 63 bits");
+}
+
+/// Guards against a claim by claim search for a term that ranks accept: where nothing tells
+/// how high their fences are, steps grow until one is.
+#[test]
+fn refused_terms() {
+    let mut election = LeaderElection::new(START, millis(0));
+    let (mut now, mut term, mut claims) = (START, 0, 0);
+    while term < 1_000_000 {
+        let stored = (term > 0).then_some(KnownClaim { term, revision: 7, is_own_earlier: false });
+        assert!(election.may_claim(stored, term));
+        term = election.next_term(now, 0, stored, term);
+        election.record_claim(now, millis(100));
+        now += millis(150);
+        election.record_refused_term(now);
+        assert!(election.is_due(now, true));
+        claims += 1;
+    }
+    assert!(claims <= 6, "{claims} claims");
+    now += Duration::from_secs(6);
+    assert_eq!(election.next_term(now, 0, None, term), term + 1);
+}
+
+/// A leader that was superseded while it was paused leaves the claim of the other in place.
+#[test]
+fn superseded_leader() {
+    let mut election = LeaderElection::new(START, millis(0));
+    election.record_refused_term(START);
+    assert!(election.is_due(START, true));
+    assert!(!election.may_claim(claim(9, false), 7));
+}
--- a/crates/rank-agent/src/elect.rs
+++ b/crates/rank-agent/src/elect.rs
@@ -1,9 +1,10 @@
 //! Elects a leader: claims the leadership of the group when its leader is silent.
 //!
-//! A claim is a conditional write to the platform's store; the revision of the written
-//! object is the leader's term. A term needs no renewal: it ends when a later claim gets a
-//! higher one, and engines refuse the orders of the earlier leader.
+//! A claim is a conditional write to the platform's store, and holds the leader's term. A term
+//! needs no renewal: it ends when a later claim gets a higher one, and engines refuse the orders
+//! of the earlier leader.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -19,6 +20,7 @@
 use cuminpick_platform::store::StoreObject;
 use slog::o;
 
+use crate::daemon::agent_port;
 use crate::lead::Leadership;
 use crate::state::Agent;
 use crate::state::KnownLeader;
@@ -46,6 +48,9 @@
             )
         };
         election.record_leader(if leading { now } else { last_heard.unwrap_or_default() });
+        if std::mem::take(&mut agent.state.borrow_mut().was_refused) {
+            election.record_refused_term(now);
+        }
         let Some(rank) = rank else {
             continue;
         };
@@ -68,44 +73,66 @@
     rank: &OwnRank,
     election: &mut LeaderElection,
 ) -> Result<(), StoreError> {
-    let record =
-        LeaderRecord { holder: agent.settings.node.clone(), incarnation: agent.incarnation };
     let started = agent.now();
     let existing = store.get(LEADER_KIND, &rank.group, ReadMode::Linearizable).await?;
+    let era = store.eras().era();
     let now = agent.now();
     let jitter = agent.jitter(MAX_CLAIM_JITTER);
     let known_leader = agent.state.borrow().leader;
     let known_term = known_leader.map_or(0, |leader| leader.term);
-    if known_leader.is_some_and(|leader| now < leader.last_heard + LEADER_TIMEOUT) {
+    let is_other = |leader: &KnownLeader| leader.address != own_address(agent);
+    let is_heard = |leader: &KnownLeader| now < leader.last_heard + LEADER_TIMEOUT;
+    if known_leader.filter(is_other).is_some_and(|leader| is_heard(&leader)) {
         return Ok(());
     }
-    let claim = existing.as_ref().map(|object| KnownClaim {
-        term: object.revision,
-        is_own_earlier: LeaderRecord::decode(object).is_ok_and(|claim| {
-            claim.holder == record.holder && claim.incarnation != record.incarnation
-        }),
-    });
+    let claim = existing.as_ref().map(|object| known_claim(agent, object));
     if !election.may_claim(claim, known_term) {
         election.record_wait(now, now.saturating_sub(started), jitter);
         return Ok(());
     }
     election.record_claim(now, jitter);
+    let term = election.next_term(now, era, claim, known_term);
+    let record =
+        LeaderRecord { holder: agent.settings.node.clone(), incarnation: agent.incarnation, term };
     let written = write_claim(store, rank, &record, existing).await?;
+    if store.eras().era() != era {
+        return Err(StoreError::Restored);
+    }
     agent.journal.note(
         "leadership-claimed",
         None,
-        o!("group" => rank.group.clone(), "term" => written.revision, "before" => known_term),
+        o!("group" => rank.group.clone(), "term" => term, "before" => known_term,
+           "revision" => written.revision, "era" => era),
     );
     let mut state = agent.state.borrow_mut();
     state.outcomes.clear();
-    let address =
-        std::net::SocketAddr::new(agent.settings.ip, crate::daemon::agent_port(&agent.settings));
-    state.leader = Some(KnownLeader { term: written.revision, address, last_heard: agent.now() });
-    let leader = GroupLeader::new(written.revision, rank.size, rank.rank);
+    let address = own_address(agent);
+    state.leader = Some(KnownLeader { term, address, last_heard: agent.now() });
+    let leader = GroupLeader::new(term, rank.size, rank.rank);
     state.leadership = Some(Leadership::new(leader, agent.now()));
     Ok(())
 }
 
+fn own_address(agent: &Agent) -> SocketAddr {
+    SocketAddr::new(agent.settings.ip, agent_port(&agent.settings))
+}
+
+/// Returns the claim that an object holds. One that cannot be decoded counts as that of an
+/// unknown process, with the object's revision as its term.
+fn known_claim(agent: &Agent, object: &StoreObject) -> KnownClaim {
+    let record = LeaderRecord::decode(object);
+    if let Err(error) = &record {
+        agent.journal.warn("record-ignored", o!("error" => error.to_string()));
+    }
+    KnownClaim {
+        term: record.as_ref().map_or(object.revision, |claim| claim.term),
+        revision: object.revision,
+        is_own_earlier: record.is_ok_and(|claim| {
+            claim.holder == agent.settings.node && claim.incarnation != agent.incarnation
+        }),
+    }
+}
+
 /// Writes the claim, if the store's object is still `existing`, and returns the written object.
 /// A claim whose answer was lost counts if the store holds it.
 async fn write_claim(
--- a/crates/rank-agent/src/lead.rs
+++ b/crates/rank-agent/src/lead.rs
@@ -395,7 +395,10 @@
                 }
             }
             LeaderAction::CheckPresence { id } => check_presence(agent, id).await,
-            LeaderAction::StepDown => step_down(agent, "a higher fence was seen"),
+            LeaderAction::StepDown => {
+                step_down(agent, "a higher fence was seen");
+                agent.state.borrow_mut().was_refused = true;
+            }
         }
     }
     if let Some(order) = map_order {
--- a/crates/rank-agent/src/state.rs
+++ b/crates/rank-agent/src/state.rs
@@ -70,6 +70,8 @@
     pub leader: Option<KnownLeader>,
     /// State of this agent as the leader; `None` while it does not lead.
     pub leadership: Option<Leadership>,
+    /// Whether ranks refused the orders of this agent's last term, having seen a higher fence.
+    pub was_refused: bool,
     /// Outcomes of the current leader's orders; `None` while an order is in progress.
     pub outcomes: FastMap<OrderId, Option<OrderOutcome>>,
     /// Most recent maps in orders that other agents sent, oldest first.
