Write a leader's claim again that the store has lost

After a return from a copy without the leader's claim and its engines' records, agents took the leadership from a leader that was alive, one after the other (4 claims where none is due), and no map was switched.

Cause: the leader sent beacons to the engines that the store lists, and an agent that found no claim claimed at once; both take what the copy lacks for gone. A leader never wrote its claim again. Class: a record that its writer believes to be stored, and an absence that is taken for a removal.

Change: engines whose agents report stay known though the store does not list them; a missing claim is given time like one that is seen for the first time; a leader whose claim was written in an earlier era reads it back at its next listing and writes it again, unless one with a higher term is there.

--- a/crates/core/src/election.rs
+++ b/crates/core/src/election.rs
@@ -48,6 +48,8 @@
     silent_since: Duration,
     /// Delay that is due before the next claim.
     claim_delay: Duration,
+    /// Term of the claim that the store held at the last attempt, 0 if it held none; `None`
+    /// before the first attempt.
     seen_term: Option<LeaderTerm>,
     /// Number of terms of this process in a row that ranks refused, and when they last did.
     refused_terms: (u32, Duration),
@@ -78,13 +80,14 @@
     }
 
     /// Decides whether to claim, given the claim in the store and the term of the last leader
-    /// that was heard. A claim that is seen for the first time is given time to be heard.
+    /// that was heard. The holder of a claim that is seen for the first time is given time to be
+    /// heard; so is one whose claim the store may have lost.
     pub fn may_claim(&mut self, existing: Option<KnownClaim>, known_term: LeaderTerm) -> bool {
-        let Some(claim) = existing else {
-            return true;
-        };
-        let is_new = self.seen_term.replace(claim.term) != Some(claim.term);
-        claim.is_own_earlier || !is_new || claim.term <= known_term
+        let term = existing.map_or(0, |claim| claim.term);
+        let is_new = self.seen_term.replace(term) != Some(term);
+        let is_own_earlier = existing.is_some_and(|claim| claim.is_own_earlier);
+        let is_superseded = known_term > 0 && term <= known_term;
+        is_own_earlier || !is_new || is_superseded
     }
 
     /// Returns the term of a claim that is made now, in place of `existing`. It is higher than
--- a/crates/core/tests/leader_election.rs
+++ b/crates/core/tests/leader_election.rs
@@ -97,6 +97,7 @@
 fn refused_terms() {
     let mut election = LeaderElection::new(START, millis(0));
     let (mut now, mut term, mut claims) = (START, 0, 0);
+    assert!(!election.may_claim(None, 0));
     while term < 1_000_000 {
         let stored = (term > 0).then_some(KnownClaim { term, revision: 7, is_own_earlier: false });
         assert!(election.may_claim(stored, term));
@@ -112,6 +113,17 @@
     assert_eq!(election.next_term(now, 0, None, term), term + 1);
 }
 
+/// A leader whose claim the store has lost is given time to be heard by processes that start.
+#[test]
+fn missing_claim() {
+    let mut election = LeaderElection::new(START, millis(0));
+    assert!(!election.may_claim(None, 0));
+    election.record_wait(START, millis(4), millis(0));
+    assert!(!election.is_due(START + LEADER_TIMEOUT, false));
+    assert!(election.may_claim(None, 0));
+    assert!(LeaderElection::new(START, millis(0)).may_claim(None, 5));
+}
+
 /// A leader that was superseded while it was paused leaves the claim of the other in place.
 #[test]
 fn superseded_leader() {
--- a/crates/rank-agent/src/elect.rs
+++ b/crates/rank-agent/src/elect.rs
@@ -11,6 +11,7 @@
 use cuminpick::election::KnownClaim;
 use cuminpick::election::LEADER_TIMEOUT;
 use cuminpick::election::LeaderElection;
+use cuminpick::orders::LeaderTerm;
 use cuminpick::switch::GroupLeader;
 use cuminpick_platform::records::LeaderRecord;
 use cuminpick_platform::store::LEADER_KIND;
@@ -92,9 +93,7 @@
     }
     election.record_claim(now, jitter);
     let term = election.next_term(now, era, claim, known_term);
-    let record =
-        LeaderRecord { holder: agent.settings.node.clone(), incarnation: agent.incarnation, term };
-    let written = write_claim(store, rank, &record, existing).await?;
+    let written = write_claim(store, &rank.group, &own_record(agent, term), existing).await?;
     if store.eras().era() != era {
         return Err(StoreError::Restored);
     }
@@ -109,10 +108,44 @@
     let address = own_address(agent);
     state.leader = Some(KnownLeader { term, address, last_heard: agent.now() });
     let leader = GroupLeader::new(term, rank.size, rank.rank);
-    state.leadership = Some(Leadership::new(leader, agent.now()));
+    state.leadership = Some(Leadership::new(leader, era, agent.now()));
     Ok(())
 }
 
+/// Writes this leader's claim again if the store came back from a copy without it. A claim
+/// with a higher term is left in place: its holder will be heard.
+pub(crate) async fn restate_claim(agent: &Agent) -> Result<(), StoreError> {
+    let era = agent.store.eras().era();
+    let (group, term) = {
+        let state = agent.state.borrow();
+        match (&state.leadership, &state.rank) {
+            (Some(leadership), Some(rank)) if leadership.claimed_era != era => {
+                (rank.group.clone(), leadership.leader.term())
+            }
+            _ => return Ok(()),
+        }
+    };
+    let existing = agent.store.get(LEADER_KIND, &group, ReadMode::Linearizable).await?;
+    let stored = existing.as_ref().map(|object| known_claim(agent, object));
+    if stored.is_none_or(|claim| claim.term < term) {
+        let record = own_record(agent, term);
+        let written = write_claim(&agent.store, &group, &record, existing).await?;
+        agent.journal.note(
+            "claim-restored",
+            None,
+            o!("group" => group, "term" => term, "revision" => written.revision, "era" => era),
+        );
+    }
+    if let Some(leadership) = &mut agent.state.borrow_mut().leadership {
+        leadership.claimed_era = era;
+    }
+    Ok(())
+}
+
+fn own_record(agent: &Agent, term: LeaderTerm) -> LeaderRecord {
+    LeaderRecord { holder: agent.settings.node.clone(), incarnation: agent.incarnation, term }
+}
+
 fn own_address(agent: &Agent) -> SocketAddr {
     SocketAddr::new(agent.settings.ip, agent_port(&agent.settings))
 }
@@ -137,20 +170,20 @@
 /// A claim whose answer was lost counts if the store holds it.
 async fn write_claim(
     store: &StoreClient,
-    rank: &OwnRank,
+    group: &str,
     record: &LeaderRecord,
     existing: Option<StoreObject>,
 ) -> Result<StoreObject, StoreError> {
     let written = match existing {
-        None => store.create(LEADER_KIND, &rank.group, record.encode()).await,
+        None => store.create(LEADER_KIND, group, record.encode()).await,
         Some(existing) => {
-            store.replace(LEADER_KIND, &rank.group, existing.revision, record.encode()).await
+            store.replace(LEADER_KIND, group, existing.revision, record.encode()).await
         }
     };
     match written {
         Err(StoreError::NoAnswer(error)) => {
             // The write may have taken effect; reading the object back shows whether it did.
-            match store.get(LEADER_KIND, &rank.group, ReadMode::Linearizable).await? {
+            match store.get(LEADER_KIND, group, ReadMode::Linearizable).await? {
                 Some(object) if LeaderRecord::decode(&object).as_ref() == Ok(record) => Ok(object),
                 _ => Err(StoreError::NoAnswer(error)),
             }
--- a/crates/rank-agent/src/group.rs
+++ b/crates/rank-agent/src/group.rs
@@ -17,6 +17,7 @@
 use cuminpick_platform::store::StoreClient;
 use slog::o;
 
+use crate::elect::restate_claim;
 use crate::state::Agent;
 
 /// Interval at which the addresses of engines and gateways are read again.
@@ -45,6 +46,10 @@
             continue;
         };
         refresh_group(&agent, &store).await;
+        if let Err(error) = restate_claim(&agent).await {
+            let detail = error.to_string();
+            agent.journal.warn("claim-not-restored", o!("error" => detail));
+        }
         let delay = if is_incomplete { INCOMPLETE_LIST_INTERVAL } else { LIST_INTERVAL };
         tokio::time::sleep(delay).await;
     }
@@ -62,7 +67,7 @@
                 .map(|record| record.address)
                 .collect();
             if let Some(leadership) = &mut agent.state.borrow_mut().leadership {
-                leadership.engines = engines;
+                leadership.update_engines(engines);
             }
         }
         Err(error) => {
--- a/crates/rank-agent/src/lead.rs
+++ b/crates/rank-agent/src/lead.rs
@@ -24,6 +24,7 @@
 use cuminpick::orders::RankOrder;
 use cuminpick::routing::EngineModel;
 use cuminpick::routing::ExpertLayout;
+use cuminpick::store_history::StoreEra;
 use cuminpick::switch::GroupLeader;
 use cuminpick::updates::GroupUpdate;
 use cuminpick::updates::UpdateMessage;
@@ -91,6 +92,8 @@
     pub(crate) missing_base: Option<(Duration, Vec<(SocketAddr, OrderId)>)>,
     /// Time of the next plan at the earliest.
     plan_due: Duration,
+    /// Era of the store in which it is known to hold this leader's claim.
+    pub(crate) claimed_era: StoreEra,
     /// When this agent became the leader.
     started_at: Duration,
     /// When engines were last read directly because their agents had not reported.
@@ -101,8 +104,9 @@
 
 impl Leadership {
     /// Returns the state of an agent that starts to lead at `now`.
-    pub fn new(leader: GroupLeader, now: Duration) -> Leadership {
+    pub fn new(leader: GroupLeader, claimed_era: StoreEra, now: Duration) -> Leadership {
         Leadership {
+            claimed_era,
             rank_engines: FastMap::default(),
             reads_in_progress: Vec::new(),
             unread_engines: Vec::new(),
@@ -123,6 +127,19 @@
     }
 }
 
+impl Leadership {
+    /// Replaces the known engines by those that the store lists, and keeps the engines whose
+    /// agents report: their records may be missing after the store came back from a copy.
+    pub(crate) fn update_engines(&mut self, listed: Vec<SocketAddr>) {
+        let mut engines = std::mem::replace(&mut self.engines, listed);
+        engines.retain(|engine| {
+            let is_reported = self.agents.values().any(|agent| agent.ip() == engine.ip());
+            is_reported && !self.engines.contains(engine)
+        });
+        self.engines.append(&mut engines);
+    }
+}
+
 /// Performs the leader's periodic work whenever this agent leads; runs as long as the
 /// process.
 pub async fn lead_group(agent: Rc<Agent>) {
