End watches when the store comes back from an older copy

Cause: a watch went on from a revision alone. Class: a position in the store's history that is used beyond that history.

Change: a position is a revision with the era in which it was given out. A gateway reads its own record now and then (stale, a tenth of the price), and tells the others of a new era, which only makes them check with the store. Failed kinds are tried again at once when another call shows the return; listings that take several calls are spread over the gateways.

--- a/crates/core/src/store_history.rs
+++ b/crates/core/src/store_history.rs
@@ -16,6 +16,15 @@
 /// bounds how often a store that states several eras by turns is taken for restored.
 const MIN_ERA_TIME: Duration = Duration::from_secs(2);
 
+/// Point in the store's history up to which a process knows it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StorePosition {
+    /// Era in which the store gave out the revision.
+    pub era: StoreEra,
+    /// Revision of the store.
+    pub revision: StoreRevision,
+}
+
 /// What a process knows of the store's era.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct KnownEra {
@@ -38,21 +47,30 @@
     Outdated,
 }
 
-/// Relates an answer that arrives at `now` and states an era to what is known. `asked` is what
-/// was known when the call began.
+/// Call to the store whose answer is placed in its history.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EraQuery {
+    /// Era that was known when the call began.
+    pub asked: StoreEra,
+    /// Whether the store may answer from an older state.
+    pub allows_stale: bool,
+}
+
+/// Relates an answer that arrives at `now` and states an era to what is known.
 pub fn place_answer(
     now: Duration,
-    asked: StoreEra,
+    query: EraQuery,
     known: KnownEra,
     stated: StoreEra,
 ) -> AnswerAge {
+    let is_delayed = query.asked != known.era || now < known.since + MIN_ERA_TIME;
     if stated == known.era || stated == 0 {
         AnswerAge::Current
     } else if known.era == 0 {
         AnswerAge::First
     } else if stated > known.era {
         AnswerAge::Restored
-    } else if asked != known.era || now < known.since + MIN_ERA_TIME {
+    } else if query.allows_stale || is_delayed {
         AnswerAge::Outdated
     } else {
         // The store was set up anew and counts its eras from the start.
--- a/crates/core/src/updates.rs
+++ b/crates/core/src/updates.rs
@@ -11,6 +11,7 @@
 use crate::ids::RequestDigest;
 use crate::ids::ServerId;
 use crate::ids::ServiceName;
+use crate::store_history::StoreEra;
 
 /// Interval at which a gateway sends its requests in flight to the others. It is short against
 /// the time that a request holds a slot: some hundred milliseconds or more.
@@ -183,4 +184,6 @@
     PermitReply(PermitReply),
     /// Servers that announced that they leave, from another gateway.
     Leaving(Vec<LeavingNotice>),
+    /// Era of the platform's store, from another gateway that learned it lately.
+    StoreEra(StoreEra),
 }
--- a/crates/gateway/src/crash_records.rs
+++ b/crates/gateway/src/crash_records.rs
@@ -8,6 +8,7 @@
 use cuminpick::ids::ServerId;
 use cuminpick::quarantine::CRASH_RETENTION;
 use cuminpick::quarantine::CrashReport;
+use cuminpick::store_history::StoreRevision;
 use cuminpick_platform::records::CrashRecord;
 use cuminpick_platform::records::StoredCrash;
 use cuminpick_platform::store::CRASH_KIND;
@@ -15,7 +16,6 @@
 use cuminpick_platform::store::StoreClient;
 use cuminpick_platform::store::StoreError;
 use cuminpick_platform::store::StoreObject;
-use cuminpick_platform::store::StoreRevision;
 use slog::o;
 
 use crate::crash_tracking::record_crash;
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -50,6 +50,7 @@
 use crate::state::GRACE_FRACTION;
 use crate::state::Gateway;
 use crate::store_return::follow_era;
+use crate::store_return::probe_era;
 use crate::store_watch::start_store_watches;
 
 /// Interval at which a leaving gateway checks for open requests.
@@ -125,6 +126,7 @@
         crash_update_due: Notify::new(),
         crash_record_changed: Notify::new(),
         slow_engines: RefCell::new(Vec::new()),
+        era_check_due: Notify::new(),
         rng: RefCell::new(ChoiceRng::new(seed)),
         listed_kinds: RefCell::default(),
         configured_at: Cell::new(None),
@@ -151,6 +153,7 @@
     }
     start_store_watches(&gateway);
     tokio::task::spawn_local(follow_era(Rc::clone(&gateway)));
+    tokio::task::spawn_local(probe_era(Rc::clone(&gateway)));
     tokio::task::spawn_local(maintain_crash_record(Rc::clone(&gateway)));
     tokio::task::spawn_local(sweep_outdated(Rc::clone(&gateway)));
     tokio::task::spawn_local(process_gate_queues(Rc::clone(&gateway)));
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -33,6 +33,8 @@
 use crate::permits::reply_to_request;
 use crate::permits::take_limit_notices;
 use crate::state::Gateway;
+use crate::store_return::apply_era_news;
+use crate::store_return::era_news;
 
 /// Delay after an error of the socket.
 const SOCKET_ERROR_DELAY: Duration = Duration::from_millis(60);
@@ -259,6 +261,10 @@
                 gateway.metrics.count_control("leaving-news", "in", length);
                 apply_leaving_notices(&gateway, notices);
             }
+            UpdateMessage::StoreEra(era) => {
+                gateway.metrics.count_control("store-era", "in", length);
+                apply_era_news(&gateway, era);
+            }
             UpdateMessage::Parts(update) => {
                 gateway.metrics.count_control("part-news", "in", length);
                 apply_part_update(&gateway, update);
@@ -339,6 +345,9 @@
         if !leaving.is_empty() {
             messages.push(("leaving-news", UpdateMessage::Leaving(leaving)));
         }
+        if let Some(era) = era_news(&gateway) {
+            messages.push(("store-era", UpdateMessage::StoreEra(era)));
+        }
         let limits = take_limit_notices(&gateway);
         if !limits.is_empty() {
             messages.push(("limit-news", UpdateMessage::Limits(limits)));
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -118,6 +118,8 @@
     pub crash_record_changed: Notify,
     /// Slow engines of the last update as text; a change is logged.
     pub slow_engines: RefCell<Vec<String>>,
+    /// Notified when another gateway knows of a higher era of the store.
+    pub era_check_due: Notify,
     /// Random number generator.
     pub rng: RefCell<ChoiceRng>,
     /// Kinds of objects in the store that were listed at least once.
--- a/crates/gateway/src/store_return.rs
+++ b/crates/gateway/src/store_return.rs
@@ -1,28 +1,42 @@
-//! Follows the era of the platform's store, which rises when the store comes back from an older
-//! copy.
+//! Notices that the platform's store came back from an older copy.
+//!
+//! Any answer of the store shows it. Since watches may wait for long, each gateway reads its own
+//! record now and then, and the first gateway that notices tells the others.
 
 use std::rc::Rc;
+use std::time::Duration;
 
+use cuminpick::store_history::StoreEra;
+use cuminpick_platform::store::GATEWAY_KIND;
+use cuminpick_platform::store::ReadMode;
 use cuminpick_platform::store_era::EraChange;
 use cuminpick_platform::store_era::EraStatus;
 use slog::o;
 
 use crate::state::Gateway;
 
-/// Logs each change of the era, for as long as the process runs.
+/// Interval at which any of the gateways reads its record; each does so as many times more
+/// seldom as there are gateways.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+/// Maximum interval at which each gateway reads its record.
+const MAX_PROBE_INTERVAL: Duration = Duration::from_secs(5);
+/// Time for which the other gateways are told of a new era.
+const ERA_NEWS_TIME: Duration = Duration::from_secs(10);
+
+/// Acts on each change of the era, for as long as the process runs.
 pub async fn follow_era(gateway: Rc<Gateway>) {
     let mut statuses = gateway.store.eras().subscribe();
-    let mut logged = *statuses.borrow_and_update();
+    let mut handled = *statuses.borrow_and_update();
     while statuses.changed().await.is_ok() {
         let status = *statuses.borrow_and_update();
-        for change in status.changes_since(&logged) {
-            record_change(&gateway, change, &status);
+        for change in status.changes_since(&handled) {
+            handle_change(&gateway, change, &status);
         }
-        logged = status;
+        handled = status;
     }
 }
 
-fn record_change(gateway: &Gateway, change: EraChange, status: &EraStatus) {
+fn handle_change(gateway: &Gateway, change: EraChange, status: &EraStatus) {
     let era = status.known.era;
     match change {
         EraChange::Unreadable => {
@@ -33,6 +47,39 @@
         EraChange::Restored => {
             let before = status.previous;
             gateway.journal.warn("store-restored", o!("era" => era, "before" => before));
+            gateway.crash_update_due.notify_one();
         }
     }
 }
+
+/// Returns the era that the other gateways are told, for some time after it rose.
+pub fn era_news(gateway: &Gateway) -> Option<StoreEra> {
+    let status = gateway.store.eras().status();
+    let is_new = status.returns > 0 && gateway.now() < status.known.since + ERA_NEWS_TIME;
+    is_new.then_some(status.known.era)
+}
+
+/// Has the era checked if another gateway knows of a higher one. Only answers of the store
+/// change what is known.
+pub fn apply_era_news(gateway: &Gateway, era: StoreEra) {
+    let known = gateway.store.eras().era();
+    if known != 0 && era > known {
+        gateway.era_check_due.notify_one();
+    }
+}
+
+/// Reads this gateway's record at intervals, and when another gateway knows of a higher era.
+pub async fn probe_era(gateway: Rc<Gateway>) {
+    loop {
+        let gateways = gateway.balance.borrow().live_gateways() as u32;
+        let interval = (PROBE_INTERVAL * gateways).min(MAX_PROBE_INTERVAL);
+        let delay = interval.mul_f64(0.5 + gateway.random_share());
+        let check_due = gateway.era_check_due.notified();
+        let mode = match tokio::time::timeout(delay, check_due).await {
+            Ok(()) => ReadMode::Linearizable,
+            Err(_) => ReadMode::Stale,
+        };
+        // The era is recorded with any answer; that the store is away is logged by the watches.
+        let _ = gateway.store.get(GATEWAY_KIND, &gateway.settings.node, mode).await;
+    }
+}
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -3,13 +3,15 @@
 //!
 //! Each kind of object is listed and then watched. After a watch that broke off, was refused
 //! or lost its history, the kind is listed again: a store that dropped its history may
-//! accept a watch from an earlier revision without reporting the dropped changes.
+//! accept a watch from an earlier revision without reporting the dropped changes. The same
+//! holds after the store came back from an older copy, which gives revisions out again.
 
 use std::rc::Rc;
 use std::time::Duration;
 
 use cuminpick::crash_detection::ServerIncarnation;
 use cuminpick::routing::ServerState;
+use cuminpick::store_history::StorePosition;
 use cuminpick_platform::records::CONFIG_NAME;
 use cuminpick_platform::records::CrashRecord;
 use cuminpick_platform::records::decode_config;
@@ -24,7 +26,6 @@
 use cuminpick_platform::store::StoreError;
 use cuminpick_platform::store::StoreEvent;
 use cuminpick_platform::store::StoreObject;
-use cuminpick_platform::store::StoreRevision;
 use slog::o;
 
 use crate::crash_records::apply_crash_record;
@@ -53,6 +54,12 @@
 /// store is back.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
 
+/// Number of objects that the store returns at once, at most.
+const PAGE_OBJECTS: usize = 500;
+/// Calls per second by which all gateways together list kinds again after the store came back;
+/// the smallest store serves 2,000 reads per second.
+const RELIST_CALLS_PER_SECOND: f64 = 1_000.0;
+
 /// Starts to watch all kinds of objects that a gateway needs.
 pub fn start_store_watches(gateway: &Rc<Gateway>) {
     for kind in [CONFIG_KIND, SERVER_KIND, EVACUATION_KIND, CRASH_KIND] {
@@ -78,31 +85,48 @@
 impl KindWatcher {
     async fn run(mut self) {
         loop {
-            let mut revision = self.list().await;
-            while let Some(next) = self.watch(revision).await {
-                revision = next;
+            let mut position = self.list().await;
+            while let Some(next) = self.watch(position).await {
+                position = next;
+            }
+            if position.era != self.store.eras().era() {
+                tokio::time::sleep(self.relist_delay()).await;
             }
         }
     }
 
-    /// Lists the objects until a call succeeds; returns the revision of the listing.
-    async fn list(&mut self) -> StoreRevision {
+    /// Returns a random delay before a kind is listed again after the store came back: all
+    /// gateways notice that at about the same time. What decides soonest about requests, and
+    /// takes one call, is listed at once.
+    fn relist_delay(&self) -> Duration {
+        let balance = self.gateway.balance.borrow();
+        let calls = match self.kind {
+            SERVER_KIND => balance.len().div_ceil(PAGE_OBJECTS).max(1),
+            CRASH_KIND => 1,
+            _ => 0,
+        };
+        let all_calls = (calls * balance.live_gateways()) as f64;
+        Duration::from_secs_f64(all_calls / RELIST_CALLS_PER_SECOND * self.gateway.random_share())
+    }
+
+    /// Lists the objects until a call succeeds; returns the position of the listing.
+    async fn list(&mut self) -> StorePosition {
         loop {
             match self.store.list(self.kind, ReadMode::Linearizable).await {
                 Ok(listing) => {
                     self.record_success();
                     self.apply_listing(listing.objects);
-                    return listing.revision;
+                    return listing.position;
                 }
                 Err(error) => self.back_off(&error).await,
             }
         }
     }
 
-    /// Waits for changes and applies them; returns their revision, or `None` when the kind has
+    /// Waits for changes and applies them; returns their position, or `None` when the kind has
     /// to be listed again.
-    async fn watch(&mut self, revision: StoreRevision) -> Option<StoreRevision> {
-        match self.store.watch(self.kind, revision, watch_wait(self.kind)).await {
+    async fn watch(&mut self, position: StorePosition) -> Option<StorePosition> {
+        match self.store.watch(self.kind, position, watch_wait(self.kind)).await {
             Ok(changes) => {
                 self.record_success();
                 let changed = !changes.events.is_empty();
@@ -112,13 +136,15 @@
                 if changed {
                     tokio::time::sleep(batch_delay(self.kind)).await;
                 }
-                Some(changes.revision)
+                Some(changes.position)
             }
             Err(StoreError::HistoryGone) => {
-                let kind = self.kind;
-                self.gateway
-                    .journal
-                    .warn("history-lost", o!("kind" => kind, "revision" => revision));
+                let StorePosition { era, revision } = position;
+                self.gateway.journal.warn(
+                    "history-lost",
+                    o!("kind" => self.kind, "revision" => revision, "era" => era,
+                       "store_era" => self.store.eras().era()),
+                );
                 None
             }
             Err(error) => {
@@ -128,7 +154,8 @@
         }
     }
 
-    /// Logs the first of several failures and waits for an exponential delay with jitter.
+    /// Logs the first of several failures and waits for an exponential delay with jitter, or until
+    /// another call shows that the store came back from an older copy.
     async fn back_off(&mut self, error: &StoreError) {
         if self.failures == 0 {
             let detail = error.to_string();
@@ -137,7 +164,11 @@
         let delay = (MIN_RETRY_DELAY * 2u32.pow(self.failures.min(4))).min(MAX_RETRY_DELAY);
         self.failures += 1;
         let jitter = self.gateway.random_bits() % (delay.as_millis() as u64 / 2).max(1);
-        tokio::time::sleep(delay - Duration::from_millis(jitter)).await;
+        let eras = self.store.eras();
+        tokio::select! {
+            () = tokio::time::sleep(delay - Duration::from_millis(jitter)) => {}
+            () = eras.leave(eras.era()) => tokio::time::sleep(self.relist_delay()).await,
+        }
     }
 
     fn record_success(&mut self) {
--- a/crates/gateway/tests/endless_bytes.rs
+++ b/crates/gateway/tests/endless_bytes.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cuminpick::store_history::StorePosition;
 use cuminpick_platform::call::CallClient;
 use cuminpick_platform::engine::EngineClient;
 use cuminpick_platform::platform_side::sealed_headers;
@@ -122,6 +123,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn control_calls() {
     const WAIT: Duration = Duration::from_millis(400);
+    const START: StorePosition = StorePosition { era: 0, revision: 1 };
     const MAX_ANSWER_BYTES: usize = 1 << 16;
     /// What the kernel buffers besides.
     const KERNEL_BUFFER_BYTES: u64 = 8 << 20;
@@ -138,7 +140,7 @@
             assert!(whole || engine.report().await.is_err(), "{kind:?} {slow}");
             assert!(engine.counts().await.is_err());
             let store = StoreClient::new(address, EraTracker::default());
-            assert!(store.watch(SERVER_KIND, 1, WAIT).await.is_err());
+            assert!(store.watch(SERVER_KIND, START, WAIT).await.is_err());
             assert!(store.list(SERVER_KIND, ReadMode::Linearizable).await.is_err());
             assert!(started.elapsed() < Duration::from_secs(6), "{kind:?} {slow}");
             assert!(
--- a/crates/objects/src/store.rs
+++ b/crates/objects/src/store.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use cuminpick::ids::ObjectVersion;
+use cuminpick::store_history::StorePosition;
 use cuminpick_platform::call::CallError;
 use cuminpick_platform::store::OWN_CONFIG_KIND;
 use cuminpick_platform::store::ReadMode;
@@ -91,14 +92,15 @@
         let names: BTreeSet<String> =
             listing.objects.iter().map(|object| object.name.clone()).collect();
         let mut known_names = self.lock_known_names();
-        let removed = known_names.difference(&names).map(|name| tombstone(name, listing.revision));
+        let removed =
+            known_names.difference(&names).map(|name| tombstone(name, listing.position.revision));
         let mut objects: Vec<StoredObject> = removed.collect();
         *known_names = names;
         drop(known_names);
         objects.extend(listing.objects.iter().map(stored_object));
         objects.retain(|object| object.key.starts_with(prefix));
         objects.sort_by_key(|object| object.version);
-        ObjectChanges { revision: listing.revision, objects }
+        ObjectChanges { revision: listing.position.revision, objects }
     }
 
     fn changes_from_watch(&self, prefix: &str, changes: StoreChanges) -> ObjectChanges {
@@ -109,14 +111,14 @@
             objects.retain(|object| object.key != object_key(name));
             if event.removed {
                 known_names.remove(name);
-                objects.push(tombstone(name, changes.revision));
+                objects.push(tombstone(name, changes.position.revision));
             } else {
                 known_names.insert(name.clone());
                 objects.push(stored_object(&event.object));
             }
         }
         objects.retain(|object| object.key.starts_with(prefix));
-        ObjectChanges { revision: changes.revision, objects }
+        ObjectChanges { revision: changes.position.revision, objects }
     }
 }
 
@@ -134,7 +136,8 @@
         wait: Duration,
     ) -> Result<ObjectChanges, PlatformError> {
         if after > 0 {
-            match block_on(self.client.watch(OWN_CONFIG_KIND, after, wait))? {
+            let position = StorePosition { era: self.client.eras().era(), revision: after };
+            match block_on(self.client.watch(OWN_CONFIG_KIND, position, wait))? {
                 Ok(changes) => return Ok(self.changes_from_watch(prefix, changes)),
                 Err(StoreError::HistoryGone) => {}
                 Err(error) => return Err(convert_read_error(error)),
--- a/crates/standins/src/site/store.rs
+++ b/crates/standins/src/site/store.rs
@@ -16,6 +16,8 @@
 use std::time::Instant;
 
 use cuminpick::ids::ChoiceRng;
+use cuminpick::store_history::StorePosition;
+use cuminpick::store_history::StoreRevision;
 use cuminpick_platform::platform_side::StoreCall;
 use cuminpick_platform::platform_side::add_era;
 use cuminpick_platform::platform_side::decode_store_call;
@@ -25,7 +27,6 @@
 use cuminpick_platform::store::StoreChanges;
 use cuminpick_platform::store::StoreEvent;
 use cuminpick_platform::store::StoreObject;
-use cuminpick_platform::store::StoreRevision;
 use hyper::Response;
 use hyper::StatusCode;
 use serde_json::Value;
@@ -411,7 +412,8 @@
                 }
                 let events = state.events(kind, revision);
                 if !events.is_empty() || tokio::time::Instant::now() >= deadline {
-                    let changes = StoreChanges { events, revision: state.revision };
+                    let position = StorePosition { era, revision: state.revision };
+                    let changes = StoreChanges { events, position };
                     return Some(json_answer(StatusCode::OK, &encode_changes(&changes)));
                 }
             }
