Count two seconds for missing records from any return of the store

Cause: servers whose records are missing were kept for two seconds after a failed call only; a store may come back between two calls. Class: an outage that is told from its symptoms at one caller.

Change: a change of the store's era is handled once, before anything that the store lists is applied, by whichever task sees it first; it begins the two seconds as a reconnect does.

missing_record failed before (200 three seconds after the return; with the watches ended, 503 at once) and passes now.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -126,6 +126,7 @@
         crash_update_due: Notify::new(),
         crash_record_changed: Notify::new(),
         slow_engines: RefCell::new(Vec::new()),
+        handled_era: Cell::default(),
         era_check_due: Notify::new(),
         rng: RefCell::new(ChoiceRng::new(seed)),
         listed_kinds: RefCell::default(),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -37,6 +37,7 @@
 use cuminpick_platform::store::ObjectKind;
 use cuminpick_platform::store::SERVER_KIND;
 use cuminpick_platform::store::StoreClient;
+use cuminpick_platform::store_era::EraStatus;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
@@ -118,6 +119,8 @@
     pub crash_record_changed: Notify,
     /// Slow engines of the last update as text; a change is logged.
     pub slow_engines: RefCell<Vec<String>>,
+    /// Status of the store's era up to which changes were handled.
+    pub handled_era: Cell<EraStatus>,
     /// Notified when another gateway knows of a higher era of the store.
     pub era_check_due: Notify,
     /// Random number generator.
--- a/crates/gateway/src/store_return.rs
+++ b/crates/gateway/src/store_return.rs
@@ -26,13 +26,18 @@
 /// Acts on each change of the era, for as long as the process runs.
 pub async fn follow_era(gateway: Rc<Gateway>) {
     let mut statuses = gateway.store.eras().subscribe();
-    let mut handled = *statuses.borrow_and_update();
     while statuses.changed().await.is_ok() {
-        let status = *statuses.borrow_and_update();
-        for change in status.changes_since(&handled) {
-            handle_change(&gateway, change, &status);
-        }
-        handled = status;
+        handle_era_changes(&gateway);
+    }
+}
+
+/// Acts on the changes of the era that were not handled yet. What the store lists is applied
+/// only after that.
+pub fn handle_era_changes(gateway: &Gateway) {
+    let status = gateway.store.eras().status();
+    let handled = gateway.handled_era.replace(status);
+    for change in status.changes_since(&handled) {
+        handle_change(gateway, change, &status);
     }
 }
 
@@ -47,6 +52,7 @@
         EraChange::Restored => {
             let before = status.previous;
             gateway.journal.warn("store-restored", o!("era" => era, "before" => before));
+            gateway.balance.borrow_mut().record_store_reconnect(gateway.now());
             gateway.crash_update_due.notify_one();
         }
     }
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -34,6 +34,7 @@
 use crate::crash_tracking::record_registration;
 use crate::gate::record_new_server;
 use crate::state::Gateway;
+use crate::store_return::handle_era_changes;
 
 /// Maximum duration of a watch; bounds how long a store that hangs goes unnoticed.
 const WATCH_WAIT: Duration = Duration::from_secs(8);
@@ -115,6 +116,7 @@
             match self.store.list(self.kind, ReadMode::Linearizable).await {
                 Ok(listing) => {
                     self.record_success();
+                    handle_era_changes(&self.gateway);
                     self.apply_listing(listing.objects);
                     return listing.position;
                 }
