Keep servers out that an older copy of the store brings back

Cause: a listing replaced all that was known. Class: an older state that is taken for newer since it was read later.

Change: what the store told last of each incarnation is kept, also after it is gone (16,384 at most). For 10 s after a return, listings pass through a filter: records seen before the return change nothing, records not seen before only restrict (a server that drains, or is cold), servers that are gone stay out. Events of watches are always new. After the 10 s the kind is listed again, and what the store then holds counts, so that no server is out for ever.

departed_servers failed before (51 requests) and passes now; older_copies (6 cases) and returned_server guard the other direction. The part of the test in which a gateway is restarted meanwhile is now older_records and still red: what the others know is not handed on yet.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -168,17 +168,15 @@
 impl BalanceTable {
     /// Replaces all records by a complete listing. Shortly after a reconnect to the store,
     /// servers that are not listed are kept for a while, since their records may have
-    /// expired during the outage.
-    pub fn replace_all(&mut self, now: Duration, records: Vec<ServerRecord>) {
+    /// expired during the outage. Returns the servers that were removed.
+    pub fn replace_all(&mut self, now: Duration, records: Vec<ServerRecord>) -> Vec<ServerId> {
         let listed: FastSet<ServerId> = records.iter().map(|record| record.id.clone()).collect();
         let unlisted: Vec<ServerId> =
             self.backends.keys().filter(|id| !listed.contains(*id)).cloned().collect();
         for record in records {
             self.upsert(now, record);
         }
-        for id in unlisted {
-            self.remove(now, &id);
-        }
+        unlisted.into_iter().filter(|id| self.remove(now, id)).collect()
     }
 
     /// Records that the store is reachable again.
@@ -245,8 +243,9 @@
         order == Some(Ordering::Greater)
     }
 
-    /// Removes a server, or marks it as missing shortly after a reconnect to the store.
-    pub fn remove(&mut self, now: Duration, id: &str) {
+    /// Removes a server, or marks it as missing shortly after a reconnect to the store. Returns
+    /// whether it was removed.
+    pub fn remove(&mut self, now: Duration, id: &str) -> bool {
         let may_have_lapsed = self
             .store_reconnected_at
             .is_some_and(|reconnected_at| now < reconnected_at + LAPSED_RECORD_GRACE);
@@ -256,24 +255,29 @@
             {
                 self.by_address.remove(&backend.record.address);
             }
-            return;
+            return true;
         }
         if let Some(backend) = self.backends.get_mut(id) {
             backend.missing_since.get_or_insert(now);
         }
+        false
     }
 
     /// Removes servers whose records did not return in time, and gateways that no longer
-    /// send updates.
-    pub fn remove_expired(&mut self, now: Duration) {
+    /// send updates. Returns the servers that were removed.
+    pub fn remove_expired(&mut self, now: Duration) -> Vec<ServerId> {
         let reconnected_at = self.store_reconnected_at.unwrap_or_default();
+        let mut removed = Vec::new();
         if now >= reconnected_at + LAPSED_RECORD_GRACE {
+            let missing = self.backends.iter().filter(|(_, entry)| entry.missing_since.is_some());
+            removed = missing.map(|(id, _)| id.clone()).collect();
             self.backends.retain(|_, backend| backend.missing_since.is_none());
         }
         let age =
             MIN_PEER_LIVE_AGE.max(update_interval(self.live_gateways()) * PEER_LIVE_INTERVALS);
         self.drop_old_counts(now, age);
         self.peer_counts.retain(|_, peer| now < peer.last_heard + age);
+        removed
     }
 
     /// Takes a zone out of service, or brings it back.
--- /dev/null
+++ b/crates/core/src/copy_filter.rs
@@ -0,0 +1,140 @@
+//! Keeps an older copy of the store from bringing back what has changed since.
+//!
+//! After the store came back from an older copy, its listing holds records of servers that have
+//! left since. Servers write their records again, but each in its own time. Until [`SETTLE_TIME`]
+//! has passed, what was known before the return stands against the copy; in doubt, which of both
+//! is newer, the one that admits fewer requests. Changes that a watch reports are always new.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::ids::FastMap;
+use crate::ids::ServerId;
+use crate::routing::ServerRecord;
+use crate::routing::ServerState;
+use crate::store_history::StoreRevision;
+
+/// Time after a return of the store for which earlier knowledge stands against its copy. The
+/// records of servers that are gone lapse within a few seconds.
+pub const SETTLE_TIME: Duration = Duration::from_secs(10);
+/// Servers that are remembered after they are gone, the oldest out first.
+const MAX_GONE_SERVERS: usize = 16_384;
+/// Revisions that are remembered for an object; records change a few times in their life.
+const MAX_REVISIONS: usize = 8;
+
+/// Record of a server with its revision in the store.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ListedServer {
+    /// The record.
+    pub record: ServerRecord,
+    /// Revision of its last change.
+    pub revision: StoreRevision,
+}
+
+/// Latest revisions at which an object was seen.
+#[derive(Debug, Clone, Default)]
+struct SeenRevisions(VecDeque<StoreRevision>);
+
+impl SeenRevisions {
+    fn add(&mut self, revision: StoreRevision) {
+        if self.contains(revision) {
+            return;
+        }
+        if self.0.len() == MAX_REVISIONS {
+            self.0.pop_front();
+        }
+        self.0.push_back(revision);
+    }
+
+    fn contains(&self, revision: StoreRevision) -> bool {
+        self.0.contains(&revision)
+    }
+}
+
+#[derive(Debug, Clone)]
+struct KnownServer {
+    started_ms: u64,
+    state: ServerState,
+    cold_until: Duration,
+    is_gone: bool,
+    revisions: SeenRevisions,
+}
+
+/// What the store told before it came back from an older copy.
+#[derive(Debug, Clone, Default)]
+pub struct CopyFilter {
+    servers: FastMap<ServerId, KnownServer>,
+    /// Servers in the order in which they were gone; some may be back.
+    gone: VecDeque<ServerId>,
+}
+
+impl CopyFilter {
+    /// Records a server's record that is known to be the latest.
+    pub fn record_server(&mut self, now: Duration, listed: &ListedServer) {
+        let record = &listed.record;
+        let known = self.servers.entry(record.id.clone()).or_insert_with(|| KnownServer {
+            started_ms: record.started_ms,
+            state: record.state,
+            cold_until: Duration::ZERO,
+            is_gone: false,
+            revisions: SeenRevisions::default(),
+        });
+        if known.started_ms != record.started_ms {
+            known.revisions = SeenRevisions::default();
+        }
+        known.started_ms = record.started_ms;
+        known.state = record.state;
+        known.cold_until = now + record.cold_remaining;
+        known.is_gone = false;
+        known.revisions.add(listed.revision);
+    }
+
+    /// Records that a server is gone.
+    pub fn record_gone(&mut self, server: &str) {
+        let Some(known) = self.servers.get_mut(server).filter(|known| !known.is_gone) else {
+            return;
+        };
+        known.is_gone = true;
+        self.gone.push_back(server.to_string());
+        if self.gone.len() > MAX_GONE_SERVERS
+            && let Some(oldest) = self.gone.pop_front()
+            && self.servers.get(&oldest).is_some_and(|known| known.is_gone)
+        {
+            self.servers.remove(&oldest);
+        }
+    }
+
+    /// Returns the records that are to be believed of a listing that may be from an older copy.
+    pub fn filter_servers(
+        &mut self,
+        now: Duration,
+        listed: Vec<ListedServer>,
+    ) -> Vec<ServerRecord> {
+        listed.into_iter().filter_map(|server| self.filter_server(now, server)).collect()
+    }
+
+    fn filter_server(&mut self, now: Duration, listed: ListedServer) -> Option<ServerRecord> {
+        let ListedServer { mut record, revision } = listed.clone();
+        match self.servers.get_mut(&record.id) {
+            Some(known) if record.started_ms < known.started_ms => return None,
+            Some(known) if record.started_ms == known.started_ms => {
+                if known.is_gone {
+                    return None;
+                }
+                let cold_remaining = known.cold_until.saturating_sub(now);
+                if known.revisions.contains(revision) {
+                    record.state = known.state;
+                    record.cold_remaining = cold_remaining;
+                } else {
+                    record.cold_remaining = record.cold_remaining.max(cold_remaining);
+                    if known.state == ServerState::Draining {
+                        record.state = ServerState::Draining;
+                    }
+                }
+                known.revisions.add(revision);
+            }
+            _ => self.record_server(now, &listed),
+        }
+        Some(record)
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -33,8 +33,8 @@
 //!   load of experts, [`experts`] plans expert maps and [`switch`] puts them in force by
 //!   [`orders`], from what [`rank_views`] knows of the ranks. [`expert_counts`] and [`updates`]
 //!   are messages between processes.
-//! - [`store_history`] tells which answers of the platform's store are outdated, since the store
-//!   may come back from an older copy.
+//! - The platform's store may come back from an older copy: [`store_history`] tells which of its
+//!   answers are outdated, and [`copy_filter`] what the copy must not bring back.
 //! - [`answer`] checks that the frames of an answer belong together.
 //! - [`refusal`] lists the reasons for which a request is refused.
 //! - [`journal`] merges the logged events of all processes into causal order.
@@ -63,6 +63,7 @@
 pub mod choose;
 pub mod clock;
 pub mod config;
+pub mod copy_filter;
 pub mod crash_detection;
 pub mod deadlines;
 pub mod demand;
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -102,6 +102,7 @@
         journal,
         routing: RefCell::new(None),
         balance: RefCell::new(BalanceTable::default()),
+        copy_filter: RefCell::default(),
         retry_budget: RefCell::new(WindowedRetryBudget::new(bounds, now)),
         event_gaps: RefCell::new(FastMap::default()),
         gates: RefCell::new(FastMap::default()),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -305,7 +305,9 @@
         let now = gateway.now();
         {
             let mut balance = gateway.balance.borrow_mut();
-            balance.remove_expired(now);
+            for server in balance.remove_expired(now) {
+                gateway.copy_filter.borrow_mut().record_gone(&server);
+            }
             balance.expire_peer_counts(now);
         }
         let update = GatewayUpdate {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,6 +11,7 @@
 use cuminpick::balance::BalanceTable;
 use cuminpick::capacity_queue::CapacityQueue;
 use cuminpick::clock::Clock;
+use cuminpick::copy_filter::CopyFilter;
 use cuminpick::crash_detection::CrashDetector;
 use cuminpick::deadlines::DeadlineTracker;
 use cuminpick::deadlines::StreamLengths;
@@ -70,6 +71,8 @@
     pub routing: RefCell<Option<Rc<RoutingTable>>>,
     /// Known backend servers with their load.
     pub balance: RefCell<BalanceTable>,
+    /// What the store told before it came back from an older copy.
+    pub copy_filter: RefCell<CopyFilter>,
     /// Retries that are left.
     pub retry_budget: RefCell<WindowedRetryBudget>,
     /// Time between the events of streams, by service.
--- a/crates/gateway/src/store_return.rs
+++ b/crates/gateway/src/store_return.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use cuminpick::copy_filter::SETTLE_TIME;
 use cuminpick::store_history::StoreEra;
 use cuminpick_platform::store::GATEWAY_KIND;
 use cuminpick_platform::store::ReadMode;
@@ -58,6 +59,13 @@
     }
 }
 
+/// Returns until when what was known before the store came back stands against what it lists;
+/// `None` if the store has not come back since the process started.
+pub fn settled_at(gateway: &Gateway) -> Option<Duration> {
+    let status = gateway.store.eras().status();
+    (status.returns > 0).then(|| status.known.since + SETTLE_TIME)
+}
+
 /// Returns the era that the other gateways are told, for some time after it rose.
 pub fn era_news(gateway: &Gateway) -> Option<StoreEra> {
     let status = gateway.store.eras().status();
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -4,12 +4,16 @@
 //! Each kind of object is listed and then watched. After a watch that broke off, was refused
 //! or lost its history, the kind is listed again: a store that dropped its history may
 //! accept a watch from an earlier revision without reporting the dropped changes. The same
-//! holds after the store came back from an older copy, which gives revisions out again.
+//! holds after the store came back from an older copy, which gives revisions out again. What is
+//! listed then passes through [`cuminpick::copy_filter`], until it is listed once more when
+//! operators and servers have written their objects again.
 
 use std::rc::Rc;
 use std::time::Duration;
 
+use cuminpick::copy_filter::ListedServer;
 use cuminpick::crash_detection::ServerIncarnation;
+use cuminpick::routing::ServerRecord;
 use cuminpick::routing::ServerState;
 use cuminpick::store_history::StorePosition;
 use cuminpick_platform::records::CONFIG_NAME;
@@ -35,6 +39,7 @@
 use crate::gate::record_new_server;
 use crate::state::Gateway;
 use crate::store_return::handle_era_changes;
+use crate::store_return::settled_at;
 
 /// Maximum duration of a watch; bounds how long a store that hangs goes unnoticed.
 const WATCH_WAIT: Duration = Duration::from_secs(8);
@@ -69,6 +74,7 @@
             store: gateway.store.clone(),
             kind,
             failures: 0,
+            relist_at: None,
         };
         tokio::task::spawn_local(watcher.run());
     }
@@ -81,6 +87,8 @@
     kind: ObjectKind,
     /// Consecutive failed calls.
     failures: u32,
+    /// When the last listing, which passed through the filter, has to be replaced by a new one.
+    relist_at: Option<Duration>,
 }
 
 impl KindWatcher {
@@ -90,15 +98,16 @@
             while let Some(next) = self.watch(position).await {
                 position = next;
             }
-            if position.era != self.store.eras().era() {
+            let is_left = position.era != self.store.eras().era();
+            if is_left || self.relist_at.take().is_some() {
                 tokio::time::sleep(self.relist_delay()).await;
             }
         }
     }
 
-    /// Returns a random delay before a kind is listed again after the store came back: all
-    /// gateways notice that at about the same time. What decides soonest about requests, and
-    /// takes one call, is listed at once.
+    /// Returns a random delay before a kind is listed again after the store came back, which all
+    /// gateways do at about the same time. What decides soonest about requests, and takes one
+    /// call, is listed at once.
     fn relist_delay(&self) -> Duration {
         let balance = self.gateway.balance.borrow();
         let calls = match self.kind {
@@ -128,7 +137,13 @@
     /// Waits for changes and applies them; returns their position, or `None` when the kind has
     /// to be listed again.
     async fn watch(&mut self, position: StorePosition) -> Option<StorePosition> {
-        match self.store.watch(self.kind, position, watch_wait(self.kind)).await {
+        let now = self.gateway.now();
+        if self.relist_at.is_some_and(|relist_at| now >= relist_at) {
+            return None;
+        }
+        let until_relist = self.relist_at.map_or(Duration::MAX, |relist_at| relist_at - now);
+        let wait = watch_wait(self.kind).min(until_relist);
+        match self.store.watch(self.kind, position, wait).await {
             Ok(changes) => {
                 self.record_success();
                 let changed = !changes.events.is_empty();
@@ -188,18 +203,11 @@
         self.failures = 0;
     }
 
-    fn apply_listing(&self, objects: Vec<StoreObject>) {
+    fn apply_listing(&mut self, objects: Vec<StoreObject>) {
         match self.kind {
             CONFIG_KIND => objects.iter().for_each(|object| self.apply_config(object)),
             CRASH_KIND => objects.iter().for_each(|object| self.apply_crashes(object)),
-            SERVER_KIND => {
-                let records =
-                    objects.iter().filter_map(|object| self.decode_record(object)).collect();
-                let mut balance = self.gateway.balance.borrow_mut();
-                balance.replace_all(self.gateway.now(), records);
-                let known = balance.len();
-                self.gateway.journal.note("servers-listed", None, o!("known" => known));
-            }
+            SERVER_KIND => self.apply_servers(&objects),
             _ => {
                 let zones: Vec<String> = objects.into_iter().map(|object| object.name).collect();
                 self.gateway.journal.note("zones-out", None, o!("zones" => zones.join(",")));
@@ -210,6 +218,40 @@
         self.gateway.capacity_changed.notify_waiters();
     }
 
+    /// Returns whether a listing may be from an older copy, and has it repeated once that is
+    /// over.
+    fn begin_settling(&mut self) -> bool {
+        let now = self.gateway.now();
+        let was_listed = self.gateway.listed_kinds.borrow().contains(self.kind);
+        self.relist_at = settled_at(&self.gateway).filter(|until| was_listed && now < *until);
+        self.relist_at.is_some()
+    }
+
+    fn apply_servers(&mut self, objects: &[StoreObject]) {
+        let now = self.gateway.now();
+        let is_settling = self.begin_settling();
+        let listed = objects.iter().filter_map(|object| self.decode_record(object));
+        let listed: Vec<ListedServer> = listed.collect();
+        let mut filter = self.gateway.copy_filter.borrow_mut();
+        let listed_count = listed.len();
+        let records: Vec<ServerRecord> = if is_settling {
+            filter.filter_servers(now, listed)
+        } else {
+            listed.iter().for_each(|server| filter.record_server(now, server));
+            listed.into_iter().map(|server| server.record).collect()
+        };
+        let filtered = listed_count - records.len();
+        let mut balance = self.gateway.balance.borrow_mut();
+        for server in balance.replace_all(now, records) {
+            filter.record_gone(&server);
+        }
+        self.gateway.journal.note(
+            "servers-listed",
+            None,
+            o!("known" => balance.len(), "settling" => is_settling, "gone" => filtered),
+        );
+    }
+
     fn apply_event(&self, event: StoreEvent) {
         let now = self.gateway.now();
         match self.kind {
@@ -218,13 +260,17 @@
             CONFIG_KIND => self.apply_config(&event.object),
             SERVER_KIND if event.removed => {
                 let id = event.object.name;
-                self.gateway.balance.borrow_mut().remove(now, &id);
+                if self.gateway.balance.borrow_mut().remove(now, &id) {
+                    self.gateway.copy_filter.borrow_mut().record_gone(&id);
+                }
                 self.gateway.silence_detector.borrow_mut().remove(&id);
                 self.gateway.crash_detector.borrow_mut().mark_leaving(&id);
                 self.gateway.journal.note("server-removed", None, o!("server" => id));
             }
             SERVER_KIND => {
-                if let Some(record) = self.decode_record(&event.object) {
+                if let Some(listed) = self.decode_record(&event.object) {
+                    self.gateway.copy_filter.borrow_mut().record_server(now, &listed);
+                    let record = listed.record;
                     self.gateway.journal.note(
                         "server-changed",
                         None,
@@ -267,7 +313,7 @@
 
     /// Decodes the record of a server and records its registration; logs a record that cannot
     /// be decoded and removes its server.
-    fn decode_record(&self, object: &StoreObject) -> Option<cuminpick::routing::ServerRecord> {
+    fn decode_record(&self, object: &StoreObject) -> Option<ListedServer> {
         match decode_server(object) {
             Ok(record) => {
                 let incarnation =
@@ -276,7 +322,7 @@
                 if record.state == ServerState::Draining {
                     self.gateway.crash_detector.borrow_mut().mark_leaving(&record.id);
                 }
-                Some(record)
+                Some(ListedServer { record, revision: object.revision })
             }
             Err(error) => {
                 let detail = error.to_string();
--- a/crates/gateway/tests/restored_store.rs
+++ b/crates/gateway/tests/restored_store.rs
@@ -148,16 +148,14 @@
 /// are listed there as ready.
 #[tokio::test(flavor = "multi_thread")]
 async fn departed_servers() {
-    let mut site = Site::with_sizes(2, 1, 4).await;
+    let site = Site::with_sizes(2, 1, 4).await;
     let copied = Instant::now();
     site.set_server_state("booking-1", ServerState::Draining);
     site.store.remove(SERVER_KIND, "booking-2");
     site.wait_propagated().await;
     let before = [site.bookings[0].ledger().len(), site.bookings[1].ledger().len()];
     restore(&site, copied, LONG_REWRITE, false);
-    call_for(&site, Duration::from_secs(2), "known").await;
-    site.restart(0).await;
-    call_for(&site, Duration::from_secs(1), "restarted").await;
+    call_for(&site, Duration::from_secs(3), "known").await;
     let after = [site.bookings[0].ledger().len(), site.bookings[1].ledger().len()];
     assert_eq!(before, after);
 }
@@ -194,27 +192,46 @@
     assert_eq!(status_at(&site, 0, "look", "b").await, Some(StatusCode::SERVICE_UNAVAILABLE));
 }
 
+/// Returns the number of requests that booking servers of a zone ran. Server `booking-N` is in
+/// zone N mod 2, and the first booking server is `booking-1`.
+fn zone_runs(site: &Site, zone: usize) -> usize {
+    let servers = site.bookings.iter().enumerate().filter(|(index, _)| (index + 1) % 2 == zone);
+    servers.map(|(_, server)| server.ledger().len()).sum()
+}
+
+/// Guards against a gateway that starts with the servers and zones of the copy while the others
+/// know later ones.
+#[tokio::test(flavor = "multi_thread")]
+async fn older_records() {
+    let mut site = Site::with_sizes(3, 1, 6).await;
+    let copied = Instant::now();
+    site.set_server_state("booking-1", ServerState::Draining);
+    site.store.remove(SERVER_KIND, "booking-3");
+    site.store.put(EVACUATION_KIND, "zone-0", serde_json::json!({}));
+    site.wait_propagated().await;
+    let departed = |site: &Site| [0, 2].map(|index: usize| site.bookings[index].ledger().len());
+    let before = (departed(&site), zone_runs(&site, 0));
+    restore(&site, copied, LONG_REWRITE, false);
+    site.restart(0).await;
+    call_for(&site, Duration::from_secs(2), "restarted").await;
+    assert_eq!((departed(&site), zone_runs(&site, 0)), before);
+    assert!(zone_runs(&site, 1) > 0);
+}
+
 /// Guards against zones that return through the copy: one that was taken out after it, and one
 /// that was taken back.
 #[tokio::test(flavor = "multi_thread")]
 async fn returned_zones() {
-    let mut site = Site::with_sizes(2, 1, 4).await;
+    let site = Site::with_sizes(2, 1, 4).await;
     site.store.put(EVACUATION_KIND, "zone-1", serde_json::json!({}));
     site.wait_propagated().await;
     let copied = Instant::now();
     site.store.put(EVACUATION_KIND, "zone-0", serde_json::json!({}));
     site.store.remove(EVACUATION_KIND, "zone-1");
     site.wait_propagated().await;
-    let zone_runs = |site: &Site, zone: usize| -> usize {
-        // Server `booking-N` is in zone N mod 2, and the first booking server is `booking-1`.
-        let servers = site.bookings.iter().enumerate().filter(|(index, _)| (index + 1) % 2 == zone);
-        servers.map(|(_, server)| server.ledger().len()).sum()
-    };
     let before = zone_runs(&site, 0);
     restore(&site, copied, LONG_REWRITE, false);
-    call_for(&site, Duration::from_secs(1), "known").await;
-    site.restart(0).await;
-    call_for(&site, Duration::from_secs(1), "restarted").await;
+    call_for(&site, Duration::from_secs(2), "known").await;
     assert_eq!(zone_runs(&site, 0), before);
     assert!(zone_runs(&site, 1) > 0);
 }
