Keep zones as they were when an older copy of the store says otherwise

Cause and class as with servers: an older state taken for newer since it was read later.

Change: for 10 s after a return the zones that are out are those known before, and those whose take-out has a revision that was not seen before the return: a take-out at a known revision is from the copy. Events count at once; after the 10 s the store's listing does.

--- a/crates/core/src/copy_filter.rs
+++ b/crates/core/src/copy_filter.rs
@@ -1,15 +1,18 @@
 //! Keeps an older copy of the store from bringing back what has changed since.
 //!
 //! After the store came back from an older copy, its listing holds records of servers that have
-//! left since. Servers write their records again, but each in its own time. Until [`SETTLE_TIME`]
-//! has passed, what was known before the return stands against the copy; in doubt, which of both
-//! is newer, the one that admits fewer requests. Changes that a watch reports are always new.
+//! left since, and lacks or holds again take-outs of zones that have changed since. Operators and
+//! servers write their objects again, but each in its own time. Until [`SETTLE_TIME`] has passed,
+//! what was known before the return stands against the copy; in doubt, which of both is newer,
+//! the one that admits fewer requests. Changes that a watch reports are always new.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use crate::ids::FastMap;
+use crate::ids::FastSet;
 use crate::ids::ServerId;
+use crate::ids::ZoneName;
 use crate::routing::ServerRecord;
 use crate::routing::ServerState;
 use crate::store_history::StoreRevision;
@@ -31,6 +34,15 @@
     pub revision: StoreRevision,
 }
 
+/// A zone that is taken out, with the revision of that.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ListedZone {
+    /// Name of the zone.
+    pub zone: ZoneName,
+    /// Revision at which it was taken out.
+    pub revision: StoreRevision,
+}
+
 /// Latest revisions at which an object was seen.
 #[derive(Debug, Clone, Default)]
 struct SeenRevisions(VecDeque<StoreRevision>);
@@ -60,12 +72,19 @@
     revisions: SeenRevisions,
 }
 
+#[derive(Debug, Clone, Default)]
+struct KnownZone {
+    out: bool,
+    revisions: SeenRevisions,
+}
+
 /// What the store told before it came back from an older copy.
 #[derive(Debug, Clone, Default)]
 pub struct CopyFilter {
     servers: FastMap<ServerId, KnownServer>,
     /// Servers in the order in which they were gone; some may be back.
     gone: VecDeque<ServerId>,
+    zones: FastMap<ZoneName, KnownZone>,
 }
 
 impl CopyFilter {
@@ -137,4 +156,37 @@
         }
         Some(record)
     }
+
+    /// Records the complete list of zones that are taken out.
+    pub fn record_zones(&mut self, listed: &[ListedZone]) {
+        let out: FastSet<&str> = listed.iter().map(|listed| listed.zone.as_str()).collect();
+        for (zone, known) in &mut self.zones {
+            known.out = out.contains(zone.as_str());
+        }
+        for listed in listed {
+            self.record_zone(listed, true);
+        }
+    }
+
+    /// Records that a zone was taken out, or back.
+    pub fn record_zone(&mut self, listed: &ListedZone, out: bool) {
+        let known = self.zones.entry(listed.zone.clone()).or_default();
+        known.out = out;
+        if out {
+            known.revisions.add(listed.revision);
+        }
+    }
+
+    /// Returns the zones that are to be treated as taken out after a listing that may be from an
+    /// older copy.
+    pub fn filter_zones(&mut self, listed: &[ListedZone]) -> Vec<ZoneName> {
+        for listed in listed {
+            let known = self.zones.get(&listed.zone);
+            if known.is_none_or(|known| !known.revisions.contains(listed.revision)) {
+                self.record_zone(listed, true);
+            }
+        }
+        let out = self.zones.iter().filter(|(_, known)| known.out);
+        out.map(|(zone, _)| zone.clone()).collect()
+    }
 }
--- a/crates/core/tests/older_copies.rs
+++ b/crates/core/tests/older_copies.rs
@@ -4,6 +4,7 @@
 
 use cuminpick::copy_filter::CopyFilter;
 use cuminpick::copy_filter::ListedServer;
+use cuminpick::copy_filter::ListedZone;
 use cuminpick::routing::ServerRecord;
 use cuminpick::routing::ServerState;
 
@@ -117,3 +118,42 @@
     assert!(believed(&mut filter, 0) && believed(&mut filter, 1));
     assert!(!believed(&mut filter, 19_999) && !believed(&mut filter, 10_000));
 }
+
+fn zone(name: &str, revision: u64) -> ListedZone {
+    ListedZone { zone: name.to_string(), revision }
+}
+
+/// A zone stays out that the copy does not list yet, and one that was taken back stays in
+/// though the copy lists it.
+#[test]
+fn changed_zones() {
+    let mut filter = CopyFilter::default();
+    filter.record_zones(&[zone("back", 5)]);
+    filter.record_zone(&zone("out", 8), true);
+    filter.record_zone(&zone("back", 9), false);
+    assert_eq!(filter.filter_zones(&[zone("back", 5)]), ["out"]);
+    filter.record_zone(&zone("out", 6), false);
+    assert!(filter.filter_zones(&[zone("back", 5)]).is_empty());
+}
+
+/// A zone that was taken out after the return, before it was listed, is out at once; also one
+/// that was out before and is taken out again.
+#[test]
+fn new_zones() {
+    let mut filter = CopyFilter::default();
+    filter.record_zones(&[zone("again", 5)]);
+    filter.record_zones(&[]);
+    let mut out = filter.filter_zones(&[zone("again", 6), zone("first", 7)]);
+    out.sort();
+    assert_eq!(out, ["again", "first"]);
+}
+
+/// After the time to settle the store's listing counts.
+#[test]
+fn settled_zones() {
+    let mut filter = CopyFilter::default();
+    filter.record_zones(&[zone("out", 5)]);
+    assert_eq!(filter.filter_zones(&[]), ["out"]);
+    filter.record_zones(&[]);
+    assert!(filter.filter_zones(&[]).is_empty());
+}
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -12,7 +12,9 @@
 use std::time::Duration;
 
 use cuminpick::copy_filter::ListedServer;
+use cuminpick::copy_filter::ListedZone;
 use cuminpick::crash_detection::ServerIncarnation;
+use cuminpick::ids::ZoneName;
 use cuminpick::routing::ServerRecord;
 use cuminpick::routing::ServerState;
 use cuminpick::store_history::StorePosition;
@@ -208,11 +210,7 @@
             CONFIG_KIND => objects.iter().for_each(|object| self.apply_config(object)),
             CRASH_KIND => objects.iter().for_each(|object| self.apply_crashes(object)),
             SERVER_KIND => self.apply_servers(&objects),
-            _ => {
-                let zones: Vec<String> = objects.into_iter().map(|object| object.name).collect();
-                self.gateway.journal.note("zones-out", None, o!("zones" => zones.join(",")));
-                self.gateway.balance.borrow_mut().replace_zones_out(zones.into_iter());
-            }
+            _ => self.apply_zones(objects),
         }
         self.gateway.listed_kinds.borrow_mut().insert(self.kind);
         self.gateway.capacity_changed.notify_waiters();
@@ -252,6 +250,24 @@
         );
     }
 
+    fn apply_zones(&mut self, objects: Vec<StoreObject>) {
+        let is_settling = self.begin_settling();
+        let listed: Vec<ListedZone> = objects.into_iter().map(listed_zone).collect();
+        let mut filter = self.gateway.copy_filter.borrow_mut();
+        let zones: Vec<ZoneName> = if is_settling {
+            filter.filter_zones(&listed)
+        } else {
+            filter.record_zones(&listed);
+            listed.into_iter().map(|listed| listed.zone).collect()
+        };
+        self.gateway.journal.note(
+            "zones-out",
+            None,
+            o!("zones" => zones.join(","), "settling" => is_settling),
+        );
+        self.gateway.balance.borrow_mut().replace_zones_out(zones.into_iter());
+    }
+
     fn apply_event(&self, event: StoreEvent) {
         let now = self.gateway.now();
         match self.kind {
@@ -287,9 +303,11 @@
                 }
             }
             _ => {
-                let zone = event.object.name;
-                self.gateway.balance.borrow_mut().set_zone_out(&zone, !event.removed);
                 let out = !event.removed;
+                let listed = listed_zone(event.object);
+                self.gateway.copy_filter.borrow_mut().record_zone(&listed, out);
+                let zone = listed.zone;
+                self.gateway.balance.borrow_mut().set_zone_out(&zone, out);
                 self.gateway.journal.note("zone-changed", None, o!("zone" => zone, "out" => out));
             }
         }
@@ -371,6 +389,10 @@
     }
 }
 
+fn listed_zone(object: StoreObject) -> ListedZone {
+    ListedZone { zone: object.name, revision: object.revision }
+}
+
 /// Returns the maximum duration of a watch of a kind.
 fn watch_wait(kind: ObjectKind) -> Duration {
     if kind == CRASH_KIND { CRASH_WATCH_WAIT } else { WATCH_WAIT }
