Write a gateway's own records again that the store has lost

Gateways that start later send crashing requests to servers again, and divide what all gateways share by too few.

Cause: a gateway compared its crashes with those that it had written last, and looked for its registration every 10 s. Class: a record that its writer believes to be stored.

Change: after a return each gateway reads its crash record and writes it again, lists the registrations (not from a stale state) and registers again, within a time that grows with the number of gateways, 200 a second. Gateways known before stay counted for 10 s.

own_records failed before (0 of 3 crashes stored) and passes now.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -332,9 +332,17 @@
             .then_some((slowdown, backend.in_flight + backend.others_in_flight))
     }
 
-    /// Records which other gateways are registered in the store.
-    pub fn set_registered_gateways(&mut self, names: impl Iterator<Item = MemberId>) {
-        self.registered_gateways = names.collect();
+    /// Records which other gateways are registered in the store. With `keeps_known` those that
+    /// were registered before are kept.
+    pub fn set_registered_gateways(
+        &mut self,
+        names: impl Iterator<Item = MemberId>,
+        keeps_known: bool,
+    ) {
+        if !keeps_known {
+            self.registered_gateways.clear();
+        }
+        self.registered_gateways.extend(names);
     }
 
     /// Returns whether a gateway sends updates.
--- a/crates/core/tests/balance_choice.rs
+++ b/crates/core/tests/balance_choice.rs
@@ -214,7 +214,7 @@
     let mut gateways = vec![table(&["a"]); 4];
     for (own, table) in gateways.iter_mut().enumerate() {
         let others = (0..4).filter(|other| *other != own);
-        table.set_registered_gateways(others.map(|other| format!("edge-{other}")));
+        table.set_registered_gateways(others.map(|other| format!("edge-{other}")), false);
         table.update_peer_counts(START, &format!("edge-{}", (own + 1) % 4), Vec::new());
         let cold_remaining = Duration::from_secs(9);
         table.upsert(START, ServerRecord { cold_remaining, ..record("a", "bole") });
--- a/crates/core/tests/repeat_rules.rs
+++ b/crates/core/tests/repeat_rules.rs
@@ -137,7 +137,7 @@
 #[test]
 fn cut_off_gateways() {
     let mut table = BalanceTable::default();
-    table.set_registered_gateways((1..4).map(|other| format!("edge-{other}")));
+    table.set_registered_gateways((1..4).map(|other| format!("edge-{other}")), false);
     let sent = simulate(4, 20, &[], |_, _| table.live_or_registered_gateways());
     assert_within(&sent, Duration::from_secs(40));
 }
--- a/crates/gateway/src/crash_records.rs
+++ b/crates/gateway/src/crash_records.rs
@@ -23,6 +23,7 @@
 use crate::part_tracking::apply_stored_part_crashes;
 use crate::part_tracking::stored_part_crashes;
 use crate::state::Gateway;
+use crate::store_return::rewrite_delay;
 
 /// Delay before a write, so that simultaneous crashes are written together. It is a sixth
 /// of the time within which all gateways have to know of a crash.
@@ -57,9 +58,17 @@
     let store = gateway.store.clone();
     let mut revision = None;
     let mut written = CrashRecord::default();
+    let mut known_returns = 0;
     loop {
         gateway.crash_record_changed.notified().await;
         tokio::time::sleep(WRITE_DELAY).await;
+        let returns = store.eras().status().returns;
+        if returns != known_returns {
+            known_returns = returns;
+            tokio::time::sleep(rewrite_delay(&gateway)).await;
+            written = CrashRecord::default();
+            revision = load_own_record(&gateway, &store).await;
+        }
         loop {
             let record = local_crash_record(&gateway);
             if same_crashes(&record, &written) {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -35,6 +35,8 @@
 use crate::state::Gateway;
 use crate::store_return::apply_era_news;
 use crate::store_return::era_news;
+use crate::store_return::rewrite_delay;
+use crate::store_return::settled_at;
 
 /// Delay after an error of the socket.
 const SOCKET_ERROR_DELAY: Duration = Duration::from_millis(60);
@@ -125,29 +127,55 @@
         tokio::time::sleep(REGISTER_RETRY_DELAY).await;
     }
     let mut silent_since: FastMap<String, Duration> = FastMap::default();
+    let mut mode = ReadMode::Stale;
     loop {
-        match store.list(GATEWAY_KIND, ReadMode::Stale).await {
+        let era = store.eras().era();
+        let mut delay = DISCOVERY_INTERVAL;
+        match store.list(GATEWAY_KIND, mode).await {
             Err(error) => {
                 let detail = error.to_string();
                 gateway.journal.warn("gateways-unknown", o!("error" => detail));
+                if mode == ReadMode::Linearizable {
+                    delay = REGISTER_RETRY_DELAY;
+                }
             }
             Ok(listing) => {
+                mode = ReadMode::Stale;
                 let own_listed = listing.objects.iter().any(|object| object.name == node);
                 let others = listing.objects.into_iter().filter(|object| object.name != node);
                 let others: Vec<StoreObject> = others.collect();
                 apply_registrations(&gateway, &addresses, &others);
                 remove_silent_gateways(&gateway, &store, &addresses, &mut silent_since, others)
                     .await;
-                if !own_listed && let Err(error) = register_once(&store, &node, &record).await {
-                    let detail = error.to_string();
-                    gateway.journal.warn("registration-failed", o!("error" => detail));
+                if !own_listed && !register_again(&gateway, &record).await {
+                    delay = REGISTER_RETRY_DELAY;
                 }
             }
         }
-        tokio::time::sleep(DISCOVERY_INTERVAL).await;
+        if tokio::time::timeout(delay, store.eras().leave(era)).await.is_ok() {
+            // The store may have lost registrations; an older state would not show it.
+            mode = ReadMode::Linearizable;
+            tokio::time::sleep(rewrite_delay(&gateway)).await;
+        }
+    }
+}
+
+/// Writes this gateway's registration again, which the store does not list any more; returns
+/// whether it is there.
+async fn register_again(gateway: &Gateway, record: &GatewayRecord) -> bool {
+    let registered = register_once(&gateway.store, &gateway.settings.node, record).await;
+    match &registered {
+        Ok(()) => gateway.journal.note("registered-again", None, o!()),
+        Err(error) => {
+            let detail = error.to_string();
+            gateway.journal.warn("registration-failed", o!("error" => detail));
+        }
     }
+    registered.is_ok()
 }
 
+/// Applies a listing of the registered gateways. Those known before the store came back stay
+/// known until they had the time to register again.
 fn apply_registrations(gateway: &Gateway, addresses: &PeerAddresses, others: &[StoreObject]) {
     let mut known = addresses.borrow_mut();
     for object in others {
@@ -162,7 +190,8 @@
         }
     }
     let names = others.iter().map(|object| object.name.clone());
-    gateway.balance.borrow_mut().set_registered_gateways(names);
+    let is_settling = settled_at(gateway).is_some_and(|until| gateway.now() < until);
+    gateway.balance.borrow_mut().set_registered_gateways(names, is_settling);
 }
 
 /// Removes the records of gateways that were silent for [`REGISTRATION_TIMEOUT`], such as
--- a/crates/gateway/src/store_return.rs
+++ b/crates/gateway/src/store_return.rs
@@ -24,6 +24,10 @@
 /// Time for which the other gateways are told of a new era.
 const ERA_NEWS_TIME: Duration = Duration::from_secs(10);
 
+/// Rate at which all gateways together write their records again; the smallest store takes 400
+/// writes per second.
+const REWRITES_PER_SECOND: f64 = 200.0;
+
 /// Acts on each change of the era, for as long as the process runs.
 pub async fn follow_era(gateway: Rc<Gateway>) {
     let mut statuses = gateway.store.eras().subscribe();
@@ -55,6 +59,7 @@
             gateway.journal.warn("store-restored", o!("era" => era, "before" => before));
             gateway.balance.borrow_mut().record_store_reconnect(gateway.now());
             gateway.crash_update_due.notify_one();
+            gateway.crash_record_changed.notify_one();
         }
     }
 }
@@ -66,6 +71,13 @@
     (status.returns > 0).then(|| status.known.since + SETTLE_TIME)
 }
 
+/// Returns a random delay before this gateway writes its records again that the store lost,
+/// which all gateways do after a return.
+pub fn rewrite_delay(gateway: &Gateway) -> Duration {
+    let gateways = gateway.balance.borrow().live_or_registered_gateways() as f64;
+    Duration::from_secs_f64(gateways / REWRITES_PER_SECOND * gateway.random_share())
+}
+
 /// Returns the era that the other gateways are told, for some time after it rose.
 pub fn era_news(gateway: &Gateway) -> Option<StoreEra> {
     let status = gateway.store.eras().status();
