Accept a lower configuration version that was written after a return

Cause: the highest version counted, whatever happened to the store. Class: a number that orders changes within one history, used across a return.

Change: config_order keeps for each version the latest era in which the store held it and in which it was written. A lower version counts if it was written in an era in which the store was never seen to hold the higher one. It waits half of the time within which changes must be in force, since an operator may write all lost versions again, the higher one last. A version that only the copy holds is not known to be new and replaces nothing higher. The same number with another content is another configuration.

--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -1,6 +1,8 @@
 //! Identifiers, hash functions, hash maps and the random generator of the workspace.
 
 use std::hash::BuildHasherDefault;
+use std::hash::Hash;
+use std::hash::Hasher;
 
 use rustc_hash::FxHasher;
 use sha2::Digest;
@@ -44,6 +46,13 @@
     hasher.digest()
 }
 
+/// Hashes a value; equal values have equal hashes in all processes of one version.
+pub fn hash_value(value: &impl Hash) -> u64 {
+    let mut hasher = xxhash_rust::xxh3::Xxh3::new();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// Returns the digest of a request by method, path with query, organisation and body.
 ///
 /// The hash is cryptographic, so that no caller can craft a request with the digest of
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -34,7 +34,8 @@
 //!   [`orders`], from what [`rank_views`] knows of the ranks. [`expert_counts`] and [`updates`]
 //!   are messages between processes.
 //! - The platform's store may come back from an older copy: [`store_history`] tells which of its
-//!   answers are outdated, and [`copy_filter`] what the copy must not bring back.
+//!   answers are outdated, [`copy_filter`] which servers and zones the copy must not bring back,
+//!   and [`config_order`] which configuration is the newest.
 //! - [`answer`] checks that the frames of an answer belong together.
 //! - [`refusal`] lists the reasons for which a request is refused.
 //! - [`journal`] merges the logged events of all processes into causal order.
@@ -63,6 +64,7 @@
 pub mod choose;
 pub mod clock;
 pub mod config;
+pub mod config_order;
 pub mod copy_filter;
 pub mod crash_detection;
 pub mod deadlines;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,7 +9,8 @@
 //! - [`state`] holds the state that the tasks share.
 //! - [`listen`] accepts callers' connections, and answers readiness checks.
 //! - [`store_watch`] watches configuration, servers, take-outs and crash records in the store,
-//!   and [`store_return`] notices when the store came back from an older copy.
+//!   and [`store_return`] notices when the store came back from an older copy;
+//!   [`config_updates`] puts the configuration in force.
 //! - [`peers`] exchanges requests in flight and crashes with the other gateways.
 //! - [`serve`] handles a request from its head to its answer, [`attempt`] sends it to a
 //!   server, and [`relay`] forwards a stream.
@@ -25,6 +26,7 @@
 pub mod announcements;
 pub mod answer;
 pub mod attempt;
+pub mod config_updates;
 pub mod crash_records;
 pub mod crash_tracking;
 pub mod daemon;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,6 +11,7 @@
 use cuminpick::balance::BalanceTable;
 use cuminpick::capacity_queue::CapacityQueue;
 use cuminpick::clock::Clock;
+use cuminpick::config_order::ConfigOrder;
 use cuminpick::copy_filter::CopyFilter;
 use cuminpick::crash_detection::CrashDetector;
 use cuminpick::deadlines::DeadlineTracker;
@@ -28,6 +29,8 @@
 use cuminpick::retry::WindowedRetryBudget;
 use cuminpick::routing::RoutingTable;
 use cuminpick::silence::SilenceDetector;
+use cuminpick::store_history::StorePosition;
+use cuminpick::store_history::StoreRevision;
 use cuminpick::updates::LeavingNotice;
 use cuminpick::updates::PermitReply;
 use cuminpick_operators::journal::Journal;
@@ -69,6 +72,8 @@
     pub store: StoreClient,
     /// Configuration in force; `None` until one was received.
     pub routing: RefCell<Option<Rc<RoutingTable>>>,
+    /// Which configuration is in force, and which one waits.
+    pub config_order: RefCell<ConfigOrder>,
     /// Known backend servers with their load.
     pub balance: RefCell<BalanceTable>,
     /// What the store told before it came back from an older copy.
@@ -122,6 +127,8 @@
     pub crash_record_changed: Notify,
     /// Slow engines of the last update as text; a change is logged.
     pub slow_engines: RefCell<Vec<String>>,
+    /// Lowest position that the store stated in its present era.
+    pub lowest_position: Cell<Option<StorePosition>>,
     /// Status of the store's era up to which changes were handled.
     pub handled_era: Cell<EraStatus>,
     /// Notified when another gateway knows of a higher era of the store.
@@ -148,6 +155,22 @@
         self.clock.elapsed()
     }
 
+    /// Records a position that the store stated.
+    pub fn record_position(&self, position: StorePosition) {
+        let lowest = self.lowest_position.get().filter(|lowest| lowest.era == position.era);
+        let revision =
+            lowest.map_or(position.revision, |lowest| lowest.revision.min(position.revision));
+        self.lowest_position.set(Some(StorePosition { revision, ..position }));
+    }
+
+    /// Returns whether a revision was given out after this process first read the store in its
+    /// present era.
+    pub fn is_written_since_return(&self, revision: StoreRevision) -> bool {
+        let era = self.store.eras().era();
+        let lowest = self.lowest_position.get().filter(|lowest| lowest.era == era);
+        lowest.is_some_and(|lowest| revision > lowest.revision)
+    }
+
     /// Returns whether the gateway accepts new connections: it is not leaving, and it knows
     /// servers and may serve.
     pub fn is_ready(&self) -> bool {
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -18,9 +18,7 @@
 use cuminpick::routing::ServerRecord;
 use cuminpick::routing::ServerState;
 use cuminpick::store_history::StorePosition;
-use cuminpick_platform::records::CONFIG_NAME;
 use cuminpick_platform::records::CrashRecord;
-use cuminpick_platform::records::decode_config;
 use cuminpick_platform::records::decode_server;
 use cuminpick_platform::store::CONFIG_KIND;
 use cuminpick_platform::store::CRASH_KIND;
@@ -34,6 +32,7 @@
 use cuminpick_platform::store::StoreObject;
 use slog::o;
 
+use crate::config_updates::apply_config;
 use crate::crash_records::apply_crash_record;
 use crate::crash_records::is_outdated;
 use crate::crash_records::remove_outdated_record;
@@ -128,6 +127,7 @@
                 Ok(listing) => {
                     self.record_success();
                     handle_era_changes(&self.gateway);
+                    self.gateway.record_position(listing.position);
                     self.apply_listing(listing.objects);
                     return listing.position;
                 }
@@ -207,7 +207,7 @@
 
     fn apply_listing(&mut self, objects: Vec<StoreObject>) {
         match self.kind {
-            CONFIG_KIND => objects.iter().for_each(|object| self.apply_config(object)),
+            CONFIG_KIND => objects.iter().for_each(|object| apply_config(&self.gateway, object)),
             CRASH_KIND => objects.iter().for_each(|object| self.apply_crashes(object)),
             SERVER_KIND => self.apply_servers(&objects),
             _ => self.apply_zones(objects),
@@ -273,7 +273,7 @@
         match self.kind {
             CONFIG_KIND | CRASH_KIND if event.removed => {}
             CRASH_KIND => self.apply_crashes(&event.object),
-            CONFIG_KIND => self.apply_config(&event.object),
+            CONFIG_KIND => apply_config(&self.gateway, &event.object),
             SERVER_KIND if event.removed => {
                 let id = event.object.name;
                 if self.gateway.balance.borrow_mut().remove(now, &id) {
@@ -354,39 +354,6 @@
             }
         }
     }
-
-    fn apply_config(&self, object: &StoreObject) {
-        if object.name != CONFIG_NAME {
-            return;
-        }
-        let table = match decode_config(object) {
-            Ok(table) => table,
-            Err(error) => {
-                let detail = error.to_string();
-                self.gateway.journal.warn("config-ignored", o!("error" => detail));
-                return;
-            }
-        };
-        let in_force = self.gateway.routing_table().map_or(0, |table| table.version());
-        if table.version() < in_force {
-            let version = table.version();
-            self.gateway
-                .journal
-                .warn("config-older", o!("version" => version, "in_force" => in_force));
-            return;
-        }
-        self.gateway.journal.note(
-            "config-in-force",
-            None,
-            o!("version" => table.version(), "before" => in_force,
-               "routes" => table.route_count(), "revision" => object.revision),
-        );
-        let now = self.gateway.now();
-        self.gateway.configured_at.set(self.gateway.configured_at.get().or(Some(now)));
-        self.gateway.deadlines.borrow_mut().remove_idle(now);
-        self.gateway.stream_lengths.borrow_mut().retain(|route| table.has_route(route));
-        *self.gateway.routing.borrow_mut() = Some(Rc::new(table));
-    }
 }
 
 fn listed_zone(object: StoreObject) -> ListedZone {
--- a/crates/standins/src/site/nodes.rs
+++ b/crates/standins/src/site/nodes.rs
@@ -20,6 +20,7 @@
 const RULE_BOUNDS: RuleBounds = RuleBounds {
     grace: Duration::from_secs(6),
     drain: Duration::from_secs(2),
+    config_apply: Duration::from_secs(2),
     retry_ratio: 0.2,
     retry_window: Duration::from_secs(10),
     retry_slack: 90.0,
