Ask other gateways what the store's copy lacks before serving

Cause: a process that starts believes what it reads. Class: an older state taken for the present one, here for want of any other knowledge.

Change: once it has a configuration, a gateway that starts asks up to three others, in parallel and for 250 ms at most, whether theirs is newer, and which servers and zones have changed since the copy if the store came back within the last 10 s; one that has not noticed the return yet counts all that it knows as from before it. Gateways also tell each other the version in force (one datagram each 500 ms); one that stays behind for 300 ms fetches the newer one, also while the store turns it away.

The store's era is probed twice as often.

--- a/crates/core/src/config_order.rs
+++ b/crates/core/src/config_order.rs
@@ -5,6 +5,7 @@
 //! holds, and their next version may be lower than one that was lost. It counts if it was
 //! written in an era in which the store was never seen to hold the higher one.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -12,12 +13,15 @@
 
 use crate::routing::ConfigVersion;
 use crate::store_history::StoreEra;
+use crate::store_history::StoreRevision;
 
 /// Share of the time within which a configuration must be in force for which a lower version
 /// waits. An operator who writes all lost versions again may write the higher one next.
 const WAIT_SHARE: f64 = 0.5;
 /// Share of that time after which a lower version waits no longer, though others follow it.
 const MAX_WAIT_SHARE: f64 = 0.75;
+/// Versions that are remembered; those of a few minutes in which changes follow each other.
+const MAX_SEEN_VERSIONS: usize = 256;
 
 /// Identity of a configuration, and what is known of when the store held it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -32,6 +36,23 @@
     pub written_era: StoreEra,
 }
 
+/// A configuration as it was read from the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReadVersion {
+    /// Version that its operator gave it.
+    pub version: ConfigVersion,
+    /// Hash of its content.
+    pub digest: u64,
+    /// Revision of the object that holds it.
+    pub revision: StoreRevision,
+    /// Era in which it was read.
+    pub era: StoreEra,
+    /// Whether it was written after the store was first read in this era.
+    pub is_new: bool,
+    /// Whether the store came back so lately that it may hold an older version.
+    pub is_settling: bool,
+}
+
 /// What becomes of a configuration that was read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConfigDecision {
@@ -58,6 +79,10 @@
     waiting: Option<WaitingConfig>,
     /// Highest version that a lower one has replaced.
     replaced: ConfigVersion,
+    /// First version that was read.
+    first_read: Option<ConfigVersion>,
+    /// Latest versions that were read, with their revisions.
+    seen: VecDeque<(StoreRevision, ConfigVersion)>,
 }
 
 impl ConfigStamp {
@@ -82,6 +107,33 @@
         self.in_force
     }
 
+    /// Returns the stamp of a configuration that was read from the store.
+    ///
+    /// After a return, one that was read before is from the copy. One that was not, but is later
+    /// than the first that this process read, was written since: this process saw all changes
+    /// from then on.
+    pub fn stamp(&mut self, read: &ReadVersion) -> ConfigStamp {
+        let ReadVersion { version, digest, revision, era, .. } = *read;
+        let is_lower = self.in_force.is_some_and(|in_force| version <= in_force.version);
+        let is_later = self.first_read.is_some_and(|first| version > first);
+        let was_seen = self.seen.contains(&(revision, version));
+        let is_written = read.is_new || (read.is_settling && is_lower && is_later && !was_seen);
+        if !was_seen {
+            if self.seen.len() == MAX_SEEN_VERSIONS {
+                self.seen.pop_front();
+            }
+            self.seen.push_back((revision, version));
+        }
+        self.first_read.get_or_insert(version);
+        let is_of_copy = read.is_settling && !is_written;
+        ConfigStamp {
+            version,
+            digest,
+            held_era: if is_of_copy { era.saturating_sub(1) } else { era },
+            written_era: if is_written { era } else { 0 },
+        }
+    }
+
     /// Decides about a configuration that the store holds. `apply_time` is the time within which
     /// a change must be in force.
     pub fn offer(
@@ -116,11 +168,23 @@
     /// Decides about a configuration that is in force at another gateway, which has waited if it
     /// had to.
     pub fn offer_settled(&mut self, offered: ConfigStamp) -> ConfigDecision {
-        match &self.in_force {
-            Some(in_force) if in_force.is_same(&offered) => ConfigDecision::InForce,
-            Some(in_force) if self.is_older(&offered, in_force) => ConfigDecision::Older,
-            _ => self.adopt(offered),
+        if self.would_adopt(&offered) {
+            return self.adopt(offered);
         }
+        match &mut self.in_force {
+            Some(in_force) if in_force.is_same(&offered) => {
+                in_force.written_era = in_force.written_era.max(offered.written_era);
+                ConfigDecision::InForce
+            }
+            _ => ConfigDecision::Older,
+        }
+    }
+
+    /// Returns whether a configuration that is in force at another gateway is newer.
+    pub fn would_adopt(&self, offered: &ConfigStamp) -> bool {
+        self.in_force
+            .as_ref()
+            .is_none_or(|in_force| !in_force.is_same(offered) && !self.is_older(offered, in_force))
     }
 
     /// Returns whether a configuration is older than the one in force. That holds also for one
--- a/crates/core/src/copy_filter.rs
+++ b/crates/core/src/copy_filter.rs
@@ -9,6 +9,9 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::ids::FastMap;
 use crate::ids::FastSet;
 use crate::ids::ServerId;
@@ -22,6 +25,8 @@
 pub const SETTLE_TIME: Duration = Duration::from_secs(10);
 /// Servers that are remembered after they are gone, the oldest out first.
 const MAX_GONE_SERVERS: usize = 16_384;
+/// Servers that leave or are gone of which a process that starts is told.
+const MAX_TOLD_SERVERS: usize = 1_024;
 /// Revisions that are remembered for an object; records change a few times in their life.
 const MAX_REVISIONS: usize = 8;
 
@@ -43,6 +48,39 @@
     pub revision: StoreRevision,
 }
 
+/// A server that leaves or is gone, as processes tell each other.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DepartedServer {
+    /// Id of the server.
+    pub server: ServerId,
+    /// Start time of the incarnation, in milliseconds since the Unix epoch.
+    pub started_ms: u64,
+    /// Whether it is gone, and not only leaving.
+    pub is_gone: bool,
+    /// Revisions at which its record was seen.
+    pub revisions: Vec<StoreRevision>,
+}
+
+/// State of a zone, as processes tell each other.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneState {
+    /// Name of the zone.
+    pub zone: ZoneName,
+    /// Whether it is taken out.
+    pub out: bool,
+    /// Revisions at which it was taken out.
+    pub revisions: Vec<StoreRevision>,
+}
+
+/// What a process that starts has to know to tell what is from an older copy.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct CopyKnowledge {
+    /// Servers that leave or are gone, the latest of them.
+    pub departed: Vec<DepartedServer>,
+    /// Zones that are, or were, taken out.
+    pub zones: Vec<ZoneState>,
+}
+
 /// Latest revisions at which an object was seen.
 #[derive(Debug, Clone, Default)]
 struct SeenRevisions(VecDeque<StoreRevision>);
@@ -61,6 +99,14 @@
     fn contains(&self, revision: StoreRevision) -> bool {
         self.0.contains(&revision)
     }
+
+    fn add_all(&mut self, revisions: &[StoreRevision]) {
+        revisions.iter().for_each(|revision| self.add(*revision));
+    }
+
+    fn to_vec(&self) -> Vec<StoreRevision> {
+        self.0.iter().copied().collect()
+    }
 }
 
 #[derive(Debug, Clone)]
@@ -189,4 +235,57 @@
         let out = self.zones.iter().filter(|(_, known)| known.out);
         out.map(|(zone, _)| zone.clone()).collect()
     }
+
+    /// Returns what a process that starts has to know.
+    pub fn knowledge(&self) -> CopyKnowledge {
+        let leaving = self
+            .servers
+            .iter()
+            .filter(|(_, known)| known.state == ServerState::Draining && !known.is_gone);
+        let latest_gone = self.gone.iter().rev().filter_map(|id| {
+            let known = self.servers.get(id).filter(|known| known.is_gone)?;
+            Some((id, known))
+        });
+        let departed = leaving.chain(latest_gone).take(MAX_TOLD_SERVERS);
+        let departed = departed.map(|(id, known)| DepartedServer {
+            server: id.clone(),
+            started_ms: known.started_ms,
+            is_gone: known.is_gone,
+            revisions: known.revisions.to_vec(),
+        });
+        let zones = self.zones.iter().map(|(zone, known)| ZoneState {
+            zone: zone.clone(),
+            out: known.out,
+            revisions: known.revisions.to_vec(),
+        });
+        CopyKnowledge { departed: departed.collect(), zones: zones.collect() }
+    }
+
+    /// Learns from another process what has changed since the copy.
+    pub fn learn(&mut self, knowledge: &CopyKnowledge) {
+        for departed in &knowledge.departed {
+            let known = self.servers.get(&departed.server);
+            if known.is_some_and(|known| known.started_ms > departed.started_ms) {
+                continue;
+            }
+            let mut revisions = SeenRevisions::default();
+            revisions.add_all(&departed.revisions);
+            let known = KnownServer {
+                started_ms: departed.started_ms,
+                state: ServerState::Draining,
+                cold_until: Duration::ZERO,
+                is_gone: false,
+                revisions,
+            };
+            self.servers.insert(departed.server.clone(), known);
+            if departed.is_gone {
+                self.record_gone(&departed.server);
+            }
+        }
+        for state in &knowledge.zones {
+            let known = self.zones.entry(state.zone.clone()).or_default();
+            known.out = state.out;
+            known.revisions.add_all(&state.revisions);
+        }
+    }
 }
--- a/crates/core/src/updates.rs
+++ b/crates/core/src/updates.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::config_order::ConfigStamp;
 use crate::ids::MemberId;
 use crate::ids::PartDigest;
 use crate::ids::RequestDigest;
@@ -186,4 +187,6 @@
     Leaving(Vec<LeavingNotice>),
     /// Era of the platform's store, from another gateway that learned it lately.
     StoreEra(StoreEra),
+    /// Configuration in force at another gateway.
+    Config(ConfigStamp),
 }
--- a/crates/core/tests/config_versions.rs
+++ b/crates/core/tests/config_versions.rs
@@ -6,6 +6,7 @@
 use cuminpick::config_order::ConfigDecision;
 use cuminpick::config_order::ConfigOrder;
 use cuminpick::config_order::ConfigStamp;
+use cuminpick::config_order::ReadVersion;
 
 const START: Duration = Duration::from_secs(100);
 const APPLY_TIME: Duration = Duration::from_secs(2);
@@ -136,3 +137,50 @@
     offer(&mut order, START, written(9, 1));
     assert_eq!(offer(&mut order, START, listed(12, 1)), ConfigDecision::Adopt);
 }
+
+/// Reads a version from the store; returns its stamp and the decision about it.
+fn read(
+    order: &mut ConfigOrder,
+    version: u64,
+    revision: u64,
+    era: u64,
+    is_settling: bool,
+) -> (ConfigStamp, ConfigDecision) {
+    let read = ReadVersion { version, digest: version, revision, era, is_new: false, is_settling };
+    let stamp = order.stamp(&read);
+    (stamp, offer(order, START, stamp))
+}
+
+/// A lower version that was written before a gateway noticed the return is told from those of
+/// the copy: the gateway has not seen it before.
+#[test]
+fn unnoticed_return() {
+    let mut order = ConfigOrder::default();
+    for (version, revision) in [(3, 30), (5, 37), (12, 39)] {
+        assert_eq!(read(&mut order, version, revision, 1, false).1, ConfigDecision::Adopt);
+    }
+    assert_eq!(read(&mut order, 5, 37, 2, true).1, ConfigDecision::Older);
+    let (stamp, decision) = read(&mut order, 6, 38, 2, true);
+    assert_eq!(stamp, written(6, 2));
+    assert!(matches!(decision, ConfigDecision::Wait(_)));
+}
+
+/// A version from before the first that this process read may be from the copy, and does not
+/// replace a higher one.
+#[test]
+fn earlier_versions() {
+    let mut order = ConfigOrder::default();
+    read(&mut order, 9, 37, 1, false);
+    read(&mut order, 12, 39, 1, false);
+    assert_eq!(read(&mut order, 5, 20, 2, true).1, ConfigDecision::Older);
+}
+
+/// A higher version that only the copy shows is taken, but not for one of the present era.
+#[test]
+fn higher_copy() {
+    let mut order = ConfigOrder::default();
+    read(&mut order, 9, 37, 1, false);
+    let (stamp, decision) = read(&mut order, 12, 38, 2, true);
+    assert_eq!((stamp, decision), (listed(12, 1), ConfigDecision::Adopt));
+    assert!(matches!(offer(&mut order, START, written(10, 2)), ConfigDecision::Wait(_)));
+}
--- a/crates/core/tests/older_copies.rs
+++ b/crates/core/tests/older_copies.rs
@@ -157,3 +157,30 @@
     filter.record_zones(&[]);
     assert!(filter.filter_zones(&[]).is_empty());
 }
+
+/// A process that starts after the return learns from another one what the copy must not bring
+/// back, though it has read the copy already.
+#[test]
+fn told_knowledge() {
+    let mut earlier = CopyFilter::default();
+    for id in ["leaving", "gone", "ready"] {
+        earlier.record_server(START, &listed(id, 1, 5));
+    }
+    earlier.record_server(START, &draining(listed("leaving", 1, 8)));
+    earlier.record_gone("gone");
+    earlier.record_zones(&[zone("back", 4)]);
+    earlier.record_zones(&[zone("out", 9)]);
+    let copy = ["leaving", "gone", "ready"].map(|id| listed(id, 1, 5)).to_vec();
+    let mut started = CopyFilter::default();
+    copy.iter().for_each(|server| started.record_server(START, server));
+    started.record_zones(&[zone("back", 4)]);
+    started.learn(&earlier.knowledge());
+    let believed = started.filter_servers(START, copy);
+    let states: Vec<(&str, ServerState)> =
+        believed.iter().map(|record| (record.id.as_str(), record.state)).collect();
+    assert_eq!(states, [("leaving", ServerState::Draining), ("ready", ServerState::Ready)]);
+    assert_eq!(started.filter_zones(&[zone("back", 4)]), ["out"]);
+    started.record_server(START, &listed("gone", 2, 11));
+    started.learn(&earlier.knowledge());
+    assert_eq!(started.filter_servers(START, vec![listed("gone", 2, 11)]).len(), 1);
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,7 +11,8 @@
 //! - [`store_watch`] watches configuration, servers, take-outs and crash records in the store,
 //!   and [`store_return`] notices when the store came back from an older copy;
 //!   [`config_updates`] puts the configuration in force.
-//! - [`peers`] exchanges requests in flight and crashes with the other gateways.
+//! - [`peers`] exchanges requests in flight and crashes with the other gateways, and
+//!   [`peer_views`] hands on what they know of the store.
 //! - [`serve`] handles a request from its head to its answer, [`attempt`] sends it to a
 //!   server, and [`relay`] forwards a stream.
 //! - [`crash_tracking`] detects servers that crash while they run a request, and shares the
@@ -34,6 +35,7 @@
 pub mod gate;
 pub mod listen;
 pub mod part_tracking;
+pub mod peer_views;
 pub mod peers;
 pub mod permits;
 pub mod relay;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -26,8 +26,12 @@
 use crate::announcements::apply_leaving_notices;
 use crate::crash_tracking::apply_crash_update;
 use crate::crash_tracking::take_crash_update;
+use crate::listen::bind_listener;
 use crate::part_tracking::apply_part_update;
 use crate::part_tracking::take_part_update;
+use crate::peer_views::fetch_newer_config;
+use crate::peer_views::inherit_views;
+use crate::peer_views::serve_views;
 use crate::permits::accept_reply;
 use crate::permits::apply_limit_notices;
 use crate::permits::reply_to_request;
@@ -92,11 +96,13 @@
     }
 }
 
-/// Starts the tasks that exchange updates with the other gateways. Fails if the socket
-/// cannot be bound.
+/// Starts the tasks that exchange updates with the other gateways. Fails if a socket cannot be
+/// bound.
 pub async fn start_peer_exchange(gateway: &Rc<Gateway>) -> std::io::Result<()> {
     let address = SocketAddr::new(gateway.settings.ip, gateway.settings.first_internal_port);
     let socket = Rc::new(UdpSocket::bind(address).await?);
+    let listener = bind_listener(address)?;
+    tokio::task::spawn_local(serve_views(Rc::clone(gateway), listener));
     let addresses: PeerAddresses = Rc::default();
     let links = PeerLinks { socket: Rc::clone(&socket), addresses: Rc::clone(&addresses) };
     *gateway.peer_links.borrow_mut() = Some(links);
@@ -127,6 +133,7 @@
         tokio::time::sleep(REGISTER_RETRY_DELAY).await;
     }
     let mut silent_since: FastMap<String, Duration> = FastMap::default();
+    let mut is_first = true;
     let mut mode = ReadMode::Stale;
     loop {
         let era = store.eras().era();
@@ -145,6 +152,10 @@
                 let others = listing.objects.into_iter().filter(|object| object.name != node);
                 let others: Vec<StoreObject> = others.collect();
                 apply_registrations(&gateway, &addresses, &others);
+                if std::mem::take(&mut is_first) {
+                    let peers = addresses.borrow().values().copied().collect();
+                    tokio::task::spawn_local(inherit_views(Rc::clone(&gateway), peers));
+                }
                 remove_silent_gateways(&gateway, &store, &addresses, &mut silent_since, others)
                     .await;
                 if !own_listed && !register_again(&gateway, &record).await {
@@ -290,6 +301,10 @@
                 gateway.metrics.count_control("leaving-news", "in", length);
                 apply_leaving_notices(&gateway, notices);
             }
+            UpdateMessage::Config(stamp) => {
+                gateway.metrics.count_control("config-news", "in", length);
+                fetch_newer_config(&gateway, sender, stamp);
+            }
             UpdateMessage::StoreEra(era) => {
                 gateway.metrics.count_control("store-era", "in", length);
                 apply_era_news(&gateway, era);
@@ -376,6 +391,9 @@
         if !leaving.is_empty() {
             messages.push(("leaving-news", UpdateMessage::Leaving(leaving)));
         }
+        if let Some(stamp) = gateway.config_order.borrow().in_force() {
+            messages.push(("config-news", UpdateMessage::Config(stamp)));
+        }
         if let Some(era) = era_news(&gateway) {
             messages.push(("store-era", UpdateMessage::StoreEra(era)));
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -42,6 +42,7 @@
 use cuminpick_platform::store::SERVER_KIND;
 use cuminpick_platform::store::StoreClient;
 use cuminpick_platform::store_era::EraStatus;
+use serde_json::Value;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
@@ -74,6 +75,20 @@
     pub routing: RefCell<Option<Rc<RoutingTable>>>,
     /// Which configuration is in force, and which one waits.
     pub config_order: RefCell<ConfigOrder>,
+    /// Content of the configuration in force, for gateways that ask for it.
+    pub config_content: RefCell<Option<Rc<Value>>>,
+    /// Whether a newer configuration is being fetched from another gateway.
+    pub is_fetching_config: Cell<bool>,
+    /// Whether other gateways were asked what they know beyond what the store holds.
+    pub views_inherited: Cell<bool>,
+    /// Until when the store's listings may be from an older copy, as other gateways said when
+    /// this one started.
+    pub inherited_settling: Cell<Option<Duration>>,
+    /// Number of times that servers and zones had to be listed again for what other gateways
+    /// said; notified when it changes.
+    pub relists: Cell<u64>,
+    /// Notified when servers and zones have to be listed again.
+    pub relist_due: Notify,
     /// Known backend servers with their load.
     pub balance: RefCell<BalanceTable>,
     /// What the store told before it came back from an older copy.
@@ -181,13 +196,25 @@
 
     /// Returns the configuration by which requests are served. There is none until the store
     /// has told what must not get requests: zones that are out, and parts and requests that
-    /// crash servers. If only that cannot be listed, it is waited for [`MAX_LISTING_WAIT`].
+    /// crash servers; and other gateways what has changed since, if the store holds an older
+    /// copy. If only that cannot be learned, it is waited for [`MAX_LISTING_WAIT`].
     pub fn serving_table(&self) -> Option<Rc<RoutingTable>> {
         let waited = self.now().saturating_sub(self.configured_at.get()?);
-        let is_complete = self.has_listed(EVACUATION_KIND) && self.has_listed(CRASH_KIND);
+        let kinds = [EVACUATION_KIND, CRASH_KIND, SERVER_KIND];
+        let is_complete =
+            self.views_inherited.get() && kinds.iter().all(|kind| self.has_listed(kind));
         (is_complete || waited >= MAX_LISTING_WAIT).then(|| self.routing_table()).flatten()
     }
 
+    /// Has servers and zones listed again before requests are served.
+    pub fn relist_servers(&self) {
+        self.listed_kinds
+            .borrow_mut()
+            .retain(|kind| ![SERVER_KIND, EVACUATION_KIND].contains(kind));
+        self.relists.set(self.relists.get() + 1);
+        self.relist_due.notify_waiters();
+    }
+
     fn has_listed(&self, kind: ObjectKind) -> bool {
         self.listed_kinds.borrow().contains(kind)
     }
--- a/crates/gateway/src/store_return.rs
+++ b/crates/gateway/src/store_return.rs
@@ -16,10 +16,10 @@
 
 use crate::state::Gateway;
 
-/// Interval at which any of the gateways reads its record; each does so as many times more
+/// Mean interval at which any of the gateways reads its record; each does so as many times more
 /// seldom as there are gateways.
-const PROBE_INTERVAL: Duration = Duration::from_millis(500);
-/// Maximum interval at which each gateway reads its record.
+const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+/// Maximum mean interval at which each gateway reads its record.
 const MAX_PROBE_INTERVAL: Duration = Duration::from_secs(5);
 /// Time for which the other gateways are told of a new era.
 const ERA_NEWS_TIME: Duration = Duration::from_secs(10);
@@ -65,10 +65,11 @@
 }
 
 /// Returns until when what was known before the store came back stands against what it lists;
-/// `None` if the store has not come back since the process started.
+/// `None` if it did not, as far as this gateway and those that it asked know.
 pub fn settled_at(gateway: &Gateway) -> Option<Duration> {
     let status = gateway.store.eras().status();
-    (status.returns > 0).then(|| status.known.since + SETTLE_TIME)
+    let noticed = (status.returns > 0).then(|| status.known.since + SETTLE_TIME);
+    noticed.max(gateway.inherited_settling.get())
 }
 
 /// Returns a random delay before this gateway writes its records again that the store lost,
@@ -85,21 +86,23 @@
     is_new.then_some(status.known.era)
 }
 
-/// Has the era checked if another gateway knows of a higher one. Only answers of the store
-/// change what is known.
-pub fn apply_era_news(gateway: &Gateway, era: StoreEra) {
+/// Has the era checked if another gateway knows of a higher one, and returns whether it does.
+/// Only answers of the store change what is known.
+pub fn apply_era_news(gateway: &Gateway, era: StoreEra) -> bool {
     let known = gateway.store.eras().era();
-    if known != 0 && era > known {
+    let missed_return = known != 0 && era > known;
+    if missed_return {
         gateway.era_check_due.notify_one();
     }
+    missed_return
 }
 
-/// Reads this gateway's record at intervals, and when another gateway knows of a higher era.
+/// Reads this gateway's record at random intervals, and when another gateway knows of a higher era.
 pub async fn probe_era(gateway: Rc<Gateway>) {
     loop {
         let gateways = gateway.balance.borrow().live_gateways() as u32;
         let interval = (PROBE_INTERVAL * gateways).min(MAX_PROBE_INTERVAL);
-        let delay = interval.mul_f64(0.5 + gateway.random_share());
+        let delay = interval.mul_f64(2.0 * gateway.random_share());
         let check_due = gateway.era_check_due.notified();
         let mode = match tokio::time::timeout(delay, check_due).await {
             Ok(()) => ReadMode::Linearizable,
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -76,6 +76,7 @@
             kind,
             failures: 0,
             relist_at: None,
+            relists: 0,
         };
         tokio::task::spawn_local(watcher.run());
     }
@@ -90,6 +91,8 @@
     failures: u32,
     /// When the last listing, which passed through the filter, has to be replaced by a new one.
     relist_at: Option<Duration>,
+    /// Number of relists that other gateways had caused before the last listing.
+    relists: u64,
 }
 
 impl KindWatcher {
@@ -120,9 +123,19 @@
         Duration::from_secs_f64(all_calls / RELIST_CALLS_PER_SECOND * self.gateway.random_share())
     }
 
+    /// Returns whether what other gateways say may require another listing.
+    fn is_relisted(&self) -> bool {
+        [SERVER_KIND, EVACUATION_KIND].contains(&self.kind)
+    }
+
+    fn is_relist_due(&self) -> bool {
+        self.is_relisted() && self.relists != self.gateway.relists.get()
+    }
+
     /// Lists the objects until a call succeeds; returns the position of the listing.
     async fn list(&mut self) -> StorePosition {
         loop {
+            self.relists = self.gateway.relists.get();
             match self.store.list(self.kind, ReadMode::Linearizable).await {
                 Ok(listing) => {
                     self.record_success();
@@ -145,7 +158,15 @@
         }
         let until_relist = self.relist_at.map_or(Duration::MAX, |relist_at| relist_at - now);
         let wait = watch_wait(self.kind).min(until_relist);
-        match self.store.watch(self.kind, position, wait).await {
+        let relist_due = self.gateway.relist_due.notified();
+        if self.is_relist_due() {
+            return None;
+        }
+        let changes = tokio::select! {
+            changes = self.store.watch(self.kind, position, wait) => changes,
+            () = relist_due, if self.is_relisted() => return None,
+        };
+        match changes {
             Ok(changes) => {
                 self.record_success();
                 let changed = !changes.events.is_empty();
@@ -220,8 +241,7 @@
     /// over.
     fn begin_settling(&mut self) -> bool {
         let now = self.gateway.now();
-        let was_listed = self.gateway.listed_kinds.borrow().contains(self.kind);
-        self.relist_at = settled_at(&self.gateway).filter(|until| was_listed && now < *until);
+        self.relist_at = settled_at(&self.gateway).filter(|until| now < *until);
         self.relist_at.is_some()
     }
 
@@ -232,10 +252,14 @@
         let listed: Vec<ListedServer> = listed.collect();
         let mut filter = self.gateway.copy_filter.borrow_mut();
         let listed_count = listed.len();
+        for server in &listed {
+            if !is_settling || self.gateway.is_written_since_return(server.revision) {
+                filter.record_server(now, server);
+            }
+        }
         let records: Vec<ServerRecord> = if is_settling {
             filter.filter_servers(now, listed)
         } else {
-            listed.iter().for_each(|server| filter.record_server(now, server));
             listed.into_iter().map(|server| server.record).collect()
         };
         let filtered = listed_count - records.len();
