Keep operators' changes of the own interface across returns of the store

What operators would see: a class target or a zone's state that was accepted is gone after the store came back from an older copy; the next accepted change gets a version below the lost one and is ignored by all processes for good; a change made while the store came back is confirmed though it replaced another.

Change: from the first return on, objects are written with the store's era, and an object's version is made of era and revision (plain revisions before that, so that nothing changes where the store never came back). After a return nothing that is missing counts as removed; an entry that reads the store writes again what it knows at a higher version, conditionally, and removes what was removed.

--- a/crates/cli/tests/config_commands.rs
+++ b/crates/cli/tests/config_commands.rs
@@ -71,7 +71,7 @@
         let matching = objects
             .values()
             .filter(|object| object.key.starts_with(prefix) && object.version > after);
-        Ok(ObjectChanges { revision: 0, objects: matching.cloned().collect() })
+        Ok(ObjectChanges { objects: matching.cloned().collect(), ..ObjectChanges::default() })
     }
 
     fn put(&self, key: &str, value: &str, condition: WriteCondition) -> Result<u64, PlatformError> {
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -229,6 +229,19 @@
         objects
     }
 
+    /// Returns the changes that a store has lost: objects that it lists with a lower version, or
+    /// lacks, and removals of objects that it lists again.
+    pub fn lost_objects(&self, listed: &[ConfigObject]) -> Vec<ConfigObject> {
+        let listed: FastMap<&str, ObjectVersion> =
+            listed.iter().map(|object| (object.key.as_str(), object.version)).collect();
+        let known = self.records.values().map(|record| &record.object);
+        let lost = known.filter(|object| match listed.get(object.key.as_str()) {
+            Some(version) => *version < object.version,
+            None => object.value.is_some(),
+        });
+        lost.cloned().collect()
+    }
+
     fn is_in_service(&self, key: &str) -> bool {
         let value = self.records.get(key).and_then(|record| record.value.as_ref());
         !matches!(value, Some(ConfigValue::State(ServiceState::Out)))
--- a/crates/core/src/election.rs
+++ b/crates/core/src/election.rs
@@ -14,6 +14,7 @@
 use crate::orders::LeaderTerm;
 use crate::store_history::StoreEra;
 use crate::store_history::StoreRevision;
+use crate::store_history::lasting_number;
 
 /// Silence after which a leader is replaced; several beacon intervals.
 pub const LEADER_TIMEOUT: Duration = Duration::from_millis(450);
@@ -22,8 +23,6 @@
 /// Store calls that a new leader makes before its first message: it lists the engines and
 /// the gateways, and its claim has to be answered.
 const CALLS_BEFORE_MESSAGE: u32 = 3;
-/// Bits of a term below the era; 400 writes per second use up as many revisions in 87 years.
-const ERA_SHIFT: u32 = 40;
 /// Highest era that terms tell apart; with it, fences still fit 63 bits.
 const MAX_TERM_ERA: StoreEra = 2_047;
 /// Factor by which the next term exceeds the known ones further after each refused one.
@@ -100,7 +99,7 @@
         known_term: LeaderTerm,
     ) -> LeaderTerm {
         let (stored_term, revision) = existing.map_or((0, 0), |claim| (claim.term, claim.revision));
-        let era_term = (era.min(MAX_TERM_ERA) << ERA_SHIFT) + revision;
+        let era_term = lasting_number(era.min(MAX_TERM_ERA), revision);
         let step = REFUSED_STEP_FACTOR.saturating_pow(self.refusals(now));
         stored_term.max(known_term).max(era_term).saturating_add(step)
     }
--- a/crates/core/src/store_history.rs
+++ b/crates/core/src/store_history.rs
@@ -16,6 +16,21 @@
 /// bounds how often a store that states several eras by turns is taken for restored.
 const MIN_ERA_TIME: Duration = Duration::from_secs(2);
 
+/// Bits of a lasting number below the era; 400 writes per second use up as many revisions in 87
+/// years.
+const ERA_SHIFT: u32 = 40;
+
+/// Returns a number that is higher for later changes, also if the store came back between them
+/// and gave their revisions out again.
+pub fn lasting_number(era: StoreEra, revision: StoreRevision) -> u64 {
+    (era << ERA_SHIFT) + revision
+}
+
+/// Returns the revision of a lasting number.
+pub fn revision_of(number: u64) -> StoreRevision {
+    number & ((1 << ERA_SHIFT) - 1)
+}
+
 /// Point in the store's history up to which a process knows it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StorePosition {
--- a/crates/core/tests/config_merge.rs
+++ b/crates/core/tests/config_merge.rs
@@ -108,3 +108,25 @@
         },
     );
 }
+
+/// What a store has lost, compared with a table: changes, new objects and removals.
+#[test]
+fn lost_objects() {
+    let mut table = ConfigTable::default();
+    for (key, version) in [("zones/same", 1), ("zones/changed", 5), ("zones/new", 6)] {
+        table.merge(state_object(key, version, "out")).unwrap();
+    }
+    let removal = |key: &str| ConfigObject { key: key.to_string(), version: 7, value: None };
+    table.merge(removal("zones/removed")).unwrap();
+    table.merge(removal("zones/long-gone")).unwrap();
+    let listed = ["zones/same", "zones/changed", "zones/removed"].map(|key| {
+        let version = if key == "zones/removed" { 2 } else { 1 };
+        state_object(key, version, "in")
+    });
+    let mut lost: Vec<String> =
+        table.lost_objects(&listed).into_iter().map(|object| object.key).collect();
+    lost.sort();
+    assert_eq!(lost, ["zones/changed", "zones/new", "zones/removed"]);
+    let later = [state_object("zones/changed", 9, "in")];
+    assert!(table.lost_objects(&later).iter().all(|object| object.key != "zones/changed"));
+}
--- a/crates/entry/src/decide.rs
+++ b/crates/entry/src/decide.rs
@@ -188,6 +188,11 @@
         self.lock().core.ready()
     }
 
+    /// Returns the configuration objects that the platform, which holds `listed`, has lost.
+    pub fn lost_objects(&self, listed: &[ConfigObject]) -> Vec<ConfigObject> {
+        self.lock().core.config().lost_objects(listed)
+    }
+
     /// Returns the current role of this entry in reading the platform.
     pub fn watch_role(&self) -> WatchRole {
         self.lock().watch_role()
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -13,6 +13,7 @@
 use cuminpick_objects::ObjectStore;
 use cuminpick_objects::PlatformError;
 use cuminpick_objects::listed_record;
+use cuminpick_objects::reconcile::apply_change;
 use cuminpick_operators::journal::Journal;
 use slog::o;
 
@@ -33,12 +34,15 @@
 /// Reads the platform's object API and passes changes to the state machine.
 ///
 /// An entry reads while it is a watcher of its zone or has no configuration, and at least once
-/// after its start; otherwise it relies on gossip.
+/// after its start; otherwise it relies on gossip. After the store came back from an older copy
+/// it writes the operators' changes again that the store has lost.
 pub struct PlatformWatcher {
     store: Arc<dyn ObjectStore>,
     decider: Decider,
     journal: Journal,
     revision: ObjectVersion,
+    /// Changes that the store has lost, and that were not written again yet.
+    lost: Vec<ConfigObject>,
     vms_read_at: Option<Instant>,
     retry_delay: Duration,
 }
@@ -55,6 +59,7 @@
             decider,
             journal,
             revision: 0,
+            lost: Vec::new(),
             vms_read_at: None,
             retry_delay: MIN_RETRY_DELAY,
         };
@@ -84,18 +89,41 @@
             let records = vms.into_iter().map(listed_record).collect();
             self.decider.handle_event(EntryEvent::Listed(records));
         }
-        let wait = if configured { WATCH_TIMEOUT } else { Duration::ZERO };
+        self.restore_lost();
+        let is_waiting = !configured || !self.lost.is_empty();
+        let wait = if is_waiting { Duration::ZERO } else { WATCH_TIMEOUT };
         let changes = self.store.changes(CONFIG_PREFIX, self.revision, wait)?;
         self.revision = changes.revision;
+        let restored = changes.restored;
         let objects = config_objects(changes);
+        if restored {
+            self.lost = self.decider.lost_objects(&objects);
+            let details = o!("lost" => self.lost.len(), "listed" => objects.len());
+            self.journal.warn("store-restored", details);
+        } else if objects.is_empty() && is_waiting {
+            thread::sleep(ROLE_CHECK_INTERVAL);
+        }
         if !objects.is_empty() {
             self.decider.handle_event(EntryEvent::Configured(objects));
-        } else if !configured {
-            thread::sleep(ROLE_CHECK_INTERVAL);
         }
         Ok(())
     }
 
+    /// Writes lost changes again. Those whose objects were changed meanwhile are left to that
+    /// change; others that fail are tried again.
+    fn restore_lost(&mut self) {
+        for object in std::mem::take(&mut self.lost) {
+            let written = restore_object(&*self.store, &object);
+            let detail = written.as_ref().err().map(ToString::to_string).unwrap_or_default();
+            let (key, version) = (object.key.clone(), object.version);
+            let details = o!("key" => key, "version" => version, "error" => detail);
+            self.journal.note("object-restored", None, details);
+            if matches!(&written, Err(error) if !matches!(error, PlatformError::Conflict(_))) {
+                self.lost.push(object);
+            }
+        }
+    }
+
     fn wait_after_error(&mut self, error: &PlatformError) {
         let details =
             o!("error" => error.to_string(), "pause_ms" => self.retry_delay.as_millis() as u64);
@@ -105,6 +133,16 @@
     }
 }
 
+/// Writes a change again, unless the store holds a later one.
+fn restore_object(store: &dyn ObjectStore, object: &ConfigObject) -> Result<(), PlatformError> {
+    let key = format!("{CONFIG_PREFIX}{}", object.key);
+    let current = store.get(&key)?;
+    if current.as_ref().is_some_and(|current| current.version >= object.version) {
+        return Ok(());
+    }
+    apply_change(store, &key, current.as_ref(), object.value.as_deref()).map(|_| ())
+}
+
 fn config_objects(changes: ObjectChanges) -> Vec<ConfigObject> {
     changes
         .objects
--- a/crates/objects/src/lib.rs
+++ b/crates/objects/src/lib.rs
@@ -64,6 +64,10 @@
     pub revision: ObjectVersion,
     /// Changed objects, oldest change first.
     pub objects: Vec<StoredObject>,
+    /// Whether the platform came back from an older copy since the last call; `objects` are then
+    /// all that it holds, and what is missing may be lost.
+    #[serde(default)]
+    pub restored: bool,
 }
 
 /// State of a VM in the platform's list, which lags behind.
--- a/crates/objects/src/store.rs
+++ b/crates/objects/src/store.rs
@@ -3,6 +3,9 @@
 //! Objects with keys under [`CONFIG_PREFIX`] are kept as one kind of our own, and each VM
 //! registers as an object of another. The store keeps no tombstones: a watch reports a removal
 //! as an event, and after a listing removals are derived from the names that are missing.
+//!
+//! The store may come back from an older copy and give revisions out again. From then on objects
+//! are written with the store's era, and an object's version is made of both.
 
 use std::collections::BTreeSet;
 use std::future::Future;
@@ -12,7 +15,10 @@
 use std::time::Duration;
 
 use cuminpick::ids::ObjectVersion;
+use cuminpick::store_history::StoreEra;
 use cuminpick::store_history::StorePosition;
+use cuminpick::store_history::lasting_number;
+use cuminpick::store_history::revision_of;
 use cuminpick_platform::call::CallError;
 use cuminpick_platform::store::OWN_CONFIG_KIND;
 use cuminpick_platform::store::ReadMode;
@@ -23,7 +29,10 @@
 use cuminpick_platform::store::StoreObject;
 use cuminpick_platform::store::VM_KIND;
 use cuminpick_platform::store_era::EraTracker;
+use serde::Deserialize;
+use serde::Serialize;
 use serde_json::Value;
+use serde_json::json;
 
 use crate::CONFIG_PREFIX;
 use crate::ObjectChanges;
@@ -42,12 +51,33 @@
 const OUTAGE_STATUS: u16 = 503;
 /// HTTP status of a write to an object that does not exist.
 const GONE_STATUS: u16 = 404;
+/// Era from which on objects are written with it; the store has come back once by then.
+const FIRST_STAMPED_ERA: StoreEra = 2;
 
 /// Blocking client of the platform's metadata store.
 pub struct PlatformStore {
     client: StoreClient,
-    /// Names of the objects that existed at the last listing or watch, to detect removals.
-    known_names: Mutex<BTreeSet<String>>,
+    /// What the last listing or watch showed.
+    seen: Mutex<SeenState>,
+}
+
+/// What a client saw of the store.
+#[derive(Default)]
+struct SeenState {
+    /// Names of the objects that existed, to detect removals.
+    names: BTreeSet<String>,
+    /// Position from which the next watch continues.
+    position: Option<StorePosition>,
+    /// Number of the store's returns that were reported to the caller.
+    reported_returns: u64,
+}
+
+/// Content of an object that was written after the store came back.
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct StampedContent {
+    value: String,
+    era: StoreEra,
 }
 
 impl PlatformStore {
@@ -61,16 +91,34 @@
             ))
         })?;
         let client = StoreClient::new(address, EraTracker::default());
-        Ok(PlatformStore { client, known_names: Mutex::default() })
+        Ok(PlatformStore { client, seen: Mutex::default() })
+    }
+
+    fn lock_seen(&self) -> std::sync::MutexGuard<'_, SeenState> {
+        self.seen.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the era with which objects are written, 0 for none. Reads an object first if no
+    /// call has been answered yet.
+    fn writing_era(&self, name: &str) -> Result<StoreEra, PlatformError> {
+        if self.client.eras().era() == 0 {
+            self.current_version(name)?;
+        }
+        Ok(stamped_era(self.client.eras().era()))
     }
 
-    fn lock_known_names(&self) -> std::sync::MutexGuard<'_, BTreeSet<String>> {
-        self.known_names.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Returns the result of a write, unless the store came back while it was made: then it may be
+    /// lost, or have replaced another change.
+    fn confirm_write<T>(&self, returns: u64, written: T) -> Result<T, PlatformError> {
+        if self.client.eras().status().returns == returns {
+            return Ok(written);
+        }
+        Err(PlatformError::Ambiguous(StoreError::Restored.to_string()))
     }
 
     fn current_version(&self, name: &str) -> Result<ObjectVersion, PlatformError> {
         let object = block_on(self.client.get(OWN_CONFIG_KIND, name, ReadMode::Linearizable))?;
-        Ok(object.map_err(convert_read_error)?.map_or(0, |object| object.revision))
+        Ok(object.map_err(convert_read_error)?.map_or(0, |object| stored_object(&object).version))
     }
 
     fn convert_write_error(&self, name: &str, error: StoreError) -> PlatformError {
@@ -91,34 +139,43 @@
     fn changes_from_listing(&self, prefix: &str, listing: StoreListing) -> ObjectChanges {
         let names: BTreeSet<String> =
             listing.objects.iter().map(|object| object.name.clone()).collect();
-        let mut known_names = self.lock_known_names();
-        let removed =
-            known_names.difference(&names).map(|name| tombstone(name, listing.position.revision));
-        let mut objects: Vec<StoredObject> = removed.collect();
-        *known_names = names;
-        drop(known_names);
+        let returns = self.client.eras().status().returns;
+        let mut seen = self.lock_seen();
+        let restored = returns != seen.reported_returns;
+        let mut objects: Vec<StoredObject> = Vec::new();
+        if restored {
+            seen.names.extend(names);
+        } else {
+            let removed = seen.names.difference(&names);
+            objects.extend(removed.map(|name| tombstone(name, listing.position)));
+            seen.names = names;
+        }
+        seen.reported_returns = returns;
+        seen.position = Some(listing.position);
+        drop(seen);
         objects.extend(listing.objects.iter().map(stored_object));
         objects.retain(|object| object.key.starts_with(prefix));
         objects.sort_by_key(|object| object.version);
-        ObjectChanges { revision: listing.position.revision, objects }
+        ObjectChanges { revision: listing.position.revision, objects, restored }
     }
 
     fn changes_from_watch(&self, prefix: &str, changes: StoreChanges) -> ObjectChanges {
-        let mut known_names = self.lock_known_names();
+        let mut seen = self.lock_seen();
         let mut objects: Vec<StoredObject> = Vec::new();
         for event in changes.events {
             let name = &event.object.name;
             objects.retain(|object| object.key != object_key(name));
             if event.removed {
-                known_names.remove(name);
-                objects.push(tombstone(name, changes.position.revision));
+                seen.names.remove(name);
+                objects.push(tombstone(name, changes.position));
             } else {
-                known_names.insert(name.clone());
+                seen.names.insert(name.clone());
                 objects.push(stored_object(&event.object));
             }
         }
+        seen.position = Some(changes.position);
         objects.retain(|object| object.key.starts_with(prefix));
-        ObjectChanges { revision: changes.position.revision, objects }
+        ObjectChanges { revision: changes.position.revision, objects, restored: false }
     }
 }
 
@@ -136,7 +193,9 @@
         wait: Duration,
     ) -> Result<ObjectChanges, PlatformError> {
         if after > 0 {
-            let position = StorePosition { era: self.client.eras().era(), revision: after };
+            let position = self.lock_seen().position.filter(|seen| seen.revision == after);
+            let era = self.client.eras().era();
+            let position = position.unwrap_or(StorePosition { era, revision: after });
             match block_on(self.client.watch(OWN_CONFIG_KIND, position, wait))? {
                 Ok(changes) => return Ok(self.changes_from_watch(prefix, changes)),
                 Err(StoreError::HistoryGone) => {}
@@ -154,23 +213,28 @@
         condition: WriteCondition,
     ) -> Result<ObjectVersion, PlatformError> {
         let name = object_name(key)?;
-        let content = Value::String(value.to_string());
+        let content = encode_content(value, self.writing_era(name)?);
+        let returns = self.client.eras().status().returns;
         let written = match condition {
             WriteCondition::Absent => block_on(self.client.create(OWN_CONFIG_KIND, name, content))?,
             WriteCondition::Version(version) => {
-                block_on(self.client.replace(OWN_CONFIG_KIND, name, version, content))?
+                let revision = revision_of(version);
+                block_on(self.client.replace(OWN_CONFIG_KIND, name, revision, content))?
             }
         };
         let object = written.map_err(|error| self.convert_write_error(name, error))?;
-        Ok(object.revision)
+        self.confirm_write(returns, stored_object(&object).version)
     }
 
     fn delete(&self, key: &str, version: ObjectVersion) -> Result<ObjectVersion, PlatformError> {
         let name = object_name(key)?;
-        let removed = block_on(self.client.remove(OWN_CONFIG_KIND, name, Some(version)))?;
+        let era = self.writing_era(name)?;
+        let returns = self.client.eras().status().returns;
+        let revision = revision_of(version);
+        let removed = block_on(self.client.remove(OWN_CONFIG_KIND, name, Some(revision)))?;
         removed.map_err(|error| self.convert_write_error(name, error))?;
         // The store does not return the revision of a removal; it is later than `version`.
-        Ok(version + 1)
+        self.confirm_write(returns, lasting_number(era, revision).max(version) + 1)
     }
 
     fn vms(&self) -> Result<Vec<VmEntry>, PlatformError> {
@@ -204,19 +268,36 @@
     format!("{CONFIG_PREFIX}{name}")
 }
 
+/// Returns the era with which an object is written in an era, 0 for none.
+fn stamped_era(era: StoreEra) -> StoreEra {
+    if era >= FIRST_STAMPED_ERA { era } else { 0 }
+}
+
+fn encode_content(value: &str, era: StoreEra) -> Value {
+    if era == 0 {
+        return Value::String(value.to_string());
+    }
+    json!(StampedContent { value: value.to_string(), era })
+}
+
 /// Converts an object of the store.
 ///
-/// Content that is not a string was written by another program; its JSON text becomes the
+/// Content in neither of our forms was written by another program; its JSON text becomes the
 /// value, which the reader then reports as invalid.
 fn stored_object(object: &StoreObject) -> StoredObject {
-    let value = match &object.content {
-        Value::String(text) => text.clone(),
-        other => other.to_string(),
+    let (value, era) = match &object.content {
+        Value::String(text) => (text.clone(), 0),
+        other => match StampedContent::deserialize(other) {
+            Ok(stamped) => (stamped.value, stamped.era),
+            Err(_) => (other.to_string(), 0),
+        },
     };
-    StoredObject { key: object_key(&object.name), version: object.revision, value: Some(value) }
+    let version = lasting_number(era, object.revision);
+    StoredObject { key: object_key(&object.name), version, value: Some(value) }
 }
 
-fn tombstone(name: &str, version: ObjectVersion) -> StoredObject {
+fn tombstone(name: &str, position: StorePosition) -> StoredObject {
+    let version = lasting_number(stamped_era(position.era), position.revision);
     StoredObject { key: object_key(name), version, value: None }
 }
 
@@ -227,6 +308,7 @@
             PlatformError::Unreachable("out of service".to_string())
         }
         StoreError::NoAnswer(error) => PlatformError::Unreachable(error.to_string()),
+        StoreError::Restored => PlatformError::Unreachable(StoreError::Restored.to_string()),
         other => PlatformError::Unreadable(other.to_string()),
     }
 }
--- a/crates/objects/tests/store_objects.rs
+++ b/crates/objects/tests/store_objects.rs
@@ -3,6 +3,7 @@
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::time::Duration;
+use std::time::Instant;
 
 use cuminpick_objects::ObjectStore;
 use cuminpick_objects::PlatformError;
@@ -15,6 +16,7 @@
 use cuminpick_platform::store::VM_KIND;
 use cuminpick_standins::site::store::SiteStore;
 use cuminpick_standins::site::store::StoreMode;
+use cuminpick_standins::site::store::StoreReturn;
 use serde_json::json;
 use tokio::runtime::Runtime;
 
@@ -22,8 +24,9 @@
 const KEY: &str = "config/classes/drafting";
 
 struct TestBench {
-    _runtime: Runtime,
+    runtime: Runtime,
     site: SiteStore,
+    url: String,
     objects: PlatformStore,
 }
 
@@ -31,8 +34,9 @@
     let runtime =
         tokio::runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build().unwrap();
     let (site, address) = runtime.block_on(SiteStore::start(LOCAL_IP)).unwrap();
-    let objects = PlatformStore::new(&format!("http://{address}")).unwrap();
-    TestBench { _runtime: runtime, site, objects }
+    let url = format!("http://{address}");
+    let objects = PlatformStore::new(&url).unwrap();
+    TestBench { runtime, site, url, objects }
 }
 
 fn read_changes(objects: &PlatformStore, after: u64) -> (u64, Vec<StoredObject>) {
@@ -40,6 +44,17 @@
     (changes.revision, changes.objects)
 }
 
+/// Brings the store back from a copy that was made at `copied`.
+fn restore(bench: &TestBench, copied: Instant) {
+    let how = StoreReturn {
+        copy_age: copied.elapsed(),
+        rewritten_within: Duration::ZERO,
+        keeps_watches: false,
+        seed: 1,
+    };
+    bench.runtime.block_on(async { bench.site.restore(how) });
+}
+
 #[test]
 fn written_and_read() {
     let bench = start_bench();
@@ -147,3 +162,61 @@
     let error = PlatformStore::new("no address").err().unwrap();
     assert!(error.to_string().contains("no address"), "{error}");
 }
+
+/// Guards against a version that is lower than one of a lost change: the store gives revisions
+/// out again after it came back.
+#[test]
+fn rising_versions() {
+    let bench = start_bench();
+    let first = bench.objects.put(KEY, "one", WriteCondition::Absent).unwrap();
+    let copied = Instant::now();
+    std::thread::sleep(Duration::from_millis(20));
+    let lost = bench.objects.put(KEY, "two", WriteCondition::Version(first)).unwrap();
+    restore(&bench, copied);
+    let seen = bench.objects.get(KEY).unwrap().unwrap();
+    assert_eq!((seen.value.as_deref(), seen.version), (Some("one"), first));
+    let written = bench.objects.put(KEY, "three", WriteCondition::Version(first)).unwrap();
+    assert!(written > lost, "{written} after {lost}");
+    let read = bench.objects.get(KEY).unwrap().unwrap();
+    assert_eq!((read.value.as_deref(), read.version), (Some("three"), written));
+    let again = bench.objects.put(KEY, "four", WriteCondition::Version(written)).unwrap();
+    assert!(again > written);
+    assert!(bench.objects.delete(KEY, again).unwrap() > again);
+}
+
+/// Guards against a watch that misses changes, and against objects that are taken for removed
+/// since the copy lacks them.
+#[test]
+fn returned_store() {
+    let bench = start_bench();
+    bench.objects.put(KEY, "one", WriteCondition::Absent).unwrap();
+    let copied = Instant::now();
+    std::thread::sleep(Duration::from_millis(20));
+    bench.objects.put("config/zones/a", "lost", WriteCondition::Absent).unwrap();
+    let (revision, _) = read_changes(&bench.objects, 0);
+    restore(&bench, copied);
+    let operator = PlatformStore::new(&bench.url).unwrap();
+    operator.put("config/zones/b", "new", WriteCondition::Absent).unwrap();
+    let changes = bench.objects.changes("config/", revision, Duration::ZERO).unwrap();
+    assert!(changes.restored);
+    let keys: Vec<&str> = changes.objects.iter().map(|object| object.key.as_str()).collect();
+    assert_eq!(keys, [KEY, "config/zones/b"]);
+    assert!(changes.objects.iter().all(|object| object.value.is_some()));
+    let changes = bench.objects.changes("config/", changes.revision, Duration::ZERO).unwrap();
+    assert!(!changes.restored && changes.objects.is_empty());
+}
+
+/// A write during which the store came back is not confirmed: its condition may have matched
+/// another change.
+#[test]
+fn unconfirmed_write() {
+    let bench = start_bench();
+    let copied = Instant::now();
+    std::thread::sleep(Duration::from_millis(20));
+    let version = bench.objects.put(KEY, "mine", WriteCondition::Absent).unwrap();
+    restore(&bench, copied);
+    let other = PlatformStore::new(&bench.url).unwrap();
+    assert_eq!(other.put(KEY, "other", WriteCondition::Absent).unwrap() & 0xffff, version & 0xffff);
+    let written = bench.objects.put(KEY, "next", WriteCondition::Version(version));
+    assert!(matches!(written, Err(PlatformError::Ambiguous(_))), "{written:?}");
+}
