Have the store come back from older copies in the soak

The soak's configurations add routes, which callers use 6 s after each was written; the store comes back every 1 to 7 s from a copy that is 0.1 to 8 s old, apart from the other faults, so that the seeds' sequences of these stay as they were.

--- a/crates/gateway/tests/fault_soak.rs
+++ b/crates/gateway/tests/fault_soak.rs
@@ -15,6 +15,8 @@
 
 use bytes::Bytes;
 use cuminpick::ids::ChoiceRng;
+use cuminpick::routing::RepeatRule;
+use cuminpick::routing::RouteRule;
 use cuminpick_platform::call::ClientConnection;
 use cuminpick_platform::platform_side::CallerHead;
 use cuminpick_platform::platform_side::encode_caller;
@@ -24,7 +26,9 @@
 use cuminpick_standins::site::engine::LedgerEntry;
 use cuminpick_standins::site::engine::SiteEngine;
 use cuminpick_standins::site::proxy::ProxyMode;
+use cuminpick_standins::site::store::SiteStore;
 use cuminpick_standins::site::store::StoreMode;
+use cuminpick_standins::site::store::StoreReturn;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::Method;
@@ -33,6 +37,7 @@
 use support::HOST;
 use support::KEY;
 use support::Site;
+use support::route;
 use support::routes;
 
 /// Seeds that run unless the variable is set. Each seed that ever failed is added with its
@@ -57,6 +62,9 @@
 const MAX_LATE_RUNS: usize = 3;
 /// Prompt part that sound requests share with those that crash servers.
 const COMMON_PART: &str = "c0";
+/// Time after which a route that a configuration added has to be known everywhere, also while
+/// faults last; the longest of them takes two seconds.
+const ROUTE_TIME: Duration = Duration::from_secs(6);
 /// Time for which a server states a limit; longer than most other faults.
 const LIMIT_TIME: Duration = Duration::from_secs(5);
 
@@ -149,12 +157,31 @@
     }
 }
 
+/// Versions of the configuration and when each was written; each adds a route.
+type WrittenVersions = Arc<Mutex<Vec<(u64, Instant)>>>;
+
+/// Returns the usual routes and those that the versions have added.
+fn added_routes(versions: &[(u64, Instant)]) -> Vec<RouteRule> {
+    let added = versions
+        .iter()
+        .map(|(version, _)| route(&format!("v{version}"), "booking", RepeatRule::Idempotent));
+    routes().into_iter().chain(added).collect()
+}
+
+/// Returns the latest version whose route has to be known everywhere.
+fn known_version(versions: &WrittenVersions) -> Option<u64> {
+    let versions = versions.lock().unwrap();
+    let known = versions.iter().rev().find(|(_, written)| written.elapsed() > ROUTE_TIME);
+    known.map(|(version, _)| *version)
+}
+
 /// Sends ordinary requests until `until`.
 async fn send_ordinary(
     number: usize,
     seed: u64,
     addresses: Arc<Mutex<Vec<std::net::SocketAddr>>>,
     until: Instant,
+    versions: WrittenVersions,
     seen: Arc<Mutex<Vec<ObservedAnswer>>>,
 ) {
     let mut rng = ChoiceRng::new(seed * 1_000 + number as u64);
@@ -165,7 +192,10 @@
         let path = match rng.below(4) {
             0 => format!("/book/{number}-{count}"),
             1 => "/look/same".to_string(),
-            2 => format!("/look/{number}-{count}"),
+            2 => match known_version(&versions) {
+                Some(version) => format!("/v{version}/{number}-{count}"),
+                None => format!("/look/{number}-{count}"),
+            },
             _ => format!("/draft/{number}-{count}/stream/{}", 1 + rng.below(40)),
         };
         let attempt = format!("c{number}-{count}");
@@ -214,9 +244,28 @@
     }
 }
 
+/// Has the store come back from older copies until `until`, while other faults last.
+async fn return_store(store: SiteStore, seed: u64, until: Instant) {
+    let mut rng = ChoiceRng::new(seed * 4_001);
+    loop {
+        tokio::time::sleep(Duration::from_millis(1_000 + rng.below(6_000) as u64)).await;
+        if Instant::now() >= until {
+            return;
+        }
+        let how = StoreReturn {
+            copy_age: Duration::from_millis(100 + rng.below(8_000) as u64),
+            rewritten_within: Duration::from_millis(rng.below(1_500) as u64),
+            keeps_watches: rng.below(2) == 0,
+            seed: rng.next_bits(),
+        };
+        eprintln!("seed {seed}: the store came back: {how:?}");
+        store.restore(how);
+    }
+}
+
 /// Injects one fault and returns its description. Faults of servers' answers and of proxies
 /// overlap with the following faults.
-async fn inject_fault(site: &mut Site, rng: &mut ChoiceRng, version: &mut u64) -> String {
+async fn inject_fault(site: &mut Site, rng: &mut ChoiceRng, versions: &WrittenVersions) -> String {
     let gateway = rng.below(GATEWAYS);
     let duration = Duration::from_millis(100 + rng.below(1_500) as u64);
     match rng.below(15) {
@@ -261,8 +310,11 @@
             "the store dropped its history".to_string()
         }
         7 => {
-            *version += 1 + rng.below(3) as u64;
-            site.configure(*version, &routes());
+            let mut versions = versions.lock().unwrap();
+            let last = versions.last().map_or(1, |(version, _)| *version);
+            let version = last + 1 + rng.below(3) as u64;
+            versions.push((version, Instant::now()));
+            site.configure(version, &added_routes(&versions));
             format!("configuration version {version}")
         }
         8 => {
@@ -386,8 +438,10 @@
     let addresses = Arc::new(Mutex::new(addresses));
     let seen: Arc<Mutex<Vec<ObservedAnswer>>> = Arc::default();
     let until = Instant::now() + FAULT_TIME;
+    let versions: WrittenVersions = Arc::default();
     let callers = (0..CALLERS).map(|number| {
-        tokio::spawn(send_ordinary(number, seed, Arc::clone(&addresses), until, Arc::clone(&seen)))
+        let (addresses, seen) = (Arc::clone(&addresses), Arc::clone(&seen));
+        tokio::spawn(send_ordinary(number, seed, addresses, until, Arc::clone(&versions), seen))
     });
     let mut tasks: Vec<_> = callers.collect();
     let crashing: Vec<String> = (0..CRASHERS)
@@ -409,13 +463,13 @@
         Arc::clone(&addresses),
         until + RECOVERY_TIME,
     )));
+    tasks.push(tokio::spawn(return_store(site.store.clone(), seed, until)));
     let mut rng = ChoiceRng::new(seed);
-    let mut version = 1;
     let mut injected = Vec::new();
     while Instant::now() < until {
         tokio::time::sleep(Duration::from_millis(rng.below(500) as u64)).await;
         let elapsed = FAULT_TIME.saturating_sub(until.saturating_duration_since(Instant::now()));
-        let fault = inject_fault(&mut site, &mut rng, &mut version).await;
+        let fault = inject_fault(&mut site, &mut rng, &versions).await;
         injected.push(format!("{:.2} s: {fault}", elapsed.as_secs_f64()));
     }
     for server in site.engines.iter().chain(&site.bookings) {
@@ -449,7 +503,9 @@
         if answer.status != Some(StatusCode::OK) {
             problems.push(format!("not served after the faults: with parts {answer:?}"));
         }
-        for path in ["/book/after", "/look/after", "/draft/stream/2"] {
+        let last = versions.lock().unwrap().last().map(|(version, _)| *version);
+        let added = last.map_or("/look/added".to_string(), |version| format!("/v{version}/x"));
+        for path in ["/book/after", "/look/after", "/draft/stream/2", &added] {
             let answer =
                 site.call_at(number % GATEWAYS, path, &format!("after-{number}"), Some(KEY)).await;
             if answer.status != Some(StatusCode::OK) {
