Spread the calls after a return by the store's own rates

The rates at which gateways list and write again after a return were constants; at 350 gateways and 4,800 servers all calls together came to more than the 2,000 reads and 400 writes per second that such a store serves (worked out, not played).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -35,7 +35,8 @@
 //!   are messages between processes.
 //! - The platform's store may come back from an older copy: [`store_history`] tells which of its
 //!   answers are outdated, [`copy_filter`] which servers and zones the copy must not bring back,
-//!   and [`config_order`] which configuration is the newest.
+//!   and [`config_order`] which configuration is the newest; [`return_load`] spreads the calls that
+//!   follow.
 //! - [`answer`] checks that the frames of an answer belong together.
 //! - [`refusal`] lists the reasons for which a request is refused.
 //! - [`journal`] merges the logged events of all processes into causal order.
@@ -96,6 +97,7 @@
 mod request;
 pub mod request_limits;
 pub mod retry;
+pub mod return_load;
 pub mod routing;
 pub mod settings;
 pub mod share;
--- a/crates/gateway/src/crash_records.rs
+++ b/crates/gateway/src/crash_records.rs
@@ -8,6 +8,7 @@
 use cuminpick::ids::ServerId;
 use cuminpick::quarantine::CRASH_RETENTION;
 use cuminpick::quarantine::CrashReport;
+use cuminpick::return_load::ReturnCalls;
 use cuminpick::store_history::StoreRevision;
 use cuminpick_platform::records::CrashRecord;
 use cuminpick_platform::records::StoredCrash;
@@ -23,7 +24,7 @@
 use crate::part_tracking::apply_stored_part_crashes;
 use crate::part_tracking::stored_part_crashes;
 use crate::state::Gateway;
-use crate::store_return::rewrite_delay;
+use crate::store_return::delay_after_return;
 
 /// Delay before a write, so that simultaneous crashes are written together. It is a sixth
 /// of the time within which all gateways have to know of a crash.
@@ -65,7 +66,7 @@
         let returns = store.eras().status().returns;
         if returns != known_returns {
             known_returns = returns;
-            tokio::time::sleep(rewrite_delay(&gateway)).await;
+            tokio::time::sleep(delay_after_return(&gateway, ReturnCalls::OwnRecords)).await;
             written = CrashRecord::default();
             revision = load_own_record(&gateway, &store).await;
         }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use cuminpick::ids::FastMap;
+use cuminpick::return_load::ReturnCalls;
 use cuminpick::updates::GatewayUpdate;
 use cuminpick::updates::GroupUpdate;
 use cuminpick::updates::UpdateMessage;
@@ -38,8 +39,8 @@
 use crate::permits::take_limit_notices;
 use crate::state::Gateway;
 use crate::store_return::apply_era_news;
+use crate::store_return::delay_after_return;
 use crate::store_return::era_news;
-use crate::store_return::rewrite_delay;
 use crate::store_return::settled_at;
 
 /// Delay after an error of the socket.
@@ -166,7 +167,7 @@
         if tokio::time::timeout(delay, store.eras().leave(era)).await.is_ok() {
             // The store may have lost registrations; an older state would not show it.
             mode = ReadMode::Linearizable;
-            tokio::time::sleep(rewrite_delay(&gateway)).await;
+            tokio::time::sleep(delay_after_return(&gateway, ReturnCalls::OwnRecords)).await;
         }
     }
 }
--- a/crates/gateway/src/store_return.rs
+++ b/crates/gateway/src/store_return.rs
@@ -7,6 +7,8 @@
 use std::time::Duration;
 
 use cuminpick::copy_filter::SETTLE_TIME;
+use cuminpick::return_load::ReturnCalls;
+use cuminpick::return_load::return_delay;
 use cuminpick::store_history::StoreEra;
 use cuminpick_platform::store::GATEWAY_KIND;
 use cuminpick_platform::store::ReadMode;
@@ -24,10 +26,6 @@
 /// Time for which the other gateways are told of a new era.
 const ERA_NEWS_TIME: Duration = Duration::from_secs(10);
 
-/// Rate at which all gateways together write their records again; the smallest store takes 400
-/// writes per second.
-const REWRITES_PER_SECOND: f64 = 200.0;
-
 /// Acts on each change of the era, for as long as the process runs.
 pub async fn follow_era(gateway: Rc<Gateway>) {
     let mut statuses = gateway.store.eras().subscribe();
@@ -72,11 +70,10 @@
     noticed.max(gateway.inherited_settling.get())
 }
 
-/// Returns a random delay before this gateway writes its records again that the store lost,
-/// which all gateways do after a return.
-pub fn rewrite_delay(gateway: &Gateway) -> Duration {
-    let gateways = gateway.balance.borrow().live_or_registered_gateways() as f64;
-    Duration::from_secs_f64(gateways / REWRITES_PER_SECOND * gateway.random_share())
+/// Returns a random delay before this gateway makes calls that all gateways make after a return.
+pub fn delay_after_return(gateway: &Gateway, calls: ReturnCalls) -> Duration {
+    let gateways = gateway.balance.borrow().live_or_registered_gateways();
+    return_delay(calls, gateways, gateway.settings.store_rates, gateway.random_share())
 }
 
 /// Returns the era that the other gateways are told, for some time after it rose.
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -15,6 +15,7 @@
 use cuminpick::copy_filter::ListedZone;
 use cuminpick::crash_detection::ServerIncarnation;
 use cuminpick::ids::ZoneName;
+use cuminpick::return_load::ReturnCalls;
 use cuminpick::routing::ServerRecord;
 use cuminpick::routing::ServerState;
 use cuminpick::store_history::StorePosition;
@@ -39,6 +40,7 @@
 use crate::crash_tracking::record_registration;
 use crate::gate::record_new_server;
 use crate::state::Gateway;
+use crate::store_return::delay_after_return;
 use crate::store_return::handle_era_changes;
 use crate::store_return::settled_at;
 
@@ -61,12 +63,6 @@
 /// store is back.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
 
-/// Number of objects that the store returns at once, at most.
-const PAGE_OBJECTS: usize = 500;
-/// Calls per second by which all gateways together list kinds again after the store came back;
-/// the smallest store serves 2,000 reads per second.
-const RELIST_CALLS_PER_SECOND: f64 = 1_000.0;
-
 /// Starts to watch all kinds of objects that a gateway needs.
 pub fn start_store_watches(gateway: &Rc<Gateway>) {
     for kind in [CONFIG_KIND, SERVER_KIND, EVACUATION_KIND, CRASH_KIND] {
@@ -109,18 +105,15 @@
         }
     }
 
-    /// Returns a random delay before a kind is listed again after the store came back, which all
-    /// gateways do at about the same time. What decides soonest about requests, and takes one
-    /// call, is listed at once.
+    /// Returns a random delay before the kind is listed again after the store came back.
     fn relist_delay(&self) -> Duration {
-        let balance = self.gateway.balance.borrow();
         let calls = match self.kind {
-            SERVER_KIND => balance.len().div_ceil(PAGE_OBJECTS).max(1),
-            CRASH_KIND => 1,
-            _ => 0,
+            SERVER_KIND => ReturnCalls::Servers(self.gateway.balance.borrow().len()),
+            EVACUATION_KIND => ReturnCalls::Zones,
+            CRASH_KIND => ReturnCalls::Crashes,
+            _ => ReturnCalls::Configuration,
         };
-        let all_calls = (calls * balance.live_gateways()) as f64;
-        Duration::from_secs_f64(all_calls / RELIST_CALLS_PER_SECOND * self.gateway.random_share())
+        delay_after_return(&self.gateway, calls)
     }
 
     /// Returns whether what other gateways say may require another listing.
--- a/crates/standins/src/site/nodes.rs
+++ b/crates/standins/src/site/nodes.rs
@@ -12,6 +12,7 @@
 
 use cuminpick::ids::FastMap;
 use cuminpick::ids::ServiceName;
+use cuminpick::return_load::StoreRates;
 use cuminpick_platform::platform_side::encode_settings;
 use cuminpick_platform::settings::NodeSettings;
 use cuminpick_platform::settings::RuleBounds;
@@ -26,6 +27,8 @@
     retry_slack: 90.0,
     stall: Duration::from_millis(1_500),
 };
+/// Rate limits of the store, as in the first site files.
+const STORE_RATES: StoreRates = StoreRates { reads: 2_000.0, writes: 400.0 };
 /// Interval at which engines renew their records, as in the site files.
 const RECORD_INTERVAL: Duration = Duration::from_millis(1_200);
 /// Bandwidth of the network link of a gateway's VM, as in the site files.
@@ -86,6 +89,7 @@
         local_engine: None,
         local_service: None,
         store,
+        store_rates: STORE_RATES,
         bounds: RULE_BOUNDS,
         record_interval: RECORD_INTERVAL,
         link_bits_per_second: ENGINE_LINK_BITS_PER_SECOND,
