Claim again at once where the stored claim is one's own

That process took it for a claim of somebody who may lead, and waited for its own beacons: up to 0.9 s without a leader. A stored claim by one's own VM, while one does not lead, is replaced at once whichever process of it made it.

leader_election (former_leader) and group_switch (7 tests) pass; the case itself was read, not played.

--- a/crates/core/src/election.rs
+++ b/crates/core/src/election.rs
@@ -37,7 +37,8 @@
     pub term: LeaderTerm,
     /// Revision of the object that holds it.
     pub revision: StoreRevision,
-    /// Whether an earlier process on this VM made it, and so no longer leads.
+    /// Whether this VM made it and no longer leads by it: an earlier process did, or this one
+    /// without learning that it was written.
     pub is_own_earlier: bool,
 }
 
--- a/crates/rank-agent/src/elect.rs
+++ b/crates/rank-agent/src/elect.rs
@@ -160,9 +160,7 @@
     KnownClaim {
         term: record.as_ref().map_or(object.revision, |claim| claim.term),
         revision: object.revision,
-        is_own_earlier: record.is_ok_and(|claim| {
-            claim.holder == agent.settings.node && claim.incarnation != agent.incarnation
-        }),
+        is_own_earlier: record.is_ok_and(|claim| claim.holder == agent.settings.node),
     }
 }
 
