Ask eight gateways at a start, and wait little once one has answered

When more than half of the gateways are killed at once, the three that one asked had often started with it and knew nothing (0.2 of the starts where 60 in 100 are killed; worked out). Eight are asked; after the first answer the others have 30 ms, so that dark ones do not delay a start by 250 ms. restored_store and whole_path pass.

--- a/crates/gateway/src/peer_views.rs
+++ b/crates/gateway/src/peer_views.rs
@@ -35,6 +35,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 
 use crate::config_updates::adopt_from_peer;
 use crate::state::Gateway;
@@ -43,11 +44,13 @@
 
 /// Path of the call between gateways.
 const VIEW_PATH: &str = "/cuminpick/store-view";
-/// Number of gateways that a starting one asks.
-const ASKED_GATEWAYS: usize = 3;
+/// Number of gateways that a starting one asks; some may have started just now themselves.
+const ASKED_GATEWAYS: usize = 8;
 /// Time after which a gateway that starts no longer waits for answers; a usual one takes a few
 /// milliseconds.
 const VIEW_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time for which it waits for further answers after the first one.
+const FURTHER_ANSWERS_TIME: Duration = Duration::from_millis(30);
 /// Delay before a newer configuration of another gateway is fetched; the store tells all
 /// gateways of a change at about the same time.
 const FETCH_DELAY: Duration = Duration::from_millis(300);
@@ -61,8 +64,9 @@
 const QUESTION_TIMEOUT: Duration = Duration::from_secs(2);
 /// Pause after an error of `accept`, such as too many open files.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
-/// Interval at which a gateway that starts checks whether it has a configuration.
-const START_POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Interval at which a gateway that starts checks, without being woken, whether it has a
+/// configuration.
+const START_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Question of a gateway.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
@@ -201,7 +205,8 @@
 /// store holds. From then on the gateway may serve.
 pub async fn inherit_views(gateway: Rc<Gateway>, mut peers: Vec<SocketAddr>) {
     while gateway.configured_at.get().is_none() {
-        tokio::time::sleep(START_POLL_INTERVAL).await;
+        let changed = gateway.capacity_changed.notified();
+        let _ = tokio::time::timeout(START_POLL_INTERVAL, changed).await;
     }
     let started = gateway.now();
     while peers.len() > ASKED_GATEWAYS {
@@ -215,23 +220,24 @@
     }
     let mut answers = 0;
     let asked = asking.len();
-    let answering = async {
-        while let Some(Ok((peer, answer))) = asking.join_next().await {
-            match answer {
-                Ok(view) => {
-                    answers += 1;
-                    apply_view(&gateway, peer, view);
-                }
-                Err(error) => log_unanswered(&gateway, peer, &error),
+    let mut deadline = Instant::now() + VIEW_TIMEOUT;
+    while let Ok(Some(Ok((peer, answer)))) =
+        tokio::time::timeout_at(deadline, asking.join_next()).await
+    {
+        match answer {
+            Ok(view) => {
+                answers += 1;
+                deadline = deadline.min(Instant::now() + FURTHER_ANSWERS_TIME);
+                apply_view(&gateway, peer, view);
             }
+            Err(error) => log_unanswered(&gateway, peer, &error),
         }
-    };
-    let is_complete = tokio::time::timeout(VIEW_TIMEOUT, answering).await.is_ok();
+    }
     gateway.views_inherited.set(true);
     gateway.journal.note(
         "views-inherited",
         None,
-        o!("asked" => asked, "answers" => answers, "complete" => is_complete,
+        o!("asked" => asked, "answers" => answers, "left" => asking.len(),
            "after_ms" => (gateway.now() - started).as_millis() as u64),
     );
 }
