Wait until the entry knows all changes before the store loses them

The log shows why: the entry reported versions 3 and 4 in force and then the return of the store, but no version 5, so it had not read the removal yet when the store lost it, and nobody could write it again. The test waited for two objects with a value, which also holds before the first change is read.

--- a/crates/entry/tests/lost_changes.rs
+++ b/crates/entry/tests/lost_changes.rs
@@ -79,8 +79,13 @@
     operator.put(ZONE_A, OUT, WriteCondition::Version(first)).unwrap();
     operator.put(ZONE_B, OUT, WriteCondition::Absent).unwrap();
     operator.delete(ZONE_C, removed).unwrap();
-    // Three changes and the object that is not removed.
-    wait_until(|| decider.lost_objects(&[]).len() == 2);
+    // The entry has to know all three changes: the store loses the only other copy.
+    wait_until(|| {
+        let mut known: Vec<String> =
+            decider.lost_objects(&[]).into_iter().map(|object| object.key).collect();
+        known.sort();
+        known == ["zones/a", "zones/b"]
+    });
     let how = StoreReturn {
         copy_age: copied.elapsed(),
         rewritten_within: Duration::ZERO,
