--- a/crates/core/tests/leaving_servers.rs
+++ b/crates/core/tests/leaving_servers.rs
@@ -12,6 +12,7 @@
 use cuminpick::routing::ServerState;
 
 const START: Duration = Duration::from_secs(100);
+const MILLISECOND: Duration = Duration::from_millis(1);
 
 fn record(id: &str, port: u16, started_ms: u64) -> ServerRecord {
     ServerRecord {
@@ -107,6 +108,25 @@
     assert_eq!(chosen(&table, later), Ok("a".to_string()));
 }
 
+/// A second pause that is asked for within the first one lengthens it, and never shortens it.
+#[test]
+fn second_pause() {
+    let mut table = BalanceTable::default();
+    table.replace_all(START, vec![record("a", 1, 1)]);
+    let pause = |table: &mut BalanceTable, now: Duration, seconds: f64| {
+        table.pause(now, &incarnation("a", 1), Duration::from_secs_f64(seconds));
+    };
+    let second = Duration::from_secs(1);
+    pause(&mut table, START, 4.0);
+    pause(&mut table, START + second, 0.0);
+    pause(&mut table, START + second, 1.5);
+    let end = START + second * 4;
+    assert_eq!(chosen(&table, end - MILLISECOND), Err(ChoiceError::AllClosed));
+    pause(&mut table, START + second * 3, 2.0);
+    assert_eq!(chosen(&table, end), Err(ChoiceError::AllClosed));
+    assert_eq!(chosen(&table, end + second), Ok("a".to_string()));
+}
+
 /// Guards against announcements that are no longer heeded once many servers have left: the
 /// oldest are dropped.
 #[test]
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -249,10 +249,14 @@
         self.store.put(CONFIG_KIND, "main", config);
     }
 
+    /// Returns the record of a server as it was when the site started.
+    pub(crate) fn record(&self, id: &str) -> ServerRecord {
+        self.records.iter().find(|record| record.id == id).unwrap().clone()
+    }
+
     /// Writes the record of a server with another state.
     pub(crate) fn set_server_state(&self, id: &str, state: ServerState) {
-        let record = self.records.iter().find(|record| record.id == id).unwrap();
-        let record = ServerRecord { state, ..record.clone() };
+        let record = ServerRecord { state, ..self.record(id) };
         self.store.put(SERVER_KIND, id, encode_server(&record));
     }
 
