Keep a pause when the store tells later of the incarnation that asked for it

Cause: a pause was kept for the incarnation as which the server was asked. A server that restarts under its id and address answers requests before the store tells of the restart, for as long as the store is away. Once it does, the pause belonged to an incarnation that was gone. Class of fault: something that a process said is filed under a name that the store gave it earlier.

Change: a pause holds for the incarnation as which the server was asked, and for a later one that had already started when the pause was asked for. A server that started after that gets requests at once, as before. Announcements that a server leaves still hold for one incarnation only: a wrong pause ends by itself, a wrong departure would not.

--- a/crates/core/src/announcements.rs
+++ b/crates/core/src/announcements.rs
@@ -19,6 +19,18 @@
     heard_at: Duration,
     leaving_since: Option<Duration>,
     paused_until: Duration,
+    /// Wall time at which the last pause was asked for, in milliseconds since the Unix epoch.
+    pause_asked_ms: u64,
+}
+
+impl Announcement {
+    /// Returns until when a process that started at `started_ms` wants no requests. The store may
+    /// tell of a restart only after the new process asked for a pause.
+    fn paused_until(&self, started_ms: u64) -> Duration {
+        let asked = self.started_ms == started_ms
+            || (self.started_ms..=self.pause_asked_ms).contains(&started_ms);
+        if asked { self.paused_until } else { Duration::ZERO }
+    }
 }
 
 /// Latest announcements of each server.
@@ -39,30 +51,31 @@
         is_new
     }
 
-    /// Records that an incarnation of a server wants no requests from this gateway for a time.
+    /// Records that a server wants no requests from this gateway for a time. It was asked as
+    /// `incarnation`, and answered at the wall time `asked_ms`.
     pub fn record_pause(
         &mut self,
         now: Duration,
         incarnation: &ServerIncarnation,
         pause: Duration,
+        asked_ms: u64,
     ) {
         if let Some(known) = self.entry(now, incarnation) {
             known.paused_until = known.paused_until.max(now + pause);
+            known.pause_asked_ms = known.pause_asked_ms.max(asked_ms);
         }
     }
 
     /// Returns when an incarnation of a server was first known to leave.
     pub fn leaving_since(&self, server: &str, started_ms: u64) -> Option<Duration> {
-        self.known(server, started_ms)?.leaving_since
+        let known = self.announcements.get(server);
+        known.filter(|known| known.started_ms == started_ms)?.leaving_since
     }
 
     /// Returns until when an incarnation of a server wants no requests from this gateway.
     pub fn paused_until(&self, server: &str, started_ms: u64) -> Duration {
-        self.known(server, started_ms).map_or(Duration::ZERO, |known| known.paused_until)
-    }
-
-    fn known(&self, server: &str, started_ms: u64) -> Option<&Announcement> {
-        self.announcements.get(server).filter(|known| known.started_ms == started_ms)
+        let known = self.announcements.get(server);
+        known.map_or(Duration::ZERO, |known| known.paused_until(started_ms))
     }
 
     /// Returns what an incarnation announced, to be changed; `None` if a later one is known.
@@ -84,10 +97,12 @@
             heard_at: now,
             leaving_since: None,
             paused_until: Duration::ZERO,
+            pause_asked_ms: 0,
         };
         let entry = self.announcements.entry(server.clone()).or_insert(announcement);
         if entry.started_ms < *started_ms {
-            *entry = announcement;
+            let paused_until = entry.paused_until(*started_ms);
+            *entry = Announcement { paused_until, ..announcement };
         }
         entry.heard_at = now;
         Some(entry)
--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -549,9 +549,16 @@
         self.announcements.record_leaving(now, incarnation)
     }
 
-    /// Records that an incarnation of a server wants no requests from this gateway for a time.
-    pub fn pause(&mut self, now: Duration, incarnation: &ServerIncarnation, pause: Duration) {
-        self.announcements.record_pause(now, incarnation, pause);
+    /// Records that a server, asked as `incarnation`, wants no requests from this gateway for a
+    /// time; `asked_ms` is the wall time, in milliseconds since the Unix epoch.
+    pub fn pause(
+        &mut self,
+        now: Duration,
+        incarnation: &ServerIncarnation,
+        pause: Duration,
+        asked_ms: u64,
+    ) {
+        self.announcements.record_pause(now, incarnation, pause, asked_ms);
     }
 
     /// Returns until when this incarnation of a server wants no requests from this gateway.
--- a/crates/core/tests/leaving_servers.rs
+++ b/crates/core/tests/leaving_servers.rs
@@ -97,7 +97,7 @@
 fn pause_outlives_record() {
     let mut table = BalanceTable::default();
     table.replace_all(START, vec![record("a", 1, 1)]);
-    table.pause(START, &incarnation("a", 1), Duration::from_secs(10));
+    table.pause(START, &incarnation("a", 1), Duration::from_secs(10), 1);
     assert_eq!(chosen(&table, START), Err(ChoiceError::AllClosed));
     let later = START + Duration::from_secs(3);
     table.remove(later, "a");
@@ -114,7 +114,7 @@
     let mut table = BalanceTable::default();
     table.replace_all(START, vec![record("a", 1, 1)]);
     let pause = |table: &mut BalanceTable, now: Duration, seconds: f64| {
-        table.pause(now, &incarnation("a", 1), Duration::from_secs_f64(seconds));
+        table.pause(now, &incarnation("a", 1), Duration::from_secs_f64(seconds), 1);
     };
     let second = Duration::from_secs(1);
     pause(&mut table, START, 4.0);
@@ -127,6 +127,26 @@
     assert_eq!(chosen(&table, end + second), Ok("a".to_string()));
 }
 
+/// Guards against a pause that is forgotten when the store tells only afterwards of the restart
+/// of the server that asked for it, also if that server announces something else meanwhile. One
+/// that started later gets requests.
+#[test]
+fn unlisted_restart() {
+    for is_announced in [false, true] {
+        let mut table = BalanceTable::default();
+        table.replace_all(START, vec![record("a", 1, 10), record("b", 2, 10)]);
+        table.record_leaving(START, &incarnation("b", 10));
+        table.pause(START, &incarnation("a", 10), Duration::from_secs(10), 50);
+        table.upsert(START, record("a", 1, 50));
+        if is_announced {
+            table.pause(START, &incarnation("a", 50), Duration::ZERO, 60);
+        }
+        assert_eq!(chosen(&table, START), Err(ChoiceError::AllClosed));
+        table.upsert(START, record("a", 1, 61));
+        assert_eq!(chosen(&table, START), Ok("a".to_string()));
+    }
+}
+
 /// Guards against announcements that are no longer heeded once many servers have left: the
 /// oldest are dropped.
 #[test]
--- a/crates/gateway/src/announcements.rs
+++ b/crates/gateway/src/announcements.rs
@@ -9,6 +9,7 @@
 use cuminpick_platform::headers::RequestedPause;
 use slog::o;
 
+use crate::crash_tracking::unix_millis;
 use crate::state::Gateway;
 
 /// Maximum number of announcements that are queued for broadcast.
@@ -34,7 +35,8 @@
     match pause {
         RequestedPause::None => {}
         RequestedPause::For(pause) => {
-            gateway.balance.borrow_mut().pause(now, incarnation, pause);
+            let asked_ms = unix_millis(gateway);
+            gateway.balance.borrow_mut().pause(now, incarnation, pause, asked_ms);
             gateway.journal.note(
                 "server-paused",
                 None,
