Tell callers when servers take requests again, also after their last attempt

What callers saw: a request that was the one to learn that the last server of its service wants a pause was refused with Retry-After 0.150, or 0.5 where no server was left to try, although every server had just said that it takes nothing for 3 s. The repeat after 150 ms was refused again.

Cause: the time until a server takes requests was only looked at while a request waited for a server, and only for servers that it had not tried.

Change: all refusals for want of a server state at least the time until the first server takes requests, those that the request has tried included, since its caller's next request may go there; callers are spread over half a second after that, as they were. Where any server takes requests nothing changes.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -514,7 +514,7 @@
                "failed_connects" => self.retry_state.failed_connects),
         );
         let outage = outage_retry_after(&self.gateway, &self.service);
-        self.refusal(kind, outage.unwrap_or(RETRY_WHEN_FULL))
+        self.refusal(kind, self.time_to_return(outage.unwrap_or(RETRY_WHEN_FULL)))
     }
 
     /// Returns a refusal that says whether the request may have run.
--- a/crates/gateway/src/serve/choice.rs
+++ b/crates/gateway/src/serve/choice.rs
@@ -6,6 +6,7 @@
 use cuminpick::balance::BalanceQuery;
 use cuminpick::balance::ChoiceError;
 use cuminpick::capacity_queue::TurnRequest;
+use cuminpick::ids::ServerId;
 use cuminpick::refusal::Refusal;
 use cuminpick::refusal::RefusalKind;
 use cuminpick::request_limits::LimitFilter;
@@ -53,7 +54,8 @@
             }
             let chosen = self.find_server(refused_permits >= MAX_REFUSED_PERMITS);
             if matches!(chosen, Err(ChoiceError::AllTried | ChoiceError::NoneAvailable)) {
-                return Err(self.refusal(RefusalKind::NoServer, RETRY_WHEN_UNAVAILABLE));
+                let retry_after = self.time_to_return(RETRY_WHEN_UNAVAILABLE);
+                return Err(self.refusal(RefusalKind::NoServer, retry_after));
             }
             let must_wait = chosen.is_err() || is_contended(&self.gateway, &self.service);
             if may_queue && must_wait {
@@ -115,7 +117,7 @@
             is_overdue: !stream_begun && !is_on_time,
             expires_at: self.gateway.now() + time_left,
         };
-        if self.times_to_opening().into_iter().min().unwrap_or_default() > time_left {
+        if self.time_to_opening(&self.tried_servers) > time_left {
             return Err(self.capacity_refusal(Duration::ZERO));
         }
         CapacityTurn::join(&self.gateway, &self.service, &turn_request)
@@ -139,7 +141,7 @@
     /// expected wait for a turn, if it is known. Where servers have limits or want pauses, callers
     /// are spread over the time after which these take requests again.
     fn capacity_refusal(&self, wait: Duration) -> Refusal {
-        let openings = self.times_to_opening();
+        let openings = self.times_to_opening(&[]);
         let opening = openings.iter().copied().min().unwrap_or_default();
         let spread = match openings.iter().all(Duration::is_zero) {
             true => Duration::ZERO,
@@ -156,16 +158,32 @@
         self.refusal(RefusalKind::Overloaded, retry_after)
     }
 
-    /// Returns the time until each server that was not tried takes requests again, by its limit
-    /// and the pause that it wants.
-    fn times_to_opening(&self) -> Vec<Duration> {
+    /// Returns the time after which the caller of a request that gets no further attempt may
+    /// return: `usual`, unless no server takes requests until later.
+    pub(super) fn time_to_return(&self, usual: Duration) -> Duration {
+        let opening = self.time_to_opening(&[]);
+        if opening.is_zero() {
+            return usual;
+        }
+        usual.max(opening) + RETURN_SPREAD.mul_f64(self.gateway.random_share())
+    }
+
+    /// Returns the time until the first server, but for the excluded ones, takes requests; zero
+    /// if there is none.
+    fn time_to_opening(&self, excluded: &[ServerId]) -> Duration {
+        self.times_to_opening(excluded).into_iter().min().unwrap_or_default()
+    }
+
+    /// Returns the time until each server, but for the excluded ones, takes requests again, by its
+    /// limit and the pause that it wants.
+    fn times_to_opening(&self, excluded: &[ServerId]) -> Vec<Duration> {
         let now = self.gateway.now();
         let balance = self.gateway.balance.borrow();
         let limits = self.gateway.request_limits.borrow();
         let servers = balance.available_servers(&self.service);
-        let untried = servers.filter(|(server, _)| !self.tried_servers.contains(server));
+        let included = servers.filter(|(server, _)| !excluded.contains(server));
         let openings =
-            untried.map(|(server, paused_until)| limits.closed_until(server).max(paused_until));
+            included.map(|(server, paused_until)| limits.closed_until(server).max(paused_until));
         openings.map(|opening| opening.saturating_sub(now)).collect()
     }
 }
