Refuse streams at once while all servers of their service want a pause

What callers saw: a stream waited 120 ms or more in the service's gate before it was refused, though the gateway knew that no server takes requests for seconds. Servers that refuse for a pause also open the circuit breaker, so the streams behind it waited for one probe after the other.

Cause: pauses and limits were looked at when a server is chosen, which comes after the gate.

Change: a stream is refused before it enters the gate if the first server takes requests only after the stream would have waited too long for one, with the time until then.

Evidence: streams_paused failed before (refused after 121 ms, bound 100 ms) and passes: refusals at once, no stream within a pause, service when the first pause ends.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -308,6 +308,7 @@
 
     /// Waits until the service has capacity for another stream.
     async fn admit_stream(&self) -> Result<(), Refusal> {
+        self.check_opening()?;
         let now = self.gateway.now();
         let arrived = now.saturating_sub(self.arrived.elapsed());
         let total_time = self.answer_deadline.saturating_duration_since(self.arrived);
--- a/crates/gateway/src/serve/choice.rs
+++ b/crates/gateway/src/serve/choice.rs
@@ -137,6 +137,16 @@
         let _ = tokio::time::timeout(CAPACITY_POLL_INTERVAL, changed).await;
     }
 
+    /// Refuses a request that has not been sent yet if no server takes requests before it would
+    /// have waited for one too long.
+    pub(super) fn check_opening(&self) -> Result<(), Refusal> {
+        let longest_wait = self.route.target_latency.mul_f64(CAPACITY_WAIT_SHARE);
+        if self.time_to_opening(&[]) > self.time_left(self.arrived + longest_wait) {
+            return Err(self.capacity_refusal(Duration::ZERO));
+        }
+        Ok(())
+    }
+
     /// Logs that no server takes the request in time, and returns the refusal. `wait` is the
     /// expected wait for a turn, if it is known. Where servers have limits or want pauses, callers
     /// are spread over the time after which these take requests again.
