--- a/crates/gateway/src/serve/choice.rs
+++ b/crates/gateway/src/serve/choice.rs
@@ -137,8 +137,7 @@
         let _ = tokio::time::timeout(CAPACITY_POLL_INTERVAL, changed).await;
     }
 
-    /// Refuses a request that has not been sent yet if no server takes requests before it would
-    /// have waited for one too long.
+    /// Refuses the request if it would wait too long until the first server takes requests.
     pub(super) fn check_opening(&self) -> Result<(), Refusal> {
         let longest_wait = self.route.target_latency.mul_f64(CAPACITY_WAIT_SHARE);
         if self.time_to_opening(&[]) > self.time_left(self.arrived + longest_wait) {
