--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -307,7 +307,7 @@
                 fetch_newer_config(&gateway, sender, stamp);
             }
             UpdateMessage::StoreEra(era) => {
-                gateway.metrics.count_control("store-era", "in", length);
+                gateway.metrics.count_control("era-news", "in", length);
                 apply_era_news(&gateway, era);
             }
             UpdateMessage::Parts(update) => {
@@ -396,7 +396,7 @@
             messages.push(("config-news", UpdateMessage::Config(stamp)));
         }
         if let Some(era) = era_news(&gateway) {
-            messages.push(("store-era", UpdateMessage::StoreEra(era)));
+            messages.push(("era-news", UpdateMessage::StoreEra(era)));
         }
         let limits = take_limit_notices(&gateway);
         if !limits.is_empty() {
--- a/crates/gateway/src/store_return.rs
+++ b/crates/gateway/src/store_return.rs
@@ -51,7 +51,7 @@
             gateway.metrics.count_unreadable("era");
             gateway.journal.warn("era-unreadable", o!("answers" => status.unreadable));
         }
-        EraChange::First => gateway.journal.note("store-era", None, o!("era" => era)),
+        EraChange::First => gateway.journal.note("era-learned", None, o!("era" => era)),
         EraChange::Restored => {
             let before = status.previous;
             gateway.journal.warn("store-restored", o!("era" => era, "before" => before));
--- a/crates/rank-agent/src/daemon.rs
+++ b/crates/rank-agent/src/daemon.rs
@@ -154,7 +154,7 @@
                     agent.metrics.count_unreadable("era");
                     agent.journal.warn("era-unreadable", o!("answers" => status.unreadable));
                 }
-                EraChange::First => agent.journal.note("store-era", None, o!("era" => era)),
+                EraChange::First => agent.journal.note("era-learned", None, o!("era" => era)),
                 EraChange::Restored => {
                     let before = status.previous;
                     agent.journal.warn("store-restored", o!("era" => era, "before" => before));
