Apply a configuration without copying its content

On a gateway whose machine is five times slower each of the seven or eight configurations a second that follow a return takes longer.

--- a/crates/gateway/src/config_updates.rs
+++ b/crates/gateway/src/config_updates.rs
@@ -32,11 +32,11 @@
 }
 
 /// Applies an object of the kind of the configuration as the store holds it.
-pub fn apply_config(gateway: &Rc<Gateway>, object: &StoreObject) {
+pub fn apply_config(gateway: &Rc<Gateway>, object: StoreObject) {
     if object.name != CONFIG_NAME {
         return;
     }
-    let table = match decode_config(object) {
+    let table = match decode_config(&object) {
         Ok(table) => table,
         Err(error) => {
             let detail = error.to_string();
@@ -44,10 +44,10 @@
             return;
         }
     };
-    let read = describe_read(gateway, object, table.version());
+    let read = describe_read(gateway, &object, table.version());
     let stamp = gateway.config_order.borrow_mut().stamp(&read);
     let source = "store".to_string();
-    let config = ReadConfig { stamp, content: object.content.clone(), table, source };
+    let config = ReadConfig { stamp, content: object.content, table, source };
     let now = gateway.now();
     let apply_time = gateway.settings.bounds.config_apply;
     let decision = gateway.config_order.borrow_mut().offer(now, stamp, apply_time);
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -221,7 +221,9 @@
 
     fn apply_listing(&mut self, objects: Vec<StoreObject>) {
         match self.kind {
-            CONFIG_KIND => objects.iter().for_each(|object| apply_config(&self.gateway, object)),
+            CONFIG_KIND => {
+                objects.into_iter().for_each(|object| apply_config(&self.gateway, object));
+            }
             CRASH_KIND => objects.iter().for_each(|object| self.apply_crashes(object)),
             SERVER_KIND => self.apply_servers(&objects),
             _ => self.apply_zones(objects),
@@ -290,7 +292,7 @@
         match self.kind {
             CONFIG_KIND | CRASH_KIND if event.removed => {}
             CRASH_KIND => self.apply_crashes(&event.object),
-            CONFIG_KIND => apply_config(&self.gateway, &event.object),
+            CONFIG_KIND => apply_config(&self.gateway, event.object),
             SERVER_KIND if event.removed => {
                 let id = event.object.name;
                 if self.gateway.balance.borrow_mut().remove(now, &id) {
