Review: cut watches keep an engine that is gone in use

Tried: a store that cuts off its waiting watches twice, 1.5 s apart, while an engine leaves without reporting that it drains.

--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -313,6 +313,82 @@
     send(net.addr(EDGE, 8220), check, Duration::from_secs(1)).is_some_and(|got| got.status == 200)
 }
 
+/// Clients of a plain service: three that book and three that look up, in turn.
+fn start_plain_clients(run: &Run, front: SocketAddr) -> Arc<AtomicBool> {
+    let stop = Arc::new(AtomicBool::new(false));
+    for client in 0..6 {
+        let (stop, record, front) = (Arc::clone(&stop), run.record.clone(), front);
+        std::thread::spawn(move || {
+            while !stop.load(Ordering::Relaxed) {
+                let id = fresh_id("a");
+                let bytes = if client < 3 { booking(&id, "{\"slot\":4}") } else { lookup(&id) };
+                record.line(format!("sent {id} {}", if client < 3 { "booking" } else { "look-up" }));
+                let got = send(front, bytes.as_bytes(), Duration::from_secs(2));
+                record.line(match &got {
+                    Some(got) => format!("answered {id} {}", got.status),
+                    None => format!("unanswered {id}"),
+                });
+                pause(0.1);
+            }
+        });
+    }
+    stop
+}
+
+/// DRAIN: the store cuts off waiting watches while an engine leaves without a word.
+pub fn cut_watches(run: &Run) -> Verdict {
+    let net = Net::pick();
+    let (store, mut gateway) = start_plain(run, &net)?;
+    let work = Duration::from_millis(15);
+    let mut engines = Vec::new();
+    for (n, zone) in [(10, "bole"), (11, "merkato"), (12, "kazanchis")] {
+        let engine = Engine::start("wuno96b", zone, net.addr(n, 8228), work, &run.record)
+            .map_err(|error| error.to_string())?;
+        store.put("servers", &engine.id(), &engine.entry("ready"));
+        engines.push(engine);
+    }
+    if !wait_for(Duration::from_secs(8), || is_ready(&net)) {
+        return Err("the gateway isn't ready".into());
+    }
+    wait_for(TRAFFIC_FROM.saturating_sub(run.record.at()), || false);
+    let stop = start_plain_clients(run, net.addr(EDGE, 8227));
+    let cut = || {
+        if run.trouble {
+            run.record.line("the store cuts off the watches that wait");
+            store.cut_watches();
+        }
+    };
+    pause(5.0);
+    cut();
+    pause(0.5);
+    let leaving = &engines[0];
+    store.remove("servers", &leaving.id());
+    let acknowledged = Instant::now();
+    run.record.line(format!("the entry of {} is gone; it serves on and exits 8 s later", leaving.id()));
+    pause(1.0);
+    cut();
+    pause(7.0);
+    run.record.line(format!("engine {} exits", leaving.id()));
+    leaving.end();
+    pause(3.0);
+    stop.store(true, Ordering::Relaxed);
+    pause(1.5);
+    if !gateway.running() {
+        return Err("the gateway ended".into());
+    }
+    let limit = acknowledged + Duration::from_millis(2_000);
+    let late: Vec<f64> = leaving.runs().iter().filter(|known| known.ran && known.at > limit)
+        .map(|known| known.at.duration_since(acknowledged).as_secs_f64()).collect();
+    run.record.line(format!(
+        "{}: {} requests reached it later than drainMs after its entry was gone, the last {:.2} s after",
+        leaving.id(), late.len(), late.last().copied().unwrap_or(0.0)
+    ));
+    Ok((!late.is_empty()).then(|| format!(
+        "DRAIN {} requests reached an engine that is gone later than drainMs, the last {:.2} s after",
+        late.len(), late.last().copied().unwrap_or(0.0)
+    )))
+}
+
 /// DRAIN: an entry of another writer can't be read, and engines are replaced.
 pub fn unreadable_entry(run: &Run) -> Verdict {
     let net = Net::pick();
@@ -331,23 +407,7 @@
         return Err("the gateway isn't ready".into());
     }
     wait_for(TRAFFIC_FROM.saturating_sub(run.record.at()), || false);
-    let stop = Arc::new(AtomicBool::new(false));
-    for client in 0..6 {
-        let (stop, record, front) = (Arc::clone(&stop), run.record.clone(), net.addr(EDGE, 8227));
-        std::thread::spawn(move || {
-            while !stop.load(Ordering::Relaxed) {
-                let id = fresh_id("a");
-                let bytes = if client < 3 { booking(&id, "{\"slot\":4}") } else { lookup(&id) };
-                record.line(format!("sent {id} {}", if client < 3 { "booking" } else { "look-up" }));
-                let got = send(front, bytes.as_bytes(), Duration::from_secs(2));
-                record.line(match &got {
-                    Some(got) => format!("answered {id} {}", got.status),
-                    None => format!("unanswered {id}"),
-                });
-                pause(0.1);
-            }
-        });
-    }
+    let stop = start_plain_clients(run, net.addr(EDGE, 8227));
     pause(3.0);
     if run.trouble {
         let spec = match std::env::var("VARIANT").as_deref() {
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -24,6 +24,7 @@
     let held = match words[1].as_str() {
         "foreign-group" => cases::foreign_group(&run),
         "unreadable-entry" => cases::unreadable_entry(&run),
+        "cut-watches" => cases::cut_watches(&run),
         "unframed-crash" => cases::unframed_crash(&run),
         "stale-base" => cases::stale_base(&run),
         _ => {
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -19,6 +19,8 @@
     revision: u64,
     objects: BTreeMap<(String, String), Object>,
     changes: Vec<(u64, String, String, String, bool)>,
+    /// How often waiting watches were cut off.
+    cuts: u64,
 }
 
 #[derive(Clone, Default)]
@@ -54,6 +56,12 @@
         self.shared.1.notify_all();
     }
 
+    /// Cuts off the watches that are waiting.
+    pub fn cut_watches(&self) {
+        self.shared.0.lock().unwrap().cuts += 1;
+        self.shared.1.notify_all();
+    }
+
     pub fn get(&self, kind: &str, name: &str) -> Option<String> {
         let state = self.shared.0.lock().unwrap();
         state.objects.get(&(kind.to_string(), name.to_string())).map(|known| known.spec.clone())
@@ -93,7 +101,11 @@
                 let wait = request.query("waitMs").and_then(|w| w.parse().ok()).unwrap_or(0u64);
                 let until = Instant::now() + Duration::from_millis(wait.min(30_000));
                 let mut state = lock.lock().unwrap();
+                let cuts = state.cuts;
                 loop {
+                    if state.cuts != cuts {
+                        return Ok(false);
+                    }
                     let events: Vec<String> = state.changes.iter()
                         .filter(|change| change.0 > from && change.1 == kind)
                         .map(|(revision, _, name, spec, removed)| {
