--- a/review/standins/base.rs
+++ b/review/standins/base.rs
@@ -57,9 +57,8 @@
                 format!("[{}]", items.iter().map(J::text).collect::<Vec<_>>().join(","))
             }
             J::Obj(fields) => {
-                let fields = fields.iter().map(|(name, value)| {
-                    format!("{}:{}", quote(name), value.text())
-                });
+                let fields =
+                    fields.iter().map(|(name, value)| format!("{}:{}", quote(name), value.text()));
                 format!("{{{}}}", fields.collect::<Vec<_>>().join(","))
             }
         }
@@ -201,7 +200,10 @@
     }
     pub fn query(&self, name: &str) -> Option<String> {
         let query = self.target.split_once('?')?.1;
-        query.split('&').filter_map(|field| field.split_once('=')).find(|(key, _)| *key == name)
+        query
+            .split('&')
+            .filter_map(|field| field.split_once('='))
+            .find(|(key, _)| *key == name)
             .map(|(_, value)| unescape(value))
     }
     pub fn header(&self, name: &str) -> Option<&str> {
@@ -322,7 +324,8 @@
                 let Ok(mut writer) = stream.try_clone() else { return };
                 let mut reader = BufReader::new(stream);
                 while let Ok(Some(request)) = read_request(&mut reader) {
-                    let close = request.header("connection").is_some_and(|value| value.contains("close"));
+                    let close =
+                        request.header("connection").is_some_and(|value| value.contains("close"));
                     match handler(request, &mut writer) {
                         Ok(true) if !close => {}
                         _ => return,
@@ -448,9 +451,9 @@
             seed = seed.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
             let net = Net { a: 20 + ((seed >> 33) % 200) as u8, b: ((seed >> 45) % 250) as u8 };
             let free = (1..40).all(|n| {
-                [8220, 8223, 8227, 8228, 8229, 9464].iter().all(|port| {
-                    TcpListener::bind(net.addr(n, *port)).is_ok()
-                })
+                [8220, 8223, 8227, 8228, 8229, 9464]
+                    .iter()
+                    .all(|port| TcpListener::bind(net.addr(n, *port)).is_ok())
             });
             if free {
                 return net;
@@ -477,9 +480,7 @@
     let app = side.map(|(service, app)| format!("app = \"{app}\"\nservice = \"{service}\"\n"));
     let listen = match side {
         Some(_) => String::new(),
-        None => format!(
-            "front = \"{ip}:8227\"\nready = \"{ip}:8220\"\ncontrol = \"{ip}:8229\"\n"
-        ),
+        None => format!("front = \"{ip}:8227\"\nready = \"{ip}:8220\"\ncontrol = \"{ip}:8229\"\n"),
     };
     let link = if side.is_some() { "20.0" } else { "1000.0" };
     format!(
--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -21,15 +21,8 @@
 /// `Ok(None)`: the rule held; `Ok(Some)`: it was broken; `Err`: the case couldn't run.
 pub type Verdict = Result<Option<String>, String>;
 
-const SHAPE: Shape = Shape {
-    ranks: 3,
-    sets: 4,
-    experts: 24,
-    placements: 12,
-    spare: 3,
-    copy_ms: 14,
-    pass_ms: 45,
-};
+const SHAPE: Shape =
+    Shape { ranks: 3, sets: 4, experts: 24, placements: 12, spare: 3, copy_ms: 14, pass_ms: 45 };
 
 /// Round trips within a zone and between zones, as in the sheets.
 const SAME_ZONE: Duration = Duration::from_micros(400);
@@ -55,12 +48,14 @@
 
 /// The configuration of the model service, as the pages show it.
 fn model_config(version: u64) -> String {
-    let route = |name: &str, prefix: &str| format!(
-        "{{\"name\":\"{name}\",\"host\":\"ficu95.example\",\"pathPrefix\":\"{prefix}\",\
+    let route = |name: &str, prefix: &str| {
+        format!(
+            "{{\"name\":\"{name}\",\"host\":\"ficu95.example\",\"pathPrefix\":\"{prefix}\",\
          \"kind\":\"streaming\",\"timeoutMs\":8000,\"targetLatencyMs\":500,\"priority\":1,\
          \"service\":\"huvo11a\",\"maxAttempts\":2,\"public\":false,\"stickySessions\":true,\
          \"resumable\":true,\"targetGapMs\":120}}"
-    );
+        )
+    };
     format!(
         "{{\"version\":{version},\"routes\":[{}],\"services\":[{{\"name\":\"huvo11a\",\
          \"healthPath\":\"/healthz\",\"maxConnections\":278,\"protocol\":\"h1\",\"tls\":false,\
@@ -75,7 +70,10 @@
          \"tenants\":[{{\"name\":\"hule930\",\"apiKeys\":[\"n2ctnfzs989anu6wsjnb\"],\
          \"priority\":1}}]}}",
         route("r-2yhvz3p", "/lohu930/"),
-        SHAPE.sets, SHAPE.experts, SHAPE.placements, SHAPE.spare
+        SHAPE.sets,
+        SHAPE.experts,
+        SHAPE.placements,
+        SHAPE.spare
     )
 }
 
@@ -98,10 +96,20 @@
     store.put("config", "main", &model_config(7));
     let commands = commands(&run.root);
     let settings_of = |name: &str, n: u8, zone: &str, side| {
-        settings(name, if n == EDGE { "edge" } else { "side" }, zone, net.ip(n), store_address, side)
+        settings(
+            name,
+            if n == EDGE { "edge" } else { "side" },
+            zone,
+            net.ip(n),
+            store_address,
+            side,
+        )
     };
     let gateway = Program::start(
-        &run.root, &commands["gateway"], &run.work, "edge-bole-1",
+        &run.root,
+        &commands["gateway"],
+        &run.work,
+        "edge-bole-1",
         &settings_of("edge-bole-1", EDGE, "bole", None),
     );
     let mut agents = Vec::new();
@@ -115,7 +123,13 @@
             let name = format!("side-{}-{rank}", group.name);
             run.record.line(format!("{name}: engine {} rank {rank} at {far}", group.id(rank)));
             let text = settings_of(&name, n, zones[index], Some(("huvo11a", near)));
-            started.push(Program::start(&run.root, &commands["rank-agent"], &run.work, &name, &text));
+            started.push(Program::start(
+                &run.root,
+                &commands["rank-agent"],
+                &run.work,
+                &name,
+                &text,
+            ));
         }
         agents.push(started);
     }
@@ -142,7 +156,9 @@
                 match send(front, head.as_bytes(), Duration::from_secs(9)) {
                     Some(got) => {
                         record.line(format!(
-                            "answered {id} {} complete {} bytes {}", got.status, got.complete,
+                            "answered {id} {} complete {} bytes {}",
+                            got.status,
+                            got.complete,
                             got.body.len()
                         ));
                         if got.status != 200 {
@@ -250,7 +266,11 @@
     for group in groups {
         run.record.line(format!(
             "group {}: {} passes, maps in use {:?}, orders late and in all {:?}, mixed passes {}",
-            group.name, group.step(), group.versions(), group.orders(), group.mixed().len()
+            group.name,
+            group.step(),
+            group.versions(),
+            group.orders(),
+            group.mixed().len()
         ));
         if let Some(text) = group.mixed().first() {
             broken = broken.or(Some(format!("{text} ({} passes)", group.mixed().len())));
@@ -264,11 +284,13 @@
 
 /// The configuration of a plain service with bookings and look-ups, as the pages show it.
 fn plain_config(version: u64) -> String {
-    let route = |name: &str, prefix: &str, kind: &str, attempts: u32| format!(
-        "{{\"name\":\"{name}\",\"host\":\"ficu95.example\",\"pathPrefix\":\"{prefix}\",\
+    let route = |name: &str, prefix: &str, kind: &str, attempts: u32| {
+        format!(
+            "{{\"name\":\"{name}\",\"host\":\"ficu95.example\",\"pathPrefix\":\"{prefix}\",\
          \"kind\":\"{kind}\",\"timeoutMs\":1000,\"targetLatencyMs\":150,\"priority\":2,\
          \"service\":\"wuno96b\",\"maxAttempts\":{attempts},\"public\":false}}"
-    );
+        )
+    };
     format!(
         "{{\"version\":{version},\"routes\":[{},{}],\"services\":[{{\"name\":\"wuno96b\",\
          \"healthPath\":\"/healthz\",\"maxConnections\":100,\"protocol\":\"h1\",\"tls\":false,\
@@ -322,7 +344,8 @@
             while !stop.load(Ordering::Relaxed) {
                 let id = fresh_id("a");
                 let bytes = if client < 3 { booking(&id, "{\"slot\":4}") } else { lookup(&id) };
-                record.line(format!("sent {id} {}", if client < 3 { "booking" } else { "look-up" }));
+                record
+                    .line(format!("sent {id} {}", if client < 3 { "booking" } else { "look-up" }));
                 let got = send(front, bytes.as_bytes(), Duration::from_secs(2));
                 record.line(match &got {
                     Some(got) => format!("answered {id} {}", got.status),
@@ -364,7 +387,8 @@
     let leaving = &engines[0];
     store.remove("servers", &leaving.id());
     let acknowledged = Instant::now();
-    run.record.line(format!("the entry of {} is gone; it serves on and exits 8 s later", leaving.id()));
+    run.record
+        .line(format!("the entry of {} is gone; it serves on and exits 8 s later", leaving.id()));
     pause(1.0);
     cut();
     pause(7.0);
@@ -377,8 +401,12 @@
         return Err("the gateway ended".into());
     }
     let limit = acknowledged + Duration::from_millis(2_000);
-    let late: Vec<f64> = leaving.runs().iter().filter(|known| known.ran && known.at > limit)
-        .map(|known| known.at.duration_since(acknowledged).as_secs_f64()).collect();
+    let late: Vec<f64> = leaving
+        .runs()
+        .iter()
+        .filter(|known| known.ran && known.at > limit)
+        .map(|known| known.at.duration_since(acknowledged).as_secs_f64())
+        .collect();
     run.record.line(format!(
         "{}: {} requests reached it later than drainMs after its entry was gone, the last {:.2} s after",
         leaving.id(), late.len(), late.last().copied().unwrap_or(0.0)
@@ -412,10 +440,15 @@
     if run.trouble {
         let spec = match std::env::var("VARIANT").as_deref() {
             // For comparison: a number that no reader can hold, and fields of another type.
-            Ok("number") => r#"{"service":"wuno96b","zone":"bole","slots":1e999,"state":"ready"}"#.to_string(),
-            Ok("plain") => r#"{"service":"wuno96b","zone":"bole","slots":"many","state":7}"#.to_string(),
+            Ok("number") => {
+                r#"{"service":"wuno96b","zone":"bole","slots":1e999,"state":"ready"}"#.to_string()
+            }
+            Ok("plain") => {
+                r#"{"service":"wuno96b","zone":"bole","slots":"many","state":7}"#.to_string()
+            }
             // Half of a pair: a text that was cut inside a character.
-            _ => r#"{"service":"wuno96b","zone":"bole","slots":6,"state":"ready","note":"\ud83d"}"#.to_string(),
+            _ => r#"{"service":"wuno96b","zone":"bole","slots":6,"state":"ready","note":"\ud83d"}"#
+                .to_string(),
         };
         run.record.line(format!("another writer's entry servers/x-notes: {spec}"));
         store.put("servers", "x-notes", &spec);
@@ -464,7 +497,8 @@
     }
     let taken: usize = new.iter().map(|engine| engine.runs().len()).sum();
     run.record.line(format!("requests at the new engines: {taken}"));
-    let lost = gateway.log().lines().filter(|line| line.contains("store-lost")).last().map(str::to_string);
+    let lost =
+        gateway.log().lines().filter(|line| line.contains("store-lost")).last().map(str::to_string);
     run.record.line(format!("the gateway's log on the store: {lost:?}"));
     Ok((late > 0).then(|| format!(
         "DRAIN {late} requests reached draining engines later than drainMs; {taken} reached the new ones"
@@ -551,10 +585,12 @@
                 let text = String::from_utf8_lossy(&got.body).into_owned();
                 let events = text.matches("id: ").count() as u64;
                 record.line(format!(
-                    "answered {id} {} complete {} events {events}", got.status, got.complete
+                    "answered {id} {} complete {} events {events}",
+                    got.status, got.complete
                 ));
                 if got.status == 200 && got.complete && events < EVENTS {
-                    let text = format!("ORDER {id} ends as complete after {events} of {EVENTS} events");
+                    let text =
+                        format!("ORDER {id} ends as complete after {events} of {EVENTS} events");
                     record.line(&text);
                     broken.lock().unwrap().push(text);
                 }
--- a/review/standins/group.rs
+++ b/review/standins/group.rs
@@ -131,7 +131,8 @@
     pub fn serve(&self, rank: usize, near: SocketAddr, far: SocketAddr) -> std::io::Result<()> {
         for (address, fresh) in [(near, true), (far, false)] {
             let group = self.clone();
-            let _ = serve(address, move |request, writer| group.handle(rank, fresh, request, writer))?;
+            let _ =
+                serve(address, move |request, writer| group.handle(rank, fresh, request, writer))?;
         }
         Ok(())
     }
@@ -250,12 +251,15 @@
             let differs = (0..self.shape.sets)
                 .flat_map(|set| (0..self.shape.ranks).map(move |rank| (set, rank)))
                 .find(|&(set, rank)| first.1[set][rank] != state.ranks[other].map.1[set][rank]);
-            let detail = differs.map_or(String::new(), |(set, rank)| format!(
-                "; set {set}, experts of rank {rank}: {:?} at rank 0, {:?} at rank {other}",
-                first.1[set][rank], state.ranks[other].map.1[set][rank]
-            ));
+            let detail = differs.map_or(String::new(), |(set, rank)| {
+                format!(
+                    "; set {set}, experts of rank {rank}: {:?} at rank 0, {:?} at rank {other}",
+                    first.1[set][rank], state.ranks[other].map.1[set][rank]
+                )
+            });
             let text = format!(
-                "group {}: MAP pass {step} begins with versions {versions:?}{detail}", self.name
+                "group {}: MAP pass {step} begins with versions {versions:?}{detail}",
+                self.name
             );
             if state.mixed.len() < 20 {
                 self.record.line(&text);
@@ -308,17 +312,23 @@
                 let state = self.lock();
                 let known = &state.ranks[rank];
                 let text = if request.query("lists").is_some() {
-                    let prepared = known.prepared.as_ref().map_or("null".to_string(), |prepared| {
-                        held_text(rank, prepared)
-                    });
+                    let prepared = known
+                        .prepared
+                        .as_ref()
+                        .map_or("null".to_string(), |prepared| held_text(rank, prepared));
                     format!(
                         "{{\"step\":{},\"epoch\":1,\"map\":{},\"prepared\":{prepared}}}",
-                        state.step, held_text(rank, &known.map)
+                        state.step,
+                        held_text(rank, &known.map)
                     )
                 } else {
                     let counts: Vec<String> =
                         known.counts.iter().map(|count| (*count as u64).to_string()).collect();
-                    format!("{{\"step\":{},\"epoch\":1,\"counts\":[{}]}}", state.step, counts.join(","))
+                    format!(
+                        "{{\"step\":{},\"epoch\":1,\"counts\":[{}]}}",
+                        state.step,
+                        counts.join(",")
+                    )
                 };
                 drop(state);
                 answer(writer, 200, &json, text.as_bytes())
@@ -341,7 +351,8 @@
                 };
                 if let Some((_, delay)) = late {
                     self.record.line(format!(
-                        "group {}: rank {rank} leaves {operation} unanswered", self.name
+                        "group {}: rank {rank} leaves {operation} unanswered",
+                        self.name
                     ));
                     let group = self.clone();
                     std::thread::spawn(move || {
@@ -513,7 +524,9 @@
 
 fn read_map(map: Option<&J>) -> Vec<Vec<Vec<u64>>> {
     let sets = map.map(J::arr).unwrap_or_default();
-    let ranks = |set: &J| set.arr().iter().map(|held| held.arr().iter().filter_map(J::u64).collect()).collect();
+    let ranks = |set: &J| {
+        set.arr().iter().map(|held| held.arr().iter().filter_map(J::u64).collect()).collect()
+    };
     sets.iter().map(ranks).collect()
 }
 
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -18,7 +18,8 @@
     let folder = std::path::PathBuf::from(&words[2]);
     let root = std::path::PathBuf::from(&words[3]);
     let record = base::Record::create(&folder.join("record.txt"));
-    let work = std::env::temp_dir().join(base::fresh_id(&format!("review-{}-", std::process::id())));
+    let work =
+        std::env::temp_dir().join(base::fresh_id(&format!("review-{}-", std::process::id())));
     std::fs::create_dir_all(&work).expect("a temporary folder");
     let run = cases::Run { record: record.clone(), root, work: work.clone(), trouble };
     let held = match words[1].as_str() {
--- a/review/standins/plain.rs
+++ b/review/standins/plain.rs
@@ -99,15 +99,15 @@
         }
         let attempt = request.header("x-request-attempt-id").unwrap_or("").to_string();
         let running = inner.running.load(Ordering::Relaxed);
-        let load = ("X-Engine-Load", format!("{},{},{SLOTS}", running.min(SLOTS), running.saturating_sub(SLOTS)));
+        let load = (
+            "X-Engine-Load",
+            format!("{},{},{SLOTS}", running.min(SLOTS), running.saturating_sub(SLOTS)),
+        );
         if request.path() == "/healthz" {
             return answer(writer, 200, &[("X-Instance-Id", inner.id.clone()), load], b"");
         }
         let echo = ("X-Request-Attempt-Id", attempt.clone());
-        let mut run = Run {
-            at: Instant::now(),
-            ran: false,
-        };
+        let mut run = Run { at: Instant::now(), ran: false };
         let refuse = |writer: &mut TcpStream, run: Run, status: u16| {
             inner.runs.lock().unwrap().push(run);
             let headers = [echo.clone(), ("X-Not-Executed", "1".into()), load.clone()];
@@ -125,7 +125,10 @@
         run.ran = true;
         inner.runs.lock().unwrap().push(run);
         inner.record.line(format!(
-            "run {attempt} at {} {} {} body {} bytes", inner.id, request.method, request.target,
+            "run {attempt} at {} {} {} body {} bytes",
+            inner.id,
+            request.method,
+            request.target,
             request.body.len()
         ));
         inner.running.fetch_add(1, Ordering::Relaxed);
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -106,7 +106,9 @@
                     if state.cuts != cuts {
                         return Ok(false);
                     }
-                    let events: Vec<String> = state.changes.iter()
+                    let events: Vec<String> = state
+                        .changes
+                        .iter()
                         .filter(|change| change.0 > from && change.1 == kind)
                         .map(|(revision, _, name, spec, removed)| {
                             let object = object(name, *revision, spec);
@@ -116,7 +118,9 @@
                     let now = Instant::now();
                     if !events.is_empty() || now >= until {
                         let text = format!(
-                            "{{\"events\":[{}],\"currentRev\":{}}}", events.join(","), state.revision
+                            "{{\"events\":[{}],\"currentRev\":{}}}",
+                            events.join(","),
+                            state.revision
                         );
                         drop(state);
                         return reply(writer, 200, text);
@@ -127,7 +131,9 @@
             ("GET", None) => {
                 let state = lock.lock().unwrap();
                 let after = request.query("after").unwrap_or_default();
-                let mut items: Vec<String> = state.objects.iter()
+                let mut items: Vec<String> = state
+                    .objects
+                    .iter()
                     .filter(|((known, name), _)| *known == kind && *name > after)
                     .map(|((_, name), known)| object(name, known.revision, &known.spec))
                     .collect();
@@ -135,7 +141,8 @@
                 items.truncate(PAGE);
                 let text = format!(
                     "{{\"items\":[{}],\"hasMore\":{more},\"currentRev\":{}}}",
-                    items.join(","), state.revision
+                    items.join(","),
+                    state.revision
                 );
                 drop(state);
                 reply(writer, 200, text)
