--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -205,6 +205,7 @@
     if run.trouble {
         run.record.line(format!("the machine beside rank {leader} of g-a freezes"));
         site.agents[0][leader].signal(STOP);
+        first.set_frozen(leader, true);
     }
     pause(2.0);
     first.set_hot(None, 1);
@@ -212,6 +213,7 @@
     if run.trouble {
         run.record.line(format!("the machine beside rank {leader} of g-a wakes"));
         site.agents[0][leader].signal(CONT);
+        first.set_frozen(leader, false);
     }
     pause(2.5);
     run.record.line("merkato is taken back");
--- a/review/standins/group.rs
+++ b/review/standins/group.rs
@@ -41,6 +41,9 @@
     seq: u64,
     counts: Vec<f64>,
     streams: Vec<mpsc::Sender<u64>>,
+    /// Whether the machine stands still: the engine goes on with the group's passes, and answers
+    /// no calls.
+    frozen: bool,
     reports: VecDeque<(Instant, String)>,
 }
 
@@ -89,6 +92,7 @@
             seq: 0,
             counts: vec![0.0; shape.sets * shape.experts],
             streams: Vec::new(),
+            frozen: false,
             reports: VecDeque::new(),
         });
         let state = State {
@@ -173,6 +177,15 @@
         (state.late_orders, state.orders)
     }
 
+    pub fn set_frozen(&self, rank: usize, frozen: bool) {
+        self.lock().ranks[rank].frozen = frozen;
+    }
+    fn wait_until_awake(&self, rank: usize) {
+        while self.lock().ranks[rank].frozen {
+            std::thread::sleep(Duration::from_millis(2));
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.shared.0.lock().unwrap()
     }
@@ -300,6 +313,7 @@
         if !fresh {
             std::thread::sleep(self.round_trip);
         }
+        self.wait_until_awake(rank);
         match (request.method.as_str(), request.path()) {
             ("GET", "/cuminpick/report") => {
                 let state = self.lock();
@@ -501,6 +515,7 @@
         let mut begun = false;
         for event in seen + 1..=EVENTS {
             let Ok(_) = passes.recv_timeout(Duration::from_secs(20)) else { return Ok(false) };
+            self.wait_until_awake(rank);
             let piece = format!("id: {event}\ndata: piece {event}\n\n");
             let mut bytes = String::new();
             if !begun {
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -1,4 +1,5 @@
-//! Cases of the independent review. Usage: `review CASE FOLDER ROOT`.
+//! Cases of the independent review. Usage: `review CASE FOLDER ROOT TROUBLE`; TROUBLE is 0 to leave
+//! out the disruption, else 1.
 //!
 //! Starts the project's programs with the commands of the deploy file, and the stand-ins of the
 //! clients, the engines and the platform's store in this process.
@@ -14,7 +15,14 @@
     if words[1] == "stream-engine" {
         return cases::stream_engine(&words[2], &words[3]);
     }
-    let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let trouble = match words.get(4).map(String::as_str) {
+        Some("0") => false,
+        Some("1") => true,
+        _ => {
+            eprintln!("TROUBLE has to be 0 or 1");
+            std::process::exit(2)
+        }
+    };
     let folder = std::path::PathBuf::from(&words[2]);
     let root = std::path::PathBuf::from(&words[3]);
     let record = base::Record::create(&folder.join("record.txt"));
