Log which servers are kept without a record, and when they are dropped

A removal that the store reported was logged as server-removed also where the server stayed in use, its later removal was not logged at all, and no line told from when on servers without a record are kept. server-missing, missing-servers-kept and the reason in server-removed tell it.

No event was lost: the removal arrived within 5 ms and the listing showed it again. No decision changes.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -184,6 +184,17 @@
         self.store_reconnected_at = Some(now);
     }
 
+    /// Returns the time for which servers without a record are still kept; zero if they are not.
+    pub fn kept_without_record(&self, now: Duration) -> Duration {
+        let kept_until = self.store_reconnected_at.map(|since| since + LAPSED_RECORD_GRACE);
+        kept_until.unwrap_or_default().saturating_sub(now)
+    }
+
+    /// Returns the number of servers that are kept without a record.
+    pub fn missing_count(&self) -> usize {
+        self.backends.values().filter(|backend| backend.missing_since.is_some()).count()
+    }
+
     /// Inserts or updates the record of a server, unless a later server is known at its
     /// address. Earlier servers at the address are removed: the records of servers that
     /// crashed stay for some heartbeats. Returns whether the server was not known since it
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -353,6 +353,11 @@
             let mut balance = gateway.balance.borrow_mut();
             for server in balance.remove_expired(now) {
                 gateway.copy_filter.borrow_mut().record_gone(&server);
+                gateway.journal.note(
+                    "server-removed",
+                    None,
+                    o!("server" => server, "reason" => "its record did not return"),
+                );
             }
             balance.expire_peer_counts(now);
         }
--- a/crates/gateway/src/store_return.rs
+++ b/crates/gateway/src/store_return.rs
@@ -55,7 +55,16 @@
         EraChange::Restored => {
             let before = status.previous;
             gateway.journal.warn("store-restored", o!("era" => era, "before" => before));
-            gateway.balance.borrow_mut().record_store_reconnect(gateway.now());
+            let now = gateway.now();
+            let mut balance = gateway.balance.borrow_mut();
+            balance.record_store_reconnect(now);
+            let kept_for = balance.kept_without_record(now);
+            gateway.journal.note(
+                "missing-servers-kept",
+                None,
+                o!("reason" => "the store came back from an older copy",
+                   "kept_ms" => kept_for.as_millis() as u64),
+            );
             gateway.crash_update_due.notify_one();
             gateway.crash_record_changed.notify_one();
         }
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -213,7 +213,16 @@
                 o!("kind" => self.kind, "failures" => failures),
             );
             if self.kind == SERVER_KIND {
-                self.gateway.balance.borrow_mut().record_store_reconnect(self.gateway.now());
+                let now = self.gateway.now();
+                let mut balance = self.gateway.balance.borrow_mut();
+                balance.record_store_reconnect(now);
+                let kept_for = balance.kept_without_record(now);
+                self.gateway.journal.note(
+                    "missing-servers-kept",
+                    None,
+                    o!("reason" => "a call to the store failed",
+                       "kept_ms" => kept_for.as_millis() as u64),
+                );
             }
         }
         self.failures = 0;
@@ -265,7 +274,8 @@
         self.gateway.journal.note(
             "servers-listed",
             None,
-            o!("known" => balance.len(), "settling" => is_settling, "gone" => filtered),
+            o!("known" => balance.len(), "missing" => balance.missing_count(),
+               "settling" => is_settling, "gone" => filtered),
         );
     }
 
@@ -295,12 +305,26 @@
             CONFIG_KIND => apply_config(&self.gateway, event.object),
             SERVER_KIND if event.removed => {
                 let id = event.object.name;
-                if self.gateway.balance.borrow_mut().remove(now, &id) {
-                    self.gateway.copy_filter.borrow_mut().record_gone(&id);
-                }
+                let kept_for = self.gateway.balance.borrow().kept_without_record(now);
+                let is_removed = self.gateway.balance.borrow_mut().remove(now, &id);
                 self.gateway.silence_detector.borrow_mut().remove(&id);
                 self.gateway.crash_detector.borrow_mut().mark_leaving(&id);
-                self.gateway.journal.note("server-removed", None, o!("server" => id));
+                if is_removed {
+                    self.gateway.copy_filter.borrow_mut().record_gone(&id);
+                    self.gateway.journal.note(
+                        "server-removed",
+                        None,
+                        o!("server" => id, "revision" => event.object.revision,
+                           "reason" => "its record was removed"),
+                    );
+                } else {
+                    self.gateway.journal.note(
+                        "server-missing",
+                        None,
+                        o!("server" => id, "revision" => event.object.revision,
+                           "kept_ms" => kept_for.as_millis() as u64),
+                    );
+                }
             }
             SERVER_KIND => {
                 if let Some(listed) = self.decode_record(&event.object) {
