Take a cut watch for no outage of the store; extend the grace of a record by outages only

Cause: any call that failed, also a waiting watch that the store cut off, counted as an outage that was just over. For two seconds from then each server without a record was kept, since the record might have expired; each further cut began these two seconds anew, for servers that had been missing all the while too.

Change: how each call ended is recorded at the store's client, for all clones of it. A watch that the store closes says nothing, one whose connection falls silent only if no other call was answered for 2 s; a call beyond the rate limit is answered. An outage lasts from the last answer before a failed call to the next one (store_contact). A server without a record is kept for 2 s in which the store serves, counted from the outage in which the record may have expired (lapsed_records): a later outage gives back the time it took, a long one the whole 2 s, and nobody is dropped while the store is away.

Why it works: a removal that the store reports while it serves takes effect at once, however often watches are cut; what keeps a server is only that it could not register.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -19,9 +19,11 @@
 use crate::ids::ServerId;
 use crate::ids::ServiceName;
 use crate::ids::ZoneName;
+use crate::lapsed_records::LapsedRecords;
 use crate::request_limits::LimitFilter;
 use crate::routing::ServerRecord;
 use crate::routing::ServerState;
+use crate::store_contact::StoreOutage;
 use crate::updates::update_interval;
 
 /// Time for which a server is avoided after a failure; engines that crash are back after
@@ -41,10 +43,6 @@
 const MIN_PEER_LIVE_AGE: Duration = Duration::from_secs(2);
 /// Update intervals after which a gateway no longer counts as live, if that is longer.
 const PEER_LIVE_INTERVALS: u32 = 8;
-/// Time after a reconnect to the store for which servers without a record are kept, since
-/// the record may have expired during the outage; the platform promises that live servers
-/// are registered again within about two seconds.
-const LAPSED_RECORD_GRACE: Duration = Duration::from_millis(2_000);
 /// Requests in flight per slot at which a server counts as full; engines queue up to
 /// twice their slots.
 const MAX_REQUESTS_PER_SLOT: u32 = 3;
@@ -73,7 +71,6 @@
     /// Requests in flight of the other gateways: the sum of the last count of each.
     others_in_flight: u32,
     avoid_until: Duration,
-    missing_since: Option<Duration>,
     recent_starts: VecDeque<Duration>,
 }
 
@@ -155,7 +152,7 @@
     peer_counts: FastMap<MemberId, PeerCounts>,
     registered_gateways: FastSet<MemberId>,
     slowdowns: FastMap<SocketAddr, (f64, Duration)>,
-    store_reconnected_at: Option<Duration>,
+    lapsed_records: LapsedRecords,
 }
 
 impl BalanceChoice {
@@ -166,9 +163,9 @@
 }
 
 impl BalanceTable {
-    /// Replaces all records by a complete listing. Shortly after a reconnect to the store,
-    /// servers that are not listed are kept for a while, since their records may have
-    /// expired during the outage. Returns the servers that were removed.
+    /// Replaces all records by a complete listing. Servers that are not listed are kept for a
+    /// while if their records may have expired in an outage of the store. Returns the servers
+    /// that were removed.
     pub fn replace_all(&mut self, now: Duration, records: Vec<ServerRecord>) -> Vec<ServerId> {
         let listed: FastSet<ServerId> = records.iter().map(|record| record.id.clone()).collect();
         let unlisted: Vec<ServerId> =
@@ -179,20 +176,31 @@
         unlisted.into_iter().filter(|id| self.remove(now, id)).collect()
     }
 
-    /// Records that the store is reachable again.
+    /// Records that the store has been unavailable since `since`.
+    pub fn record_store_loss(&mut self, since: Duration) {
+        self.lapsed_records.record_loss(since);
+    }
+
+    /// Records that the store serves again after an outage.
+    pub fn record_store_outage(&mut self, outage: StoreOutage) {
+        self.lapsed_records.record_outage(outage);
+    }
+
+    /// Records that records of live servers may be missing for a while from `now` on, since the
+    /// store came back from an older copy.
     pub fn record_store_reconnect(&mut self, now: Duration) {
-        self.store_reconnected_at = Some(now);
+        self.lapsed_records.record_restore(now);
     }
 
-    /// Returns the time for which servers without a record are still kept; zero if they are not.
+    /// Returns the time for which a server that is found without a record now is kept; zero if
+    /// it is not.
     pub fn kept_without_record(&self, now: Duration) -> Duration {
-        let kept_until = self.store_reconnected_at.map(|since| since + LAPSED_RECORD_GRACE);
-        kept_until.unwrap_or_default().saturating_sub(now)
+        self.lapsed_records.grace_left(now)
     }
 
     /// Returns the number of servers that are kept without a record.
     pub fn missing_count(&self) -> usize {
-        self.backends.values().filter(|backend| backend.missing_since.is_some()).count()
+        self.lapsed_records.len()
     }
 
     /// Inserts or updates the record of a server, unless a later server is known at its
@@ -200,6 +208,7 @@
     /// crashed stay for some heartbeats. Returns whether the server was not known since it
     /// started.
     pub fn upsert(&mut self, now: Duration, record: ServerRecord) -> bool {
+        self.lapsed_records.forget(&record.id);
         if self.is_replaced(&record) {
             self.backends.remove(&record.id);
             return false;
@@ -214,7 +223,6 @@
                 }
                 backend.record = record;
                 backend.cold_until = cold_until;
-                backend.missing_since = None;
                 is_new
             }
             None => {
@@ -225,7 +233,6 @@
                     in_flight: 0,
                     others_in_flight: reported.sum(),
                     avoid_until: Duration::ZERO,
-                    missing_since: None,
                     recent_starts: VecDeque::new(),
                     record: record.clone(),
                 };
@@ -249,40 +256,36 @@
         let other = self.backends.get(id).filter(|other| other.record.address == record.address);
         let order = other.map(|other| other.record.started_ms.cmp(&record.started_ms));
         if order == Some(Ordering::Less) {
+            self.lapsed_records.forget(id);
             self.backends.remove(id);
         }
         order == Some(Ordering::Greater)
     }
 
-    /// Removes a server, or marks it as missing shortly after a reconnect to the store. Returns
-    /// whether it was removed.
+    /// Removes a server that has no record, or keeps it for a while if the record may have expired
+    /// in an outage of the store. Returns whether it was removed.
     pub fn remove(&mut self, now: Duration, id: &str) -> bool {
-        let may_have_lapsed = self
-            .store_reconnected_at
-            .is_some_and(|reconnected_at| now < reconnected_at + LAPSED_RECORD_GRACE);
-        if !may_have_lapsed {
-            if let Some(backend) = self.backends.remove(id)
-                && self.by_address.get(&backend.record.address).is_some_and(|last| last == id)
-            {
-                self.by_address.remove(&backend.record.address);
-            }
-            return true;
+        if self.backends.contains_key(id) && self.lapsed_records.keeps(now, id) {
+            return false;
         }
-        if let Some(backend) = self.backends.get_mut(id) {
-            backend.missing_since.get_or_insert(now);
+        self.drop_backend(id);
+        true
+    }
+
+    fn drop_backend(&mut self, id: &str) {
+        if let Some(backend) = self.backends.remove(id)
+            && self.by_address.get(&backend.record.address).is_some_and(|last| last == id)
+        {
+            self.by_address.remove(&backend.record.address);
         }
-        false
     }
 
     /// Removes servers whose records did not return in time, and gateways that no longer
     /// send updates. Returns the servers that were removed.
     pub fn remove_expired(&mut self, now: Duration) -> Vec<ServerId> {
-        let reconnected_at = self.store_reconnected_at.unwrap_or_default();
-        let mut removed = Vec::new();
-        if now >= reconnected_at + LAPSED_RECORD_GRACE {
-            let missing = self.backends.iter().filter(|(_, entry)| entry.missing_since.is_some());
-            removed = missing.map(|(id, _)| id.clone()).collect();
-            self.backends.retain(|_, backend| backend.missing_since.is_none());
+        let removed = self.lapsed_records.take_expired(now);
+        for id in &removed {
+            self.drop_backend(id);
         }
         let age =
             MIN_PEER_LIVE_AGE.max(update_interval(self.live_gateways()) * PEER_LIVE_INTERVALS);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -36,7 +36,8 @@
 //! - The platform's store may come back from an older copy: [`store_history`] tells which of its
 //!   answers are outdated, [`copy_filter`] which servers and zones the copy must not bring back,
 //!   and [`config_order`] which configuration is the newest; [`return_load`] spreads the calls that
-//!   follow.
+//!   follow. [`store_contact`] tells when the store was unavailable, and [`lapsed_records`] for how
+//!   long servers are kept whose records expired meanwhile.
 //! - [`answer`] checks that the frames of an answer belong together.
 //! - [`refusal`] lists the reasons for which a request is refused.
 //! - [`journal`] merges the logged events of all processes into causal order.
@@ -81,6 +82,7 @@
 pub mod gossip;
 pub mod ids;
 pub mod journal;
+pub mod lapsed_records;
 pub mod limit;
 pub mod member;
 pub mod orders;
@@ -102,6 +104,7 @@
 pub mod settings;
 pub mod share;
 pub mod silence;
+pub mod store_contact;
 pub mod store_history;
 pub mod switch;
 pub mod updates;
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -136,6 +136,7 @@
         crash_record_changed: Notify::new(),
         slow_engines: RefCell::new(Vec::new()),
         handled_era: Cell::default(),
+        handled_contact: Cell::default(),
         era_check_due: Notify::new(),
         rng: RefCell::new(ChoiceRng::new(seed)),
         listed_kinds: RefCell::default(),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -42,6 +42,7 @@
 use crate::store_return::apply_era_news;
 use crate::store_return::delay_after_return;
 use crate::store_return::era_news;
+use crate::store_return::handle_outages;
 use crate::store_return::settled_at;
 
 /// Delay after an error of the socket.
@@ -349,6 +350,7 @@
         let gateways = gateway.balance.borrow().live_gateways();
         tokio::time::sleep(update_interval(gateways)).await;
         let now = gateway.now();
+        handle_outages(&gateway);
         {
             let mut balance = gateway.balance.borrow_mut();
             for server in balance.remove_expired(now) {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -29,6 +29,7 @@
 use cuminpick::retry::WindowedRetryBudget;
 use cuminpick::routing::RoutingTable;
 use cuminpick::silence::SilenceDetector;
+use cuminpick::store_contact::StoreContact;
 use cuminpick::store_history::StorePosition;
 use cuminpick::store_history::StoreRevision;
 use cuminpick::updates::LeavingNotice;
@@ -146,6 +147,8 @@
     pub lowest_position: Cell<Option<StorePosition>>,
     /// Status of the store's era up to which changes were handled.
     pub handled_era: Cell<EraStatus>,
+    /// Contact with the store up to which outages were handled.
+    pub handled_contact: Cell<StoreContact>,
     /// Notified when another gateway knows of a higher era of the store.
     pub era_check_due: Notify,
     /// Random number generator.
--- a/crates/gateway/src/store_return.rs
+++ b/crates/gateway/src/store_return.rs
@@ -44,6 +44,30 @@
     }
 }
 
+/// Acts on the outages of the store that were not handled yet, so that servers whose records may
+/// have expired meanwhile are kept.
+pub fn handle_outages(gateway: &Gateway) {
+    let contact = gateway.store.contact();
+    let handled = gateway.handled_contact.replace(contact);
+    let mut balance = gateway.balance.borrow_mut();
+    if let Some(outage) = contact.last_outage()
+        && handled.last_outage() != Some(outage)
+    {
+        balance.record_store_outage(outage);
+        let now = gateway.now();
+        gateway.journal.note(
+            "missing-servers-kept",
+            None,
+            o!("reason" => "the store was unavailable",
+               "outage_ms" => outage.until.saturating_sub(outage.since).as_millis() as u64,
+               "kept_ms" => balance.kept_without_record(now).as_millis() as u64),
+        );
+    }
+    if let Some(since) = contact.lost_at() {
+        balance.record_store_loss(since);
+    }
+}
+
 fn handle_change(gateway: &Gateway, change: EraChange, status: &EraStatus) {
     let era = status.known.era;
     match change {
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -1,7 +1,7 @@
 //! Keeps configuration, servers, take-outs and crash records in step with the platform's
 //! store.
 //!
-//! Each kind of object is listed and then watched. After a watch that broke off, was refused
+//! Each kind of object is listed and then watched. After a watch that was cut off, was refused
 //! or lost its history, the kind is listed again: a store that dropped its history may
 //! accept a watch from an earlier revision without reporting the dropped changes. The same
 //! holds after the store came back from an older copy, which gives revisions out again. What is
@@ -42,6 +42,7 @@
 use crate::state::Gateway;
 use crate::store_return::delay_after_return;
 use crate::store_return::handle_era_changes;
+use crate::store_return::handle_outages;
 use crate::store_return::settled_at;
 
 /// Maximum duration of a watch; bounds how long a store that hangs goes unnoticed.
@@ -71,6 +72,7 @@
             store: gateway.store.clone(),
             kind,
             failures: 0,
+            cuts: 0,
             relist_at: None,
             relists: 0,
         };
@@ -85,6 +87,8 @@
     kind: ObjectKind,
     /// Consecutive failed calls.
     failures: u32,
+    /// Consecutive watches that the store cut off.
+    cuts: u32,
     /// When the last listing, which passed through the filter, has to be replaced by a new one.
     relist_at: Option<Duration>,
     /// Number of relists that other gateways had caused before the last listing.
@@ -132,6 +136,7 @@
             match self.store.list(self.kind, ReadMode::Linearizable).await {
                 Ok(listing) => {
                     self.record_success();
+                    handle_outages(&self.gateway);
                     handle_era_changes(&self.gateway);
                     self.gateway.record_position(listing.position);
                     self.apply_listing(listing.objects);
@@ -162,6 +167,8 @@
         match changes {
             Ok(changes) => {
                 self.record_success();
+                self.cuts = 0;
+                handle_outages(&self.gateway);
                 let changed = !changes.events.is_empty();
                 for event in changes.events {
                     self.apply_event(event);
@@ -180,6 +187,16 @@
                 );
                 None
             }
+            Err(StoreError::NoAnswer(error)) if error.is_closed_by_peer() => {
+                if self.cuts == 0 {
+                    let detail = error.to_string();
+                    let journal = &self.gateway.journal;
+                    journal.note("watch-cut", None, o!("kind" => self.kind, "error" => detail));
+                }
+                self.cuts += 1;
+                self.pause(retry_delay(self.cuts)).await;
+                None
+            }
             Err(error) => {
                 self.back_off(&error).await;
                 None
@@ -187,15 +204,19 @@
         }
     }
 
-    /// Logs the first of several failures and waits for an exponential delay with jitter, or until
-    /// another call shows that the store came back from an older copy.
+    /// Logs the first of several failures and waits for an exponential delay.
     async fn back_off(&mut self, error: &StoreError) {
         if self.failures == 0 {
             let detail = error.to_string();
             self.gateway.journal.warn("store-lost", o!("kind" => self.kind, "error" => detail));
         }
-        let delay = (MIN_RETRY_DELAY * 2u32.pow(self.failures.min(4))).min(MAX_RETRY_DELAY);
         self.failures += 1;
+        self.pause(retry_delay(self.failures)).await;
+    }
+
+    /// Waits for a delay with jitter, or until another call shows that the store came back from an
+    /// older copy.
+    async fn pause(&self, delay: Duration) {
         let jitter = self.gateway.random_bits() % (delay.as_millis() as u64 / 2).max(1);
         let eras = self.store.eras();
         tokio::select! {
@@ -212,18 +233,6 @@
                 None,
                 o!("kind" => self.kind, "failures" => failures),
             );
-            if self.kind == SERVER_KIND {
-                let now = self.gateway.now();
-                let mut balance = self.gateway.balance.borrow_mut();
-                balance.record_store_reconnect(now);
-                let kept_for = balance.kept_without_record(now);
-                self.gateway.journal.note(
-                    "missing-servers-kept",
-                    None,
-                    o!("reason" => "a call to the store failed",
-                       "kept_ms" => kept_for.as_millis() as u64),
-                );
-            }
         }
         self.failures = 0;
     }
@@ -403,6 +412,11 @@
     ListedZone { zone: object.name, revision: object.revision }
 }
 
+/// Returns the delay after a number of failed calls in a row, without jitter.
+fn retry_delay(failures: u32) -> Duration {
+    (MIN_RETRY_DELAY * 2u32.pow(failures.saturating_sub(1).min(4))).min(MAX_RETRY_DELAY)
+}
+
 /// Returns the maximum duration of a watch of a kind.
 fn watch_wait(kind: ObjectKind) -> Duration {
     if kind == CRASH_KIND { CRASH_WATCH_WAIT } else { WATCH_WAIT }
--- a/crates/standins/src/site/store.rs
+++ b/crates/standins/src/site/store.rs
@@ -93,6 +93,8 @@
     /// Text of the header that states the era, in place of its number; empty for no header.
     era_text: Option<String>,
     keeps_watches: bool,
+    /// Number of times that the waiting watches were cut off.
+    cut_count: u64,
     /// Latest content that operators and servers gave to each object; `None` if removed.
     outside_writes: BTreeMap<ObjectKey, Option<Value>>,
 }
@@ -110,6 +112,7 @@
             era: 1,
             era_text: None,
             keeps_watches: false,
+            cut_count: 0,
             outside_writes: BTreeMap::new(),
         }
     }
@@ -257,6 +260,12 @@
         self.changed.notify_waiters();
     }
 
+    /// Closes the connections of all watches that are waiting.
+    pub fn cut_watches(&self) {
+        self.lock().cut_count += 1;
+        self.changed.notify_waiters();
+    }
+
     /// Returns an object; `None` if it does not exist.
     pub fn get(&self, kind: &str, name: &str) -> Option<StoreObject> {
         self.lock().objects.get(&(kind.to_string(), name.to_string())).cloned()
@@ -387,7 +396,8 @@
     }
 
     /// Answers with the events of `kind` after `revision`, or with none once `wait` has passed.
-    /// `None` closes the connection of a watch that does not survive a return of the store.
+    /// `None` closes the connection of a watch that is cut off, or that does not survive a return
+    /// of the store.
     async fn wait_changes(
         &self,
         kind: &str,
@@ -395,7 +405,10 @@
         wait: Duration,
     ) -> Option<Response<SiteBody>> {
         let deadline = tokio::time::Instant::now() + wait;
-        let era = self.lock().era;
+        let (era, cut_count) = {
+            let state = self.lock();
+            (state.era, state.cut_count)
+        };
         loop {
             let changed = self.changed.notified();
             {
@@ -403,7 +416,8 @@
                 if state.mode != StoreMode::Normal && state.mode != StoreMode::LoseWriteAnswers {
                     return Some(error_answer(StatusCode::SERVICE_UNAVAILABLE));
                 }
-                if state.era != era && !state.keeps_watches {
+                let is_lost = state.era != era && !state.keeps_watches;
+                if is_lost || state.cut_count != cut_count {
                     return None;
                 }
                 let is_unknown = state.era == era && revision > state.revision;
