Log the digest of each expert map, and the base from which an agent built it

Two maps of one version could not be told apart in any log. The leader's map-prepared names the digest of the map that it ordered, an agent's map-received that of the map which it has and of the one to which it applied the changes.

No decision changes.

--- a/crates/core/src/switch.rs
+++ b/crates/core/src/switch.rs
@@ -32,6 +32,7 @@
 use crate::experts::MapVersion;
 use crate::experts::RankIndex;
 use crate::ids::FastMap;
+use crate::ids::hash_value;
 use crate::orders::GroupEpoch;
 use crate::orders::LeaderAction;
 use crate::orders::LeaderTerm;
@@ -342,7 +343,8 @@
         let version = self.last_version + 1;
         self.last_version = version;
         let timeout = PREPARE_TIMEOUT + max_copy_time * COPY_TIME_FACTOR;
-        let detail = format!("copies take up to {} ms", max_copy_time.as_millis());
+        let (copy_ms, digest) = (max_copy_time.as_millis(), hash_value(&map));
+        let detail = format!("copies take up to {copy_ms} ms, digest {digest:016x}");
         let mut actions = vec![log_step("map-prepared", version, 0, detail)];
         let map = Arc::new(map);
         self.latest_map = Some((version, Arc::clone(&map)));
--- a/crates/rank-agent/src/observe.rs
+++ b/crates/rank-agent/src/observe.rs
@@ -16,6 +16,7 @@
 use cuminpick::experts::MapVersion;
 use cuminpick::experts::apply_changes;
 use cuminpick::experts::initial_map;
+use cuminpick::ids::hash_value;
 use cuminpick::orders::GroupEpoch;
 use cuminpick::orders::LeaderTerm;
 use cuminpick::orders::OrderId;
@@ -349,6 +350,7 @@
 /// the base of its changes is unknown or they do not apply to it.
 fn restore_order(agent: &Agent, order: SentOrder) -> Option<RankOrder> {
     let mut state = agent.state.borrow_mut();
+    let mut known_base = None;
     let order = match order {
         SentOrder::Full(order) => order,
         SentOrder::PrepareChanges { mark, version, base, shape, changes } => {
@@ -363,10 +365,18 @@
                 None => return None,
             };
             let map = Arc::new(apply_changes(&base_map, &changes)?);
+            known_base = Some((base, base_map));
             RankOrder::Prepare { mark, version, map }
         }
     };
     if let RankOrder::Prepare { mark, version, map } = &order {
+        let base = known_base.map(|(base, map)| format!("{base} {:016x}", hash_value(&map)));
+        agent.journal.note(
+            "map-received",
+            None,
+            o!("version" => *version, "digest" => format!("{:016x}", hash_value(map)),
+               "base" => base, "fence" => mark.fence, "epoch" => mark.epoch),
+        );
         remember_map(&mut state.recent_maps, mark.epoch, *version, map);
     }
     Some(order)
