Number expert maps by the fence of their switch, so that a version names one map

Cause: a leader gave its map the number after the highest that a rank reported. Maps that were ordered and never came into use are not reported, so the next leader used their number for a map of its own. Whatever goes by the version then took the one for the other.

Change: the version is the fencing token of the switch, which belongs to one leader's term and one switch of it, and rises with both. The order that reconciles ranks disarms its own fence in place of a number that a rank could have reported since. Should ranks report a higher version, as leaders of earlier releases count on from it, the leader goes above that; agents replace a kept map by a later one of its version for the same reason.

Why it works: a version is never given twice, whatever the next leader knows. A rank refuses to be armed for a version that it has not prepared, and an agent without the base asks for the whole map, as before.

--- a/crates/core/src/experts.rs
+++ b/crates/core/src/experts.rs
@@ -20,7 +20,7 @@
 pub type ExpertIndex = u16;
 /// Index of a rank within its group.
 pub type RankIndex = usize;
-/// Version of an expert map; increases within a group.
+/// Version of an expert map; increases within a group, and names one map only.
 pub type MapVersion = u64;
 /// Experts that each rank holds, indexed by set and then by rank. An expert may be held
 /// by several ranks, which then share its load evenly.
--- a/crates/core/src/switch.rs
+++ b/crates/core/src/switch.rs
@@ -19,6 +19,10 @@
 //! agent, or in its place the engine, has to answer a presence check before any rank is
 //! armed: a VM that froze earlier is then known not to have armed its engine.
 //!
+//! The version of a map is the fence of its switch. A version therefore names one map only,
+//! whichever leaders ordered it and however many ranks took notice: a rank cannot be armed for
+//! another map of the same version, and agents may keep maps by version that never came into use.
+//!
 //! A leader that takes over, or whose switch failed, first reconciles the ranks.
 
 mod activation;
@@ -33,6 +37,7 @@
 use crate::experts::RankIndex;
 use crate::ids::FastMap;
 use crate::ids::hash_value;
+use crate::orders::FenceNumber;
 use crate::orders::GroupEpoch;
 use crate::orders::LeaderAction;
 use crate::orders::LeaderTerm;
@@ -340,7 +345,7 @@
         if !self.raise_fence() {
             return vec![LeaderAction::StepDown];
         }
-        let version = self.last_version + 1;
+        let version = self.map_version_of_fence();
         self.last_version = version;
         let timeout = PREPARE_TIMEOUT + max_copy_time * COPY_TIME_FACTOR;
         let (copy_ms, digest) = (max_copy_time.as_millis(), hash_value(&map));
@@ -372,9 +377,18 @@
         self.fences_used < FENCES_PER_TERM
     }
 
+    fn fence(&self) -> FenceNumber {
+        self.term * FENCES_PER_TERM + self.fences_used
+    }
+
+    /// Returns the version of the map of the current fence: the fence, or a higher number if a
+    /// rank has had that already, since leaders of earlier releases count on from what ranks report.
+    fn map_version_of_fence(&self) -> MapVersion {
+        self.fence().max(self.last_version.saturating_add(1))
+    }
+
     fn mark(&self) -> OrderMark {
-        let fence = self.term * FENCES_PER_TERM + self.fences_used;
-        OrderMark { fence, epoch: self.epoch.unwrap_or(0) }
+        OrderMark { fence: self.fence(), epoch: self.epoch.unwrap_or(0) }
     }
 
     fn send(&mut self, now: Duration, rank: RankIndex, order: RankOrder) -> LeaderAction {
--- a/crates/core/src/switch/reconciliation.rs
+++ b/crates/core/src/switch/reconciliation.rs
@@ -28,13 +28,10 @@
         if !self.raise_fence() {
             return vec![LeaderAction::StepDown];
         }
-        // The fencing order disarms a version that is never armed, so that carrying it
-        // out late cannot undo a later switch.
-        self.last_version += 1;
         self.pending.clear();
         let size = self.views.size();
         self.phase = Phase::Fencing { confirmed: vec![None; size] };
-        let mut actions = vec![log_step("settling", self.last_version, 0, reason.to_string())];
+        let mut actions = vec![log_step("settling", self.fence(), 0, reason.to_string())];
         self.fencing_sent_at = now;
         for rank in 0..size {
             actions.push(self.send_fencing_order(now, rank));
@@ -42,9 +39,10 @@
         actions
     }
 
-    /// Sends an order that changes nothing but the rank's fence.
+    /// Sends an order that changes nothing but the rank's fence: it disarms the version of that
+    /// fence, which no map has, so that carrying it out late cannot undo a later switch.
     fn send_fencing_order(&mut self, now: Duration, rank: RankIndex) -> LeaderAction {
-        let order = RankOrder::Disarm { mark: self.mark(), version: self.last_version };
+        let order = RankOrder::Disarm { mark: self.mark(), version: self.fence() };
         self.send(now, rank, order)
     }
 
--- a/crates/core/tests/map_switch.rs
+++ b/crates/core/tests/map_switch.rs
@@ -101,6 +101,32 @@
     }
 }
 
+/// Guards against two maps of one version: some ranks still copy the map of a leader that was
+/// lost when the next leader gives its own map the same version.
+#[test]
+fn reused_version() {
+    for copy_steps in 8..48 {
+        for takeover in 20..50 {
+            for unprepared in 3..6 {
+                let mut schedule = vec![Fault::Normal; unprepared];
+                schedule.push(Fault::Lost);
+                let mut simulation = Simulation::new(schedule);
+                simulation.copy_steps = copy_steps;
+                // An order's answer takes longer than a report.
+                (simulation.answer_delay, simulation.status_delay) = (8, 4);
+                for step in 0..300 {
+                    if step == takeover {
+                        simulation.leaders[0] = None;
+                        simulation.take_over(11);
+                    }
+                    simulation.advance();
+                }
+                assert!(simulation.switches >= 1, "no switch after a takeover at {takeover}");
+            }
+        }
+    }
+}
+
 /// A leader that is paused during a takeover and then resumes must step down; the group
 /// still completes switches.
 #[test]
--- a/crates/core/tests/support/group.rs
+++ b/crates/core/tests/support/group.rs
@@ -9,6 +9,7 @@
 
 use cuminpick::experts::ExpertMap;
 use cuminpick::experts::MapVersion;
+use cuminpick::ids::hash_value;
 use cuminpick::orders::FenceNumber;
 use cuminpick::orders::GroupEpoch;
 use cuminpick::orders::LeaderAction;
@@ -35,7 +36,11 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Rank {
     pub(crate) map: MapVersion,
+    /// Digest of the map in use; 0 for the first one.
+    pub(crate) content: u64,
     pub(crate) prepared: Option<MapVersion>,
+    /// Digest of the latest map that was ordered to be prepared.
+    pub(crate) prepared_content: u64,
     pub(crate) copying: Option<(MapVersion, u32)>,
     pub(crate) highest: MapVersion,
     pub(crate) armed: Option<(MapVersion, PassNumber)>,
@@ -97,6 +102,10 @@
     pub(crate) report_due: bool,
     /// Interval between two reports of an agent, in steps.
     pub(crate) report_steps: u32,
+    /// Number of maps that were planned.
+    pub(crate) plans: u16,
+    /// Time that a rank needs to copy experts, in steps.
+    pub(crate) copy_steps: u32,
 }
 
 /// Creates a leader that knows the engines' report lag.
@@ -138,6 +147,8 @@
             unreachable: None,
             report_due: false,
             report_steps: 4,
+            plans: 0,
+            copy_steps: COPY_STEPS,
         }
     }
 
@@ -261,6 +272,7 @@
     fn execute(&mut self, rank: usize, order: &RankOrder) -> OrderOutcome {
         let mark = order.mark();
         let next = self.pass + 1;
+        let copy_steps = self.copy_steps;
         let state = &mut self.ranks[rank];
         if mark.epoch != self.epoch {
             return OrderOutcome::Refused;
@@ -270,12 +282,13 @@
         }
         state.fence = mark.fence;
         let done = match order {
-            RankOrder::Prepare { version, .. } => {
+            RankOrder::Prepare { version, map, .. } => {
                 let fits = *version > state.highest && state.armed.is_none();
                 if fits {
                     state.highest = *version;
-                    state.copying = Some((*version, COPY_STEPS));
+                    state.copying = Some((*version, copy_steps));
                     state.prepared = None;
+                    state.prepared_content = hash_value(map);
                 }
                 fits
             }
@@ -344,13 +357,14 @@
         for rank in &mut self.ranks {
             if let Some((version, _)) = rank.armed.filter(|(_, pass)| *pass <= next) {
                 rank.map = version;
+                rank.content = rank.prepared_content;
                 rank.armed = None;
                 rank.prepared = None;
             }
         }
-        let first = self.ranks[0].map;
+        let first = (self.ranks[0].map, self.ranks[0].content);
         assert!(
-            self.ranks.iter().all(|rank| rank.map == first),
+            self.ranks.iter().all(|rank| (rank.map, rank.content) == first),
             "pass {next} begins with different maps: {:?}",
             self.ranks
         );
@@ -409,7 +423,9 @@
             if let Some(active) = &mut self.leaders[leader] {
                 let mut actions = active.tick(now);
                 if active.switchable_map(now).is_some() {
-                    let map: ExpertMap = vec![vec![vec![0]; self.ranks.len()]];
+                    // No two plans are alike.
+                    self.plans += 1;
+                    let map: ExpertMap = vec![vec![vec![self.plans]; self.ranks.len()]];
                     actions.extend(active.begin_switch(now, map, COPY_SPAN));
                 }
                 self.switches = self.switches.max(active.completed_switches());
--- a/crates/rank-agent/src/observe.rs
+++ b/crates/rank-agent/src/observe.rs
@@ -394,17 +394,15 @@
     }
 }
 
-/// Adds a map to the recent ones unless it is among them, and drops the oldest beyond
-/// [`MAX_RECENT_MAPS`].
+/// Adds a map to the recent ones, and drops the oldest beyond [`MAX_RECENT_MAPS`]. It replaces
+/// one of the same version: leaders of earlier releases may use a version again.
 fn remember_map(
     recent_maps: &mut Vec<(GroupEpoch, MapVersion, Arc<ExpertMap>)>,
     epoch: GroupEpoch,
     version: MapVersion,
     map: &Arc<ExpertMap>,
 ) {
-    if recent_maps.iter().any(|known| (known.0, known.1) == (epoch, version)) {
-        return;
-    }
+    recent_maps.retain(|known| (known.0, known.1) != (epoch, version));
     if recent_maps.len() >= MAX_RECENT_MAPS {
         recent_maps.remove(0);
     }
--- a/crates/rank-agent/tests/group_switch.rs
+++ b/crates/rank-agent/tests/group_switch.rs
@@ -193,6 +193,26 @@
     }
 }
 
+/// Guards against ranks with different maps of one version: agents keep the map of a killed
+/// leader, which no engine has, and build on it when the next leader uses its version again.
+#[tokio::test(flavor = "multi_thread")]
+async fn unused_map() {
+    let mut group = TestGroup::start().await;
+    group.group.delay_prepares(Some(Duration::from_secs(4)));
+    let started = Instant::now();
+    while group.group.late_orders() < RANKS as u64 {
+        assert!(started.elapsed() < TIMEOUT, "no order to prepare a map:\n{}", group.logs());
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let leader = group.leader().unwrap();
+    group.agents[leader].as_mut().unwrap().kill().unwrap();
+    group.group.shift_demand();
+    group.group.delay_prepares(None);
+    group.start_agent(leader);
+    group.wait_for_switches(4, "after the leader was killed").await;
+    assert_eq!(group.group.mixed_passes(), 0, "{}", group.logs());
+}
+
 /// A leader that resumes after another one took over must not disturb the group: engines
 /// refuse its orders.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -288,7 +288,7 @@
     async fn answer(self, request: SiteRequest) -> Option<Response<SiteBody>> {
         self.wait_unfrozen().await;
         if let Some(call) = decode_engine_call(&request.method, &request.uri, &request.body) {
-            return Some(self.handle_engine_call(call));
+            return self.handle_engine_call(call);
         }
         let head = decode_forwarded(&request.headers);
         if head.server.as_ref().is_some_and(|server| *server != self.incarnation.borrow().id) {
@@ -377,12 +377,12 @@
         }
     }
 
-    /// Answers a call of the engine's control interface.
-    fn handle_engine_call(&self, call: EngineCall) -> Response<SiteBody> {
+    /// Answers a call of the engine's control interface; `None` closes the connection.
+    fn handle_engine_call(&self, call: EngineCall) -> Option<Response<SiteBody>> {
         let Some((group, rank)) = &self.rank else {
-            return json_answer(StatusCode::OK, &json!({ "queued": 0, "running": 0 }));
+            return Some(json_answer(StatusCode::OK, &json!({ "queued": 0, "running": 0 })));
         };
-        match call {
+        let answer = match call {
             EngineCall::Report => {
                 let report = GroupReport {
                     group: "group".to_string(),
@@ -400,10 +400,19 @@
                 json_answer(StatusCode::OK, &encode_placed_experts(version, &placed))
             }
             EngineCall::Order(order) => {
+                if let Some(delay) = group.take_order_delay(&order) {
+                    let (group, rank) = (group.clone(), *rank);
+                    tokio::spawn(async move {
+                        tokio::time::sleep(delay).await;
+                        group.execute_order(rank, &order);
+                    });
+                    return None;
+                }
                 let outcome = group.execute_order(*rank, &order);
                 json_answer(order_status(outcome), &json!({}))
             }
-        }
+        };
+        Some(answer)
     }
 
     /// Streams the events up to `event_count` that follow `last_event`; cuts the stream in the
--- a/crates/standins/src/site/group.rs
+++ b/crates/standins/src/site/group.rs
@@ -1,7 +1,8 @@
 //! Stand-in for a model group: ranks that make passes in lock-step.
 //!
 //! The ranks execute orders (prepare, arm, disarm, hold, release) as the platform's
-//! engines do. The group counts the passes in which two ranks used different expert maps.
+//! engines do. The group counts the passes in which two ranks used different expert maps, by
+//! version or content. Orders to prepare a map can be left unanswered and carried out late.
 
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -33,6 +34,8 @@
 #[derive(Debug, Clone, Default)]
 struct RankState {
     map: MapVersion,
+    /// Map in use; `None` for the first one.
+    content: Option<ExpertMap>,
     prepared: Option<(MapVersion, ExpertMap)>,
     copying: Option<(MapVersion, ExpertMap, u32)>,
     highest_version: MapVersion,
@@ -47,11 +50,16 @@
 struct GroupState {
     epoch: GroupEpoch,
     pass: PassNumber,
-    map: ExpertMap,
+    first_map: ExpertMap,
     ranks: Vec<RankState>,
     mixed_passes: u64,
     switches: u64,
     held_passes: u64,
+    /// Number of times that the demand was shifted in addition to its regular shifts.
+    extra_shifts: u64,
+    /// Delay after which orders to prepare a map are carried out, without an answer.
+    prepare_delay: Option<Duration>,
+    late_orders: u64,
     rng: ChoiceRng,
 }
 
@@ -70,11 +78,14 @@
         let state = GroupState {
             epoch: 1,
             pass: 0,
-            map: initial_map(layout, ranks),
+            first_map: initial_map(layout, ranks),
             ranks: vec![RankState { expert_counts, ..RankState::default() }; ranks],
             mixed_passes: 0,
             switches: 0,
             held_passes: 0,
+            extra_shifts: 0,
+            prepare_delay: None,
+            late_orders: 0,
             rng: ChoiceRng::new(seed),
         };
         let (latest_pass, _) = watch::channel(0);
@@ -104,6 +115,31 @@
         self.lock().held_passes
     }
 
+    /// Shifts the demand to other experts now.
+    pub fn shift_demand(&self) {
+        self.lock().extra_shifts += 1;
+    }
+
+    /// Leaves orders to prepare a map unanswered from now on, and carries them out after `delay`;
+    /// `None` answers them again.
+    pub fn delay_prepares(&self, delay: Option<Duration>) {
+        self.lock().prepare_delay = delay;
+    }
+
+    /// Returns the number of orders that were left unanswered.
+    pub fn late_orders(&self) -> u64 {
+        self.lock().late_orders
+    }
+
+    /// Returns the delay of an order that arrives now; `None` if it is carried out at once.
+    pub fn take_order_delay(&self, order: &RankOrder) -> Option<Duration> {
+        let mut state = self.lock();
+        let is_prepare = matches!(order, RankOrder::Prepare { .. });
+        let delay = state.prepare_delay.filter(|_| is_prepare);
+        state.late_orders += u64::from(delay.is_some());
+        delay
+    }
+
     /// Records that a rank runs one request more, or one less.
     pub fn count_running(&self, rank: usize, more: bool) {
         let mut state = self.lock();
@@ -145,7 +181,8 @@
     /// Returns the experts placed on a rank by set, with the version of its map.
     pub fn placed_experts(&self, rank: usize) -> (MapVersion, Vec<Vec<ExpertIndex>>) {
         let state = self.lock();
-        let placed = state.map.iter().map(|set| set[rank].clone()).collect();
+        let map = state.ranks[rank].content.as_ref().unwrap_or(&state.first_map);
+        let placed = map.iter().map(|set| set[rank].clone()).collect();
         (state.ranks[rank].map, placed)
     }
 
@@ -202,24 +239,22 @@
             return state.pass;
         }
         state.pass = next_pass;
-        let mut switched_map = None;
+        let mut has_switched = false;
         for rank in &mut state.ranks {
             if rank.armed.is_some_and(|(_, pass)| pass <= next_pass) {
                 rank.armed = None;
                 if let Some((version, map)) = rank.prepared.take() {
                     rank.map = version;
-                    switched_map = Some(map);
+                    rank.content = Some(map);
+                    has_switched = true;
                 }
             }
         }
-        if let Some(map) = switched_map {
-            state.map = map;
-            state.switches += 1;
-        }
-        let first_map = state.ranks[0].map;
-        if state.ranks.iter().any(|rank| rank.map != first_map) {
-            state.mixed_passes += 1;
-        }
+        state.switches += u64::from(has_switched);
+        let first = &state.ranks[0];
+        let is_mixed =
+            state.ranks.iter().any(|rank| rank.map != first.map || rank.content != first.content);
+        state.mixed_passes += u64::from(is_mixed);
         self.count_choices(&mut state);
         next_pass
     }
@@ -227,7 +262,8 @@
     /// Adds the expert choices of one pass. A few experts of each set get most of them, and
     /// which ones changes every `DEMAND_SHIFT_PASSES`.
     fn count_choices(&self, state: &mut GroupState) {
-        let shift = (state.pass / DEMAND_SHIFT_PASSES) as usize * 7;
+        let shifts = state.pass / DEMAND_SHIFT_PASSES + state.extra_shifts;
+        let shift = shifts as usize * 7;
         let expert_count = self.layout.experts;
         let GroupState { ranks, rng, .. } = state;
         for rank in ranks {
