Discard a server whose record cannot be decoded, also after an outage

Callers: for two seconds after an outage of the store a server got requests although its record, there again, names no server to use.

Cause: the same call removed a server without a record and one with a record of another writer. Change: the latter is discarded, whatever the grace.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -272,6 +272,12 @@
         true
     }
 
+    /// Removes a server whose record names no server to use; such a record has not expired.
+    pub fn discard(&mut self, id: &str) {
+        self.lapsed_records.forget(id);
+        self.drop_backend(id);
+    }
+
     fn drop_backend(&mut self, id: &str) {
         if let Some(backend) = self.backends.remove(id)
             && self.by_address.get(&backend.record.address).is_some_and(|last| last == id)
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -400,7 +400,7 @@
                     .journal
                     .warn("record-ignored", o!("kind" => self.kind, "error" => detail));
                 // A server whose record cannot be decoded must not get requests.
-                self.gateway.balance.borrow_mut().remove(self.gateway.now(), &object.name);
+                self.gateway.balance.borrow_mut().discard(&object.name);
                 self.gateway.silence_detector.borrow_mut().remove(&object.name);
                 None
             }
--- a/crates/gateway/tests/cut_watches.rs
+++ b/crates/gateway/tests/cut_watches.rs
@@ -111,3 +111,21 @@
     }
     assert_eq!(call_for(&site, DRAIN_TIME, "again", |_| {}).await, 0, "{}", site.all_logs());
 }
+
+/// Guards against a server that is kept after an outage although its record did not expire: it
+/// was replaced by one that cannot be decoded.
+#[tokio::test(flavor = "multi_thread")]
+async fn replaced_record() {
+    let site = Site::with_sizes(1, 1, 3).await;
+    assert_eq!(call_for(&site, CALL_INTERVAL * 5, "first", |_| {}).await, 0);
+    assert!(!site.bookings[1].ledger().is_empty());
+    site.store.set_mode(StoreMode::Reset);
+    assert_eq!(call_for(&site, Duration::from_secs(1), "away", |_| {}).await, 0);
+    site.store.set_mode(StoreMode::Normal);
+    site.store.put(SERVER_KIND, "booking-2", serde_json::json!({ "service": "booking" }));
+    // The next listing follows within the longest delay after a failed call.
+    assert_eq!(call_for(&site, Duration::from_secs(1), "back", |_| {}).await, 0);
+    let before = site.bookings[1].ledger().len();
+    assert_eq!(call_for(&site, Duration::from_millis(500), "replaced", |_| {}).await, 0);
+    assert_eq!(site.bookings[1].ledger().len(), before, "{}", site.all_logs());
+}
