--- a/crates/rank-agent/tests/group_switch.rs
+++ b/crates/rank-agent/tests/group_switch.rs
@@ -213,6 +213,43 @@
     assert_eq!(group.group.mixed_passes(), 0, "{}", group.logs());
 }
 
+/// Guards against two maps of one version whichever way leaders are lost, one after the other,
+/// while their orders are carried out late.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_leaders() {
+    let mut group = TestGroup::start().await;
+    group.wait_for_switches(1, "at first").await;
+    for round in 0..6 {
+        let late_orders = group.group.late_orders();
+        group.group.delay_prepares(Some(Duration::from_millis(500 + 700 * round)));
+        let started = Instant::now();
+        // In some rounds a part of the ranks has not got the order when the leader is lost.
+        while group.group.late_orders() < late_orders + 1 + round % RANKS as u64 {
+            assert!(started.elapsed() < TIMEOUT, "no order to prepare:\n{}", group.logs());
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+        let leader = group.leader().unwrap();
+        match round % 3 {
+            0 => group.restart_agent(leader).await,
+            1 => group.signal(leader, "STOP"),
+            _ => {
+                for rank in 0..RANKS {
+                    group.agents[rank].as_mut().unwrap().kill().unwrap();
+                    group.start_agent(rank);
+                }
+            }
+        }
+        group.group.shift_demand();
+        group.group.delay_prepares(None);
+        group.wait_for_switches(2, &format!("after the leader was lost, round {round}")).await;
+        if round % 3 == 1 {
+            group.signal(leader, "CONT");
+        }
+    }
+    group.wait_for_switches(2, "at the end").await;
+    assert_eq!(group.group.mixed_passes(), 0, "{}", group.logs());
+}
+
 /// A leader that resumes after another one took over must not disturb the group: engines
 /// refuse its orders.
 #[tokio::test(flavor = "multi_thread")]
