Count an answer of the store that cannot be used as an answer

Change: what the store answered counts as answered, whatever it says; only a call without an answer, or with a status of 500 and above, did not reach it.

--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -19,6 +19,7 @@
 use cuminpick::routing::ServerRecord;
 use cuminpick::routing::ServerState;
 use cuminpick::store_history::StorePosition;
+use cuminpick_platform::call::CallError;
 use cuminpick_platform::records::CrashRecord;
 use cuminpick_platform::records::decode_server;
 use cuminpick_platform::store::CONFIG_KIND;
@@ -187,7 +188,7 @@
                 );
                 None
             }
-            Err(StoreError::NoAnswer(error)) if error.is_closed_by_peer() => {
+            Err(StoreError::NoAnswer(error @ CallError::Closed(_))) => {
                 if self.cuts == 0 {
                     let detail = error.to_string();
                     let journal = &self.gateway.journal;
