Drop a server without a record only by an answer of the store after its time

What callers saw: after an outage of the store in which all records of a service expired, and after which waiting watches were cut off several times, requests were refused with `no-server` for up to 0.4 s although the servers had registered again in time.

Cause: the two seconds of a server ended by the clock of the gateway. After a series of cut watches the gateway pauses for up to 0.8 s before it lists again, so that it dropped servers whose records it had not looked for.

Ruled out: an outage that went unnoticed (lapsed_servers would have failed in the phase before), a slow test (the phases are bounded by the clock), and a listing that lacked the records.

Change: the watch of the servers ends when the first server without a record is due, and its answer decides; a pause after a cut watch and the delay that gathers changes end by then too. An answer counts as of the start of its call, or as of the end of the wait if it names no change, so that a late answer decides nothing either. Nothing is dropped by the clock. Removals by a listing are logged, and each removal with the age of what was read. remove_expired no longer concerns gateways, which remove_silent_peers removes: two tests call it by that name.

Conclusion: what ends the time of a server is what the store says, not that nothing was heard.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -286,18 +286,28 @@
         }
     }
 
-    /// Removes servers whose records did not return in time, and gateways that no longer
-    /// send updates. Returns the servers that were removed.
+    /// Returns when the records have to be read to decide whether servers without one are
+    /// removed; `None` if there are none, or while the store is unavailable.
+    pub fn next_record_expiry(&self) -> Option<Duration> {
+        self.lapsed_records.next_expiry()
+    }
+
+    /// Removes servers whose records did not return in time, as the store answered at `now`.
+    /// Returns the servers that were removed.
     pub fn remove_expired(&mut self, now: Duration) -> Vec<ServerId> {
         let removed = self.lapsed_records.take_expired(now);
         for id in &removed {
             self.drop_backend(id);
         }
+        removed
+    }
+
+    /// Removes gateways that no longer send updates.
+    pub fn remove_silent_peers(&mut self, now: Duration) {
         let age =
             MIN_PEER_LIVE_AGE.max(update_interval(self.live_gateways()) * PEER_LIVE_INTERVALS);
         self.drop_old_counts(now, age);
         self.peer_counts.retain(|_, peer| now < peer.last_heard + age);
-        removed
     }
 
     /// Takes a zone out of service, or brings it back.
--- a/crates/core/src/lapsed_records.rs
+++ b/crates/core/src/lapsed_records.rs
@@ -4,7 +4,9 @@
 //! store is unavailable servers cannot renew their records, which then expire; the servers are
 //! registered again soon after its return. A server without a record is therefore kept for
 //! [`LAPSED_RECORD_GRACE`] in which the store serves, counted from the end of the outage in
-//! which the record may have expired. Only an outage extends that time.
+//! which the record may have expired. Only an outage extends that time. A server is dropped by an
+//! answer of the store that was received after its time, since a process whose calls are delayed
+//! or cut off may not know yet that the record has returned.
 
 use std::time::Duration;
 
@@ -90,8 +92,15 @@
         self.kept_until.is_empty()
     }
 
-    /// Removes and returns the servers whose records did not return in time; none while the
-    /// store is unavailable, since no record can return then.
+    /// Returns when the records have to be read to decide whether a server is dropped; `None` if
+    /// none is kept without a record, or while the store is unavailable.
+    pub fn next_expiry(&self) -> Option<Duration> {
+        let expiry = self.kept_until.values().min().copied();
+        expiry.filter(|_| self.lost_at.is_none())
+    }
+
+    /// Removes and returns the servers whose records did not return in time, as the store
+    /// answered at `now`; none while the store is unavailable, since no record can return then.
     pub fn take_expired(&mut self, now: Duration) -> Vec<ServerId> {
         if self.lost_at.is_some() {
             return Vec::new();
--- a/crates/core/tests/balance_choice.rs
+++ b/crates/core/tests/balance_choice.rs
@@ -223,7 +223,7 @@
     let mut sent = 0;
     for table in &mut gateways {
         assert_eq!(table.live_or_registered_gateways(), 4);
-        table.remove_expired(START + Duration::from_secs(5));
+        table.remove_silent_peers(START + Duration::from_secs(5));
         assert_eq!(table.live_or_registered_gateways(), 4);
         for _ in 0..40 {
             let now = START + Duration::from_secs(5);
--- a/crates/core/tests/gateway_updates.rs
+++ b/crates/core/tests/gateway_updates.rs
@@ -151,9 +151,9 @@
         assert_eq!(table.service_load("model").others_in_flight, 5, "{gateways} gateways");
         table.expire_peer_counts(interval * 5 + Duration::from_millis(400));
         assert_eq!(table.service_load("model").others_in_flight, 0, "{gateways} gateways");
-        table.remove_expired(interval * 7);
+        table.remove_silent_peers(interval * 7);
         assert_eq!(table.live_gateways(), gateways);
-        table.remove_expired(interval * 10 + Duration::from_secs(2));
+        table.remove_silent_peers(interval * 10 + Duration::from_secs(2));
         assert_eq!(table.live_gateways(), 1);
     }
 }
--- a/crates/core/tests/lapsed_records.rs
+++ b/crates/core/tests/lapsed_records.rs
@@ -109,3 +109,21 @@
     lapsed.forget("a");
     assert!(lapsed.take_expired(at(9_000)).is_empty());
 }
+
+/// Guards against servers that are dropped by an answer that the store gave before their time.
+#[test]
+fn early_answer() {
+    let mut lapsed = LapsedRecords::default();
+    assert_eq!(lapsed.next_expiry(), None);
+    lapsed.record_outage(outage(0, 1_000));
+    assert!(lapsed.keeps(at(1_010), "a"));
+    lapsed.record_outage(outage(1_200, 1_500));
+    assert!(lapsed.keeps(at(1_510), "b"));
+    assert_eq!(lapsed.next_expiry(), Some(at(3_300)));
+    assert!(lapsed.take_expired(at(3_299)).is_empty());
+    assert_eq!(lapsed.take_expired(at(3_300)), ["a"]);
+    lapsed.record_loss(at(3_400));
+    assert_eq!(lapsed.next_expiry(), None);
+    lapsed.record_outage(outage(3_400, 3_450));
+    assert_eq!(lapsed.next_expiry(), Some(at(3_550)));
+}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -353,14 +353,7 @@
         handle_outages(&gateway);
         {
             let mut balance = gateway.balance.borrow_mut();
-            for server in balance.remove_expired(now) {
-                gateway.copy_filter.borrow_mut().record_gone(&server);
-                gateway.journal.note(
-                    "server-removed",
-                    None,
-                    o!("server" => server, "reason" => "its record did not return"),
-                );
-            }
+            balance.remove_silent_peers(now);
             balance.expire_peer_counts(now);
         }
         let update = GatewayUpdate {
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -59,6 +59,8 @@
 /// write at about the same time. It is a sixth of the time within which all gateways have to
 /// know of a crash.
 const CRASH_BATCH_DELAY: Duration = Duration::from_millis(500);
+/// Unit in which the duration of a watch is given.
+const WATCH_WAIT_UNIT: Duration = Duration::from_millis(1);
 /// Delay after the first failed call.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Maximum delay after repeated failures; changes must be in force two seconds after the
@@ -130,17 +132,26 @@
         self.is_relisted() && self.relists != self.gateway.relists.get()
     }
 
+    /// Returns the time until a read of the records decides whether a server without one is
+    /// removed.
+    fn until_expiry(&self) -> Option<Duration> {
+        let now = self.gateway.now();
+        let expiry = self.gateway.balance.borrow().next_record_expiry();
+        expiry.filter(|_| self.kind == SERVER_KIND).map(|expiry| expiry.saturating_sub(now))
+    }
+
     /// Lists the objects until a call succeeds; returns the position of the listing.
     async fn list(&mut self) -> StorePosition {
         loop {
             self.relists = self.gateway.relists.get();
+            let read_at = self.gateway.now();
             match self.store.list(self.kind, ReadMode::Linearizable).await {
                 Ok(listing) => {
                     self.record_success();
                     handle_outages(&self.gateway);
                     handle_era_changes(&self.gateway);
                     self.gateway.record_position(listing.position);
-                    self.apply_listing(listing.objects);
+                    self.apply_listing(read_at, listing.objects);
                     return listing.position;
                 }
                 Err(error) => self.back_off(&error).await,
@@ -156,7 +167,8 @@
             return None;
         }
         let until_relist = self.relist_at.map_or(Duration::MAX, |relist_at| relist_at - now);
-        let wait = watch_wait(self.kind).min(until_relist);
+        let until_expiry = self.until_expiry().map_or(Duration::MAX, |left| left + WATCH_WAIT_UNIT);
+        let wait = watch_wait(self.kind).min(until_relist).min(until_expiry);
         let relist_due = self.gateway.relist_due.notified();
         if self.is_relist_due() {
             return None;
@@ -171,11 +183,15 @@
                 self.cuts = 0;
                 handle_outages(&self.gateway);
                 let changed = !changes.events.is_empty();
+                // With events the answer may be as old as the call.
+                let read_at = if changed { now } else { (now + wait).min(self.gateway.now()) };
                 for event in changes.events {
-                    self.apply_event(event);
+                    self.apply_event(read_at, event);
                 }
+                self.remove_expired(read_at, changes.position);
                 if changed {
-                    tokio::time::sleep(batch_delay(self.kind)).await;
+                    let delay = batch_delay(self.kind);
+                    tokio::time::sleep(self.until_expiry().unwrap_or(delay).min(delay)).await;
                 }
                 Some(changes.position)
             }
@@ -195,7 +211,9 @@
                     journal.note("watch-cut", None, o!("kind" => self.kind, "error" => detail));
                 }
                 self.cuts += 1;
-                self.pause(retry_delay(self.cuts)).await;
+                let delay = retry_delay(self.cuts);
+                let until_expiry = self.until_expiry().unwrap_or(delay).max(MIN_RETRY_DELAY);
+                self.pause(delay.min(until_expiry)).await;
                 None
             }
             Err(error) => {
@@ -238,13 +256,14 @@
         self.failures = 0;
     }
 
-    fn apply_listing(&mut self, objects: Vec<StoreObject>) {
+    /// Applies objects that were read at `read_at` or later.
+    fn apply_listing(&mut self, read_at: Duration, objects: Vec<StoreObject>) {
         match self.kind {
             CONFIG_KIND => {
                 objects.into_iter().for_each(|object| apply_config(&self.gateway, object));
             }
             CRASH_KIND => objects.iter().for_each(|object| self.apply_crashes(object)),
-            SERVER_KIND => self.apply_servers(&objects),
+            SERVER_KIND => self.apply_servers(read_at, &objects),
             _ => self.apply_zones(objects),
         }
         self.gateway.listed_kinds.borrow_mut().insert(self.kind);
@@ -259,7 +278,7 @@
         self.relist_at.is_some()
     }
 
-    fn apply_servers(&mut self, objects: &[StoreObject]) {
+    fn apply_servers(&mut self, read_at: Duration, objects: &[StoreObject]) {
         let now = self.gateway.now();
         let is_settling = self.begin_settling();
         let listed = objects.iter().filter_map(|object| self.decode_record(object));
@@ -278,8 +297,14 @@
         };
         let filtered = listed_count - records.len();
         let mut balance = self.gateway.balance.borrow_mut();
-        for server in balance.replace_all(now, records) {
+        for server in balance.replace_all(read_at, records) {
             filter.record_gone(&server);
+            self.gateway.journal.note(
+                "server-removed",
+                None,
+                o!("server" => server, "reason" => "its record is not listed",
+                   "read_age_ms" => now.saturating_sub(read_at).as_millis() as u64),
+            );
         }
         self.gateway.journal.note(
             "servers-listed",
@@ -307,7 +332,25 @@
         self.gateway.balance.borrow_mut().replace_zones_out(zones.into_iter());
     }
 
-    fn apply_event(&self, event: StoreEvent) {
+    /// Removes servers whose records did not return in time, as the store answered at `read_at`.
+    fn remove_expired(&self, read_at: Duration, position: StorePosition) {
+        if self.kind != SERVER_KIND {
+            return;
+        }
+        let age = self.gateway.now().saturating_sub(read_at);
+        for server in self.gateway.balance.borrow_mut().remove_expired(read_at) {
+            self.gateway.copy_filter.borrow_mut().record_gone(&server);
+            self.gateway.journal.note(
+                "server-removed",
+                None,
+                o!("server" => server, "reason" => "its record did not return",
+                   "revision" => position.revision, "read_age_ms" => age.as_millis() as u64),
+            );
+        }
+    }
+
+    /// Applies a change of an object, which was read at `read_at` or later.
+    fn apply_event(&self, read_at: Duration, event: StoreEvent) {
         let now = self.gateway.now();
         match self.kind {
             CONFIG_KIND | CRASH_KIND if event.removed => {}
@@ -316,7 +359,7 @@
             SERVER_KIND if event.removed => {
                 let id = event.object.name;
                 let kept_for = self.gateway.balance.borrow().kept_without_record(now);
-                let is_removed = self.gateway.balance.borrow_mut().remove(now, &id);
+                let is_removed = self.gateway.balance.borrow_mut().remove(read_at, &id);
                 self.gateway.silence_detector.borrow_mut().remove(&id);
                 self.gateway.crash_detector.borrow_mut().mark_leaving(&id);
                 if is_removed {
--- a/crates/gateway/tests/cut_watches.rs
+++ b/crates/gateway/tests/cut_watches.rs
@@ -129,3 +129,48 @@
     assert_eq!(call_for(&site, Duration::from_millis(500), "replaced", |_| {}).await, 0);
     assert_eq!(site.bookings[1].ledger().len(), before, "{}", site.all_logs());
 }
+
+/// Guards against the loss of servers that have registered again in time, because the gateway did
+/// not read their records: its watches had been cut off one after the other.
+#[tokio::test(flavor = "multi_thread")]
+async fn unread_records() {
+    let ids = ["booking-1", "booking-2"];
+    for interval in [60, 300, 700].map(Duration::from_millis) {
+        let site = Site::with_sizes(1, 1, 2).await;
+        site.store.set_mode(StoreMode::Reset);
+        assert_eq!(call_for(&site, Duration::from_secs(1), "away", |_| {}).await, 0);
+        ids.iter().for_each(|id| site.store.remove(SERVER_KIND, id));
+        site.store.set_mode(StoreMode::Normal);
+        let cuts = cut_each(&site, interval);
+        assert_eq!(call_for(&site, Duration::from_millis(1_750), "back", cuts).await, 0);
+        site.store.cut_watches();
+        for id in ids {
+            site.store.put(SERVER_KIND, id, encode_server(&site.record(id)));
+        }
+        let failed = call_for(&site, DRAIN_TIME, "again", cut_each(&site, interval)).await;
+        assert_eq!(failed, 0, "cuts each {interval:?}: {}", site.all_logs());
+    }
+}
+
+/// Guards against a server that is kept for good without a record, because no watch lasts until
+/// its time has passed.
+#[tokio::test(flavor = "multi_thread")]
+async fn unreturned_server() {
+    for interval in [60, 300, 700].map(Duration::from_millis) {
+        let site = Site::with_sizes(1, 1, 3).await;
+        assert_eq!(call_for(&site, CALL_INTERVAL * 5, "first", |_| {}).await, 0);
+        assert!(!site.bookings[1].ledger().is_empty());
+        site.store.set_mode(StoreMode::Reset);
+        assert_eq!(call_for(&site, Duration::from_secs(1), "away", |_| {}).await, 0);
+        site.store.remove(SERVER_KIND, "booking-2");
+        site.store.set_mode(StoreMode::Normal);
+        // The gateway notices the return within the longest delay after a failed call.
+        let grace = Duration::from_millis(800) + DRAIN_TIME;
+        assert_eq!(call_for(&site, grace, "back", cut_each(&site, interval)).await, 0);
+        let before = site.bookings[1].ledger().len();
+        let late = call_for(&site, Duration::from_secs(1), "late", cut_each(&site, interval)).await;
+        assert_eq!(late, 0, "{}", site.all_logs());
+        let reached = site.bookings[1].ledger().len() - before;
+        assert_eq!(reached, 0, "cuts each {interval:?}: {}", site.all_logs());
+    }
+}
