Read engines directly only as ranks of the leader's own group

Cause: a leader that had not heard of a rank took the report of any engine of its service for that rank, whatever group the report named.

Change: a direct read counts only if it names the leader's group and size; other engines are logged and dropped. An agent whose engine reports another rank stops leading, and forgets leader, orders and maps if it is another group. A report of a rank beyond the group's size is ignored in place of an index out of bounds.

--- a/crates/core/src/rank_views.rs
+++ b/crates/core/src/rank_views.rs
@@ -114,7 +114,8 @@
 
     /// Records the report of a rank's agent.
     ///
-    /// `placed` is empty if the report omits the rank's experts.
+    /// `placed` is empty if the report omits the rank's experts. A report of a rank beyond the
+    /// size of the group is ignored.
     pub fn record_report(
         &mut self,
         now: Duration,
@@ -122,14 +123,16 @@
         placed: Vec<Vec<ExpertIndex>>,
         last_order: Option<OrderId>,
     ) {
-        let rank = status.rank;
-        let before = self.views[rank].take();
+        let Some(slot) = self.views.get_mut(status.rank) else {
+            return;
+        };
+        let before = slot.take();
         let placed = match &before {
             Some(before) => kept_placement(before, &status, placed),
             None => placed,
         };
         let direct_order = before.and_then(|before| before.direct_order);
-        self.views[rank] = Some(RankView {
+        *slot = Some(RankView {
             status,
             placed,
             as_of: now,
--- a/crates/rank-agent/src/dispatch.rs
+++ b/crates/rank-agent/src/dispatch.rs
@@ -325,11 +325,20 @@
             };
             execute_actions(&agent, actions).await;
         }
-        Ok(None) => {}
+        Ok(None) => exclude_engine(&agent, engine),
         Err(error) => log_unread_engine(&agent, engine, &error),
     }
 }
 
+/// Excludes an engine that is not a rank of this leader's group, and logs that.
+fn exclude_engine(agent: &Agent, engine: SocketAddr) {
+    if let Some(leadership) = &mut agent.state.borrow_mut().leadership
+        && leadership.exclude_engine(engine)
+    {
+        agent.journal.note("foreign-engine", None, o!("engine" => engine.to_string()));
+    }
+}
+
 /// Logs the first of several failed direct reads of an engine in a row.
 fn log_unread_engine(agent: &Agent, engine: SocketAddr, error: &EngineError) {
     if let Some(leadership) = &mut agent.state.borrow_mut().leadership {
@@ -343,7 +352,8 @@
 }
 
 /// Reads an engine's report, and the experts of its rank if the leader does not know them and
-/// they belong to the map of the report. Returns `None` if it is not a rank of a group.
+/// they belong to the map of the report. Returns `None` if it is not a rank of the leader's
+/// group: several groups of a service number their ranks and epochs alike.
 async fn read_engine(
     agent: &Agent,
     engine: SocketAddr,
@@ -354,6 +364,10 @@
     };
     let lacks_placement = {
         let state = agent.state.borrow();
+        let is_member = state.rank.as_ref().is_some_and(|own| own.has_member(&report));
+        if !is_member {
+            return Ok(None);
+        }
         let leadership = state.leadership.as_ref();
         leadership.is_some_and(|known| known.leader.lacks_placement(report.status.rank))
     };
--- a/crates/rank-agent/src/lead.rs
+++ b/crates/rank-agent/src/lead.rs
@@ -17,6 +17,7 @@
 use cuminpick::experts::is_switch_worthwhile;
 use cuminpick::experts::plan_map;
 use cuminpick::ids::FastMap;
+use cuminpick::ids::FastSet;
 use cuminpick::orders::LeaderAction;
 use cuminpick::orders::LeaderTerm;
 use cuminpick::orders::OrderId;
@@ -88,6 +89,9 @@
     pub(crate) reads_in_progress: Vec<SocketAddr>,
     /// Engines whose last direct read failed.
     pub(crate) unread_engines: Vec<SocketAddr>,
+    /// Engines of the service that said, since engines were last listed, that they are not
+    /// ranks of this group.
+    pub(crate) foreign_engines: FastSet<SocketAddr>,
     /// Agents that lack the base map of an order, and when the first of them reported it.
     pub(crate) missing_base: Option<(Duration, Vec<(SocketAddr, OrderId)>)>,
     /// Time of the next plan at the earliest.
@@ -110,6 +114,7 @@
             rank_engines: FastMap::default(),
             reads_in_progress: Vec::new(),
             unread_engines: Vec::new(),
+            foreign_engines: FastSet::default(),
             missing_base: None,
             plan_due: now,
             started_at: now,
@@ -132,12 +137,21 @@
     /// agents report: their records may be missing after the store came back from a copy.
     pub(crate) fn update_engines(&mut self, listed: Vec<SocketAddr>) {
         let mut engines = std::mem::replace(&mut self.engines, listed);
+        self.foreign_engines.clear();
         engines.retain(|engine| {
             let is_reported = self.agents.values().any(|agent| agent.ip() == engine.ip());
             is_reported && !self.engines.contains(engine)
         });
         self.engines.append(&mut engines);
     }
+
+    /// Drops an engine that is not a rank of this group (any more): no order may reach it.
+    /// Returns whether that is new.
+    pub(crate) fn exclude_engine(&mut self, engine: SocketAddr) -> bool {
+        self.rank_engines.retain(|_, known| *known != engine);
+        self.agents.retain(|_, agent| agent.ip() != engine.ip());
+        self.foreign_engines.insert(engine)
+    }
 }
 
 /// Performs the leader's periodic work whenever this agent leads; runs as long as the
@@ -190,6 +204,7 @@
         let reported = |engine: &SocketAddr| {
             leadership.agents.values().any(|known| known.ip() == engine.ip())
                 || engine.ip() == agent.settings.ip
+                || leadership.foreign_engines.contains(engine)
         };
         leadership.engines.iter().copied().filter(|engine| !reported(engine)).collect()
     };
--- a/crates/rank-agent/src/observe.rs
+++ b/crates/rank-agent/src/observe.rs
@@ -30,6 +30,7 @@
 
 use crate::lead::record_outcome;
 use crate::lead::record_report;
+use crate::lead::step_down;
 use crate::messages::AgentMessage;
 use crate::messages::RankReport;
 use crate::messages::SentOrder;
@@ -284,15 +285,21 @@
     async fn send_report(&self, rank: OwnRank, news: RankReport) {
         let agent = &self.agent;
         let group = rank.group.clone();
+        let has_moved = {
+            let state = agent.state.borrow();
+            state.rank.as_ref().is_some_and(|known| *known != rank)
+        };
+        if has_moved {
+            step_down(agent, "the engine has another rank");
+        }
         let target = {
             let mut state = agent.state.borrow_mut();
-            if state.rank.as_ref() != Some(&rank) {
+            if state.set_rank(rank.clone()) {
                 agent.journal.note(
                     "rank-known",
                     None,
-                    o!("group" => rank.group.clone(), "rank" => rank.rank, "size" => rank.size),
+                    o!("group" => rank.group, "rank" => rank.rank, "size" => rank.size),
                 );
-                state.rank = Some(rank);
             }
             if state.leadership.is_some() {
                 None
--- a/crates/rank-agent/src/state.rs
+++ b/crates/rank-agent/src/state.rs
@@ -19,6 +19,7 @@
 use cuminpick::orders::OrderOutcome;
 use cuminpick_operators::journal::Journal;
 use cuminpick_operators::metrics::Metrics;
+use cuminpick_platform::engine::GroupReport;
 use cuminpick_platform::settings::NodeSettings;
 use cuminpick_platform::store::StoreClient;
 use slog::o;
@@ -49,6 +50,13 @@
     pub rank: usize,
 }
 
+impl OwnRank {
+    /// Returns whether an engine's report is from a rank of this group.
+    pub fn has_member(&self, report: &GroupReport) -> bool {
+        report.group == self.group && report.size == self.size && report.status.rank < self.size
+    }
+}
+
 /// The leader with the highest term that this agent knows.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct KnownLeader {
@@ -111,6 +119,21 @@
     pub read_now: Notify,
 }
 
+impl AgentState {
+    /// Records the rank of the engine on this VM; returns whether it changed. What is known of
+    /// the leader, its orders and its maps concerns one group only.
+    pub fn set_rank(&mut self, rank: OwnRank) -> bool {
+        if self.rank.as_ref() == Some(&rank) {
+            return false;
+        }
+        if self.rank.as_ref().is_some_and(|known| known.group != rank.group) {
+            *self = AgentState::default();
+        }
+        self.rank = Some(rank);
+        true
+    }
+}
+
 impl Agent {
     /// Returns the monotonic time since the start of the process.
     pub fn now(&self) -> Duration {
--- a/crates/rank-agent/tests/group_switch.rs
+++ b/crates/rank-agent/tests/group_switch.rs
@@ -50,7 +50,7 @@
     agents: Vec<Option<NodeProcess>>,
     settings: Vec<NodeSettings>,
     directory: PathBuf,
-    _engines: Vec<SiteEngine>,
+    engines: Vec<SiteEngine>,
 }
 
 impl Drop for TestGroup {
@@ -95,14 +95,29 @@
         let service = ServiceConfig { name: "model".to_string(), experts };
         store.put(CONFIG_KIND, "main", encode_config(1, &[], &[service], &[]));
         let agents = (0..ranks).map(|_| None).collect();
-        let mut started =
-            TestGroup { store, group, agents, settings, directory, _engines: engines };
+        let mut started = TestGroup { store, group, agents, settings, directory, engines };
         for rank in 0..ranks {
             started.start_agent(rank);
         }
         started
     }
 
+    /// Adds a second group to the service, with ranks and epoch like the first one and without
+    /// agents.
+    async fn add_group(&mut self, ranks: usize) -> RankGroup {
+        let other = RankGroup::start_named("other", LAYOUT, ranks, 8);
+        for rank in 0..ranks {
+            let ip = IpAddr::V4(Ipv4Addr::new(127, 1, 1, rank as u8 + 10));
+            let membership = Some((other.clone(), rank));
+            let id = format!("other-{rank}");
+            let (engine, address) = SiteEngine::start(&id, ip, membership).await.unwrap();
+            let record = ServerRecord { id: id.clone(), ..server_record(rank, address) };
+            self.store.put(SERVER_KIND, &id, encode_server(&record));
+            self.engines.push(engine);
+        }
+        other
+    }
+
     fn start_agent(&mut self, rank: usize) {
         let binary = Path::new(env!("CARGO_BIN_EXE_cuminpick-rank-agent"));
         let agent = NodeProcess::start(binary, &self.settings[rank], &self.directory).unwrap();
@@ -359,3 +374,25 @@
     assert_eq!(group.claim_count(), before, "{}", group.logs());
     assert_eq!(group.leader(), Some(leader));
 }
+
+/// Guards against orders to an engine of another group: the next leader has not heard of the
+/// frozen rank, and reads the engines of the service, one of which has the same rank and epoch.
+#[tokio::test(flavor = "multi_thread")]
+async fn other_group() {
+    let mut group = TestGroup::start().await;
+    let other = group.add_group(RANKS).await;
+    group.wait_for_switches(1, "before the freeze").await;
+    let leader = group.leader().unwrap();
+    group.engines[leader].set_frozen(true);
+    group.signal(leader, "STOP");
+    for _ in 0..6 {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        group.group.shift_demand();
+    }
+    let orders: u64 = (0..RANKS).map(|rank| other.status(rank).orders).sum();
+    assert_eq!(orders, 0, "orders reached another group:\n{}", group.logs());
+    assert_eq!(group.group.mixed_passes(), 0, "{}", group.logs());
+    group.engines[leader].set_frozen(false);
+    group.signal(leader, "CONT");
+    group.wait_for_switches(1, "after the freeze").await;
+}
--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -385,7 +385,7 @@
         let answer = match call {
             EngineCall::Report => {
                 let report = GroupReport {
-                    group: "group".to_string(),
+                    group: group.name().to_string(),
                     size: group.rank_count(),
                     status: group.status(*rank),
                 };
--- a/crates/standins/src/site/group.rs
+++ b/crates/standins/src/site/group.rs
@@ -66,6 +66,7 @@
 /// Handle of a group of ranks; clones share the group.
 #[derive(Clone)]
 pub struct RankGroup {
+    name: String,
     layout: ExpertLayout,
     state: Arc<Mutex<GroupState>>,
     latest_pass: watch::Sender<PassNumber>,
@@ -74,6 +75,11 @@
 impl RankGroup {
     /// Starts a group of `ranks` ranks; `seed` determines the expert counts.
     pub fn start(layout: ExpertLayout, ranks: usize, seed: u64) -> RankGroup {
+        RankGroup::start_named("group", layout, ranks, seed)
+    }
+
+    /// Starts a group like [`RankGroup::start`], with a name of its own.
+    pub fn start_named(name: &str, layout: ExpertLayout, ranks: usize, seed: u64) -> RankGroup {
         let expert_counts = vec![0; layout.sets * layout.experts];
         let state = GroupState {
             epoch: 1,
@@ -89,11 +95,17 @@
             rng: ChoiceRng::new(seed),
         };
         let (latest_pass, _) = watch::channel(0);
-        let group = RankGroup { layout, state: Arc::new(Mutex::new(state)), latest_pass };
+        let name = name.to_string();
+        let group = RankGroup { name, layout, state: Arc::new(Mutex::new(state)), latest_pass };
         tokio::spawn(group.clone().run());
         group
     }
 
+    /// Returns the name of the group.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
     /// Returns a receiver of the number of the latest pass.
     pub fn passes(&self) -> watch::Receiver<PassNumber> {
         self.latest_pass.subscribe()
