Add the messages for groups, demand and tokens, and their places in the gateway

Cause: the parts for load over several groups need three messages between processes. Variants of UpdateMessage are numbered by their order, so they are added together before the parts are built side by side.

--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -20,6 +20,10 @@
 pub type ClassName = String;
 /// Name of a model or other service that backend servers offer.
 pub type ServiceName = String;
+/// Name of a group of ranks.
+pub type GroupName = String;
+/// First bits of the hash of an organisation's name.
+pub type OrganisationDigest = u32;
 /// Id of a request; unique in the fleet.
 pub type RequestId = u64;
 /// Number of an attempt of one request, from 1.
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -93,6 +93,10 @@
     pub form_time: Duration,
     /// Expert layout; `None` when the model has no experts.
     pub experts: Option<ExpertLayout>,
+    /// Tokens that fit into a server's memory; `None` if it is not known.
+    pub memory_tokens: Option<u32>,
+    /// Prompt tokens that a server reads per second; 0 if it is not known.
+    pub read_tokens_per_second: f64,
 }
 
 impl EngineModel {
--- a/crates/core/src/updates.rs
+++ b/crates/core/src/updates.rs
@@ -7,11 +7,15 @@
 use serde::Serialize;
 
 use crate::config_order::ConfigStamp;
+use crate::ids::GroupName;
 use crate::ids::MemberId;
+use crate::ids::OrganisationDigest;
 use crate::ids::PartDigest;
 use crate::ids::RequestDigest;
 use crate::ids::ServerId;
 use crate::ids::ServiceName;
+use crate::orders::GroupEpoch;
+use crate::orders::LeaderTerm;
 use crate::store_history::StoreEra;
 
 /// Interval at which a gateway sends its requests in flight to the others. It is short against
@@ -49,6 +53,65 @@
     pub slow_engines: Vec<(SocketAddr, f64)>,
 }
 
+/// State of a group of ranks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum GroupState {
+    /// All ranks run, and the group makes passes.
+    Open,
+    /// A rank is lost: the group makes no passes until it has formed again.
+    Broken,
+}
+
+/// Ranks of a group, which its leader sends to the gateways.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GroupMembers {
+    /// Service of the group.
+    pub service: ServiceName,
+    /// Name of the group.
+    pub group: GroupName,
+    /// Term of the leader; messages of a lower term are outdated.
+    pub term: LeaderTerm,
+    /// Epoch of the group; rises each time it forms.
+    pub epoch: GroupEpoch,
+    /// Whether the group makes passes.
+    pub state: GroupState,
+    /// Addresses of the engines, by rank.
+    pub ranks: Vec<SocketAddr>,
+}
+
+/// Streams of one priority and organisation that need capacity at a gateway.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DemandEntry {
+    /// Priority of the streams; 0 is the most urgent.
+    pub priority: u8,
+    /// Organisation of the callers; `None` sums the organisations that are not listed.
+    pub organisation: Option<OrganisationDigest>,
+    /// Streams that wait.
+    pub waiting: u16,
+    /// Streams that arrived within the last update interval.
+    pub arrived: u16,
+}
+
+/// Demand for a service at one gateway, sent to the others while it exceeds the capacity.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DemandUpdate {
+    /// VM name of the sender.
+    pub from: MemberId,
+    /// Service of the streams.
+    pub service: ServiceName,
+    /// Demand, most urgent first; empty when the sender's demand is met again.
+    pub entries: Vec<DemandEntry>,
+}
+
+/// Tokens that one gateway's requests hold, or will hold, at servers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TokenUpdate {
+    /// VM name of the sender.
+    pub from: MemberId,
+    /// Tokens by server, for servers at which they are a considerable share of the memory.
+    pub tokens: Vec<(ServerId, u32)>,
+}
+
 /// Crash of a server while it ran a request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashNotice {
@@ -189,4 +252,10 @@
     StoreEra(StoreEra),
     /// Configuration in force at another gateway.
     Config(ConfigStamp),
+    /// Ranks and state of a group, from its leader.
+    Members(GroupMembers),
+    /// Demand at another gateway that exceeds the capacity.
+    Demand(DemandUpdate),
+    /// Tokens of another gateway's requests at servers.
+    Tokens(TokenUpdate),
 }
--- a/crates/core/tests/expert_plans.rs
+++ b/crates/core/tests/expert_plans.rs
@@ -234,6 +234,8 @@
         report_lag: Duration::from_millis(200),
         form_time: Duration::from_millis(600),
         experts: Some(LAYOUT),
+        memory_tokens: None,
+        read_tokens_per_second: 0.0,
     };
     let target = Duration::from_millis(120);
     let mut map = initial_map(LAYOUT, RANKS);
@@ -263,6 +265,8 @@
         report_lag: Duration::from_millis(200),
         form_time: Duration::from_millis(600),
         experts: Some(layout),
+        memory_tokens: None,
+        read_tokens_per_second: 0.0,
     };
     let target = Duration::from_millis(120);
     let map = initial_map(layout, RANKS);
--- a/crates/core/tests/support/engine.rs
+++ b/crates/core/tests/support/engine.rs
@@ -14,5 +14,7 @@
         report_lag: Duration::from_millis(200),
         form_time: Duration::from_millis(600),
         experts: None,
+        memory_tokens: None,
+        read_tokens_per_second: 0.0,
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,7 +20,9 @@
 //!   prompts.
 //! - [`announcements`] heeds servers that leave or ask for a pause, and [`permits`] the limits
 //!   that they state.
-//! - [`gate`] delays or refuses streams that would make passes too slow.
+//! - [`gate`] delays or refuses streams that would make passes too slow; [`group_tracking`],
+//!   [`demand_exchange`] and [`token_tracking`] supply what it and the choice of a server know
+//!   of groups, of demand at other gateways and of servers' memory.
 //! - [`framing`] rejects requests whose body could be framed in two ways.
 //! - [`answer`] builds the answers to callers, among them refusals.
 
@@ -31,8 +33,10 @@
 pub mod crash_records;
 pub mod crash_tracking;
 pub mod daemon;
+pub mod demand_exchange;
 pub mod framing;
 pub mod gate;
+pub mod group_tracking;
 pub mod listen;
 pub mod part_tracking;
 pub mod peer_views;
@@ -43,3 +47,4 @@
 pub mod state;
 pub mod store_return;
 pub mod store_watch;
+pub mod token_tracking;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -28,6 +28,9 @@
 use crate::announcements::apply_leaving_notices;
 use crate::crash_tracking::apply_crash_update;
 use crate::crash_tracking::take_crash_update;
+use crate::demand_exchange::apply_demand_update;
+use crate::demand_exchange::take_demand_updates;
+use crate::group_tracking::apply_group_members;
 use crate::listen::bind_listener;
 use crate::part_tracking::apply_part_update;
 use crate::part_tracking::take_part_update;
@@ -44,6 +47,8 @@
 use crate::store_return::era_news;
 use crate::store_return::handle_outages;
 use crate::store_return::settled_at;
+use crate::token_tracking::apply_token_update;
+use crate::token_tracking::take_token_update;
 
 /// Delay after an error of the socket.
 const SOCKET_ERROR_DELAY: Duration = Duration::from_millis(60);
@@ -324,6 +329,18 @@
                 gateway.metrics.count_control("group-news", "in", length);
                 apply_group_update(&gateway, update);
             }
+            UpdateMessage::Members(members) => {
+                gateway.metrics.count_control("group-members", "in", length);
+                apply_group_members(&gateway, members);
+            }
+            UpdateMessage::Demand(update) => {
+                gateway.metrics.count_control("demand", "in", length);
+                apply_demand_update(&gateway, update);
+            }
+            UpdateMessage::Tokens(update) => {
+                gateway.metrics.count_control("tokens", "in", length);
+                apply_token_update(&gateway, update);
+            }
         }
     }
 }
@@ -361,16 +378,13 @@
             leaving: gateway.leaving_since.get().is_some(),
             in_flight: gateway.balance.borrow().own_counts(),
         };
-        let Ok(bytes) = postcard::to_stdvec(&UpdateMessage::Gateway(update)) else {
-            gateway.journal.warn("peer-news-unencodable", o!());
-            continue;
-        };
-        let peers: Vec<SocketAddr> = addresses.borrow().values().copied().collect();
-        for peer in peers {
-            gateway.metrics.count_control("gateway-news", "out", bytes.len());
-            // A datagram that cannot be sent counts as lost; the next one supersedes it.
-            let _ = socket.send_to(&bytes, peer).await;
-        }
+        let demand = take_demand_updates(&gateway).into_iter();
+        let demand = demand.map(|update| ("demand", UpdateMessage::Demand(update)));
+        let tokens = take_token_update(&gateway);
+        let tokens = tokens.map(|update| ("tokens", UpdateMessage::Tokens(update)));
+        let counts = std::iter::once(("gateway-news", UpdateMessage::Gateway(update)));
+        let messages = counts.chain(demand).chain(tokens).collect();
+        send_news(&gateway, &socket, &addresses, messages, true).await;
     }
 }
 
--- a/crates/rank-agent/src/messages.rs
+++ b/crates/rank-agent/src/messages.rs
@@ -10,6 +10,7 @@
 use cuminpick::experts::MapChange;
 use cuminpick::experts::MapVersion;
 use cuminpick::experts::RankIndex;
+use cuminpick::ids::GroupName;
 use cuminpick::orders::LeaderTerm;
 use cuminpick::orders::OrderId;
 use cuminpick::orders::OrderMark;
@@ -19,9 +20,6 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-/// Name of a group of ranks.
-pub type GroupName = String;
-
 /// State of a rank as its agent reports it to the leader.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RankReport {
--- a/crates/rank-agent/src/state.rs
+++ b/crates/rank-agent/src/state.rs
@@ -13,6 +13,7 @@
 use cuminpick::experts::PlanSettings;
 use cuminpick::ids::ChoiceRng;
 use cuminpick::ids::FastMap;
+use cuminpick::ids::GroupName;
 use cuminpick::orders::GroupEpoch;
 use cuminpick::orders::LeaderTerm;
 use cuminpick::orders::OrderId;
@@ -28,7 +29,6 @@
 
 use crate::lead::Leadership;
 use crate::messages::AgentMessage;
-use crate::messages::GroupName;
 
 /// Settings of the map planner, which experiments may change.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
