Order requests by the organisation's priority and then by the route's

Cause: an organisation's priority replaced that of the route.

Change: RoutingTable::urgency_rank orders requests by both priorities; gateways use it for their queues and tell it to engines. The organisation's priority still goes first.

--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -184,6 +184,8 @@
     limits: CallerLimits,
     keys: Option<FastMap<ApiKey, OrganisationRule>>,
     shortest_event_gaps: FastMap<ServiceName, Duration>,
+    /// Priorities of organisations and routes that requests can have, most urgent first.
+    urgency_order: Vec<(u8, u8)>,
 }
 
 /// Why a caller's key was not accepted.
@@ -221,7 +223,26 @@
                 *shortest = gap.min(*shortest);
             }
         }
-        RoutingTable { version, routes, by_host, services, limits, keys, shortest_event_gaps }
+        let urgency_order = order_priorities(&routes, keys.as_ref());
+        RoutingTable {
+            version,
+            routes,
+            by_host,
+            services,
+            limits,
+            keys,
+            shortest_event_gaps,
+            urgency_order,
+        }
+    }
+
+    /// Returns the rank of a request among all that the configuration allows; 0 is the most
+    /// urgent. The priority of the organisation goes first. That of the route orders the requests
+    /// of organisations of equal priority.
+    pub fn urgency_rank(&self, route: &RouteRule, organisation: Option<&OrganisationRule>) -> u8 {
+        let priorities = (route.priority_for(organisation), route.priority);
+        let rank = self.urgency_order.partition_point(|known| *known < priorities);
+        u8::try_from(rank).unwrap_or(u8::MAX)
     }
 
     /// Returns the version of the configuration.
@@ -286,6 +307,25 @@
     }
 }
 
+/// Returns the pairs of an organisation's and a route's priority that requests can have, sorted.
+fn order_priorities(
+    routes: &[RouteRule],
+    keys: Option<&FastMap<ApiKey, OrganisationRule>>,
+) -> Vec<(u8, u8)> {
+    let rules = keys.into_iter().flat_map(FastMap::values);
+    let mut overrides: Vec<Option<u8>> = rules.map(|rule| rule.priority).collect();
+    overrides.push(None);
+    overrides.sort_unstable();
+    overrides.dedup();
+    let pairs = routes.iter().flat_map(|route| {
+        overrides.iter().map(|priority| (priority.unwrap_or(route.priority), route.priority))
+    });
+    let mut pairs: Vec<(u8, u8)> = pairs.collect();
+    pairs.sort_unstable();
+    pairs.dedup();
+    pairs
+}
+
 impl RouteRule {
     /// Picks a target by weight; `random` is a uniformly random number.
     pub fn pick_target(&self, random: u64) -> Option<&ServiceName> {
@@ -304,7 +344,7 @@
     }
 
     /// Returns the priority of a request on this route; that of its organisation
-    /// overrides that of the route.
+    /// overrides that of the route. [`RoutingTable::urgency_rank`] orders requests.
     pub fn priority_for(&self, organisation: Option<&OrganisationRule>) -> u8 {
         organisation.and_then(|rule| rule.priority).unwrap_or(self.priority)
     }
--- a/crates/core/tests/route_lookup.rs
+++ b/crates/core/tests/route_lookup.rs
@@ -96,3 +96,26 @@
     assert_eq!(table().shortest_event_gap("model"), Some(Duration::from_millis(80)));
     assert_eq!(table().shortest_event_gap("other"), None);
 }
+
+/// Guards against classes without an order: the organisations of a deployment may all have the
+/// same priority, and then urgent requests waited behind less urgent ones with a longer target.
+#[test]
+fn equal_organisations() {
+    let rule = |priority| OrganisationRule { name: "org".to_string(), priority };
+    let routes: Vec<RouteRule> = [(0, "urgent"), (1, "usual"), (2, "patient")]
+        .into_iter()
+        .map(|(priority, name)| RouteRule { priority, ..route(name, "a.example", "/") })
+        .collect();
+    let mut keys = FastMap::default();
+    keys.insert("equal".to_string(), rule(Some(1)));
+    keys.insert("later".to_string(), rule(Some(4)));
+    let services = FastMap::default();
+    let limits = CallerLimits::default();
+    let table = RoutingTable::new(1, routes.clone(), services, limits, Some(keys));
+    let rank = |index: usize, priority| table.urgency_rank(&routes[index], Some(&rule(priority)));
+    assert!(rank(0, Some(1)) < rank(1, Some(1)));
+    assert!(rank(1, Some(1)) < rank(2, Some(1)));
+    assert!(rank(2, Some(1)) < rank(0, Some(4)), "the organisation's priority goes first");
+    assert!(rank(0, None) < rank(1, None) && rank(1, None) < rank(2, None));
+    assert_eq!(table.urgency_rank(&routes[0], None), 0);
+}
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -133,7 +133,7 @@
     };
     log.route = route.name.clone();
     let (organisation, priority) = match table.authenticate(route, head.key.as_deref()) {
-        Ok(rule) => (rule.map(|rule| rule.name.clone()), route.priority_for(rule)),
+        Ok(rule) => (rule.map(|rule| rule.name.clone()), table.urgency_rank(route, rule)),
         Err(_) => return Err(Refusal::not_run(RefusalKind::KeyRefused, None)),
     };
     let time_left = head.time_left.map_or(route.timeout, |left| left.min(route.timeout));
