--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -58,6 +58,11 @@
         self.mean.is_some() && now < self.recorded_at + span
     }
 
+    /// Returns the average gap, however old it is; `None` if there was none.
+    pub fn last_mean(&self) -> Option<Duration> {
+        self.mean
+    }
+
     /// Returns the average gap; `None` if no event arrived recently.
     pub fn mean(&self, now: Duration) -> Option<Duration> {
         self.mean.filter(|_| now < self.recorded_at + MAX_GAP_AGE)
--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -12,6 +12,7 @@
 
 use crate::announcements::AnnouncementLog;
 use crate::crash_detection::ServerIncarnation;
+use crate::groups::UnitName;
 use crate::ids::ChoiceRng;
 use crate::ids::FastMap;
 use crate::ids::FastSet;
@@ -127,6 +128,17 @@
     pub others_in_flight: u32,
 }
 
+/// Requests in flight at a unit of a service, and its servers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct UnitLoad {
+    /// Servers that accept requests.
+    pub ranks: usize,
+    /// Sum of their slots.
+    pub slots: u32,
+    /// Requests in flight of all gateways, as last reported.
+    pub streams: u32,
+}
+
 /// Why no server was chosen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ChoiceError {
@@ -434,6 +446,12 @@
         })
     }
 
+    /// Returns whether this incarnation of a server is the one that is recorded.
+    pub fn is_current(&self, incarnation: &ServerIncarnation) -> bool {
+        let backend = self.backends.get(&incarnation.server);
+        backend.is_some_and(|backend| backend.record.started_ms == incarnation.started_ms)
+    }
+
     /// Returns the id of the server of a service at an address.
     pub fn find_by_address(&self, service: &str, address: SocketAddr) -> Option<&ServerId> {
         let mut backends = self.backends.iter();
@@ -449,14 +467,28 @@
         now: Duration,
         query: &BalanceQuery<'_>,
         rng: &mut ChoiceRng,
+    ) -> Result<BalanceChoice, ChoiceError> {
+        self.choose_among(now, query, rng, |_| true)
+    }
+
+    /// Chooses like [`BalanceTable::choose`] among the servers at addresses that `included`
+    /// accepts.
+    pub fn choose_among(
+        &self,
+        now: Duration,
+        query: &BalanceQuery<'_>,
+        rng: &mut ChoiceRng,
+        included: impl Fn(SocketAddr) -> bool,
     ) -> Result<BalanceChoice, ChoiceError> {
         let mut available: Vec<&Backend> = self
             .backends
             .values()
             .filter(|backend| backend.record.service == query.service && self.is_available(backend))
+            .filter(|backend| included(backend.record.address))
             .collect();
         if available.is_empty() {
             available = self.departing_servers(now, query);
+            available.retain(|backend| included(backend.record.address));
         }
         if available.is_empty() {
             return Err(ChoiceError::NoneAvailable);
@@ -527,6 +559,31 @@
         available.fold((0, 0), |(count, slots), backend| (count + 1, slots + backend.record.slots))
     }
 
+    /// Returns the load and the capacity of each unit of a service; `unit_of` tells the unit of the
+    /// server at an address.
+    pub fn unit_loads(
+        &self,
+        service: &str,
+        unit_of: impl Fn(SocketAddr) -> UnitName,
+    ) -> FastMap<UnitName, UnitLoad> {
+        let mut loads: FastMap<UnitName, UnitLoad> = FastMap::default();
+        for backend in self.backends.values().filter(|other| other.record.service == service) {
+            let load = loads.entry(unit_of(backend.record.address)).or_default();
+            load.streams += backend.in_flight + backend.others_in_flight;
+            if self.is_available(backend) {
+                load.ranks += 1;
+                load.slots += backend.record.slots;
+            }
+        }
+        loads
+    }
+
+    /// Returns the service and the address of a server, if the server is known.
+    pub fn location_of(&self, id: &str) -> Option<(ServiceName, SocketAddr)> {
+        let record = &self.backends.get(id)?.record;
+        Some((record.service.clone(), record.address))
+    }
+
     /// Counts a request that is sent to a server as in flight.
     pub fn start_request(&mut self, now: Duration, id: &str) {
         if let Some(backend) = self.backends.get_mut(id) {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,6 +24,8 @@
 //!   [`outage`] estimates for how long. [`request_limits`] keeps to the limits that servers
 //!   state, [`capacity_queue`] orders requests where all servers state one, and
 //!   [`announcements`] remembers which of them leave or want a pause.
+//!   [`groups`] knows which servers form a group of ranks, and [`units`] whether each group serves
+//!   and what it can take.
 //!   [`silence`] detects servers that send nothing any more, [`relocation`] those that are
 //!   too slow for their group, [`crash_detection`] finds the requests that were at a crashed
 //!   server, and [`quarantine`] decides which of them are refused for a time because servers
@@ -80,6 +82,7 @@
 pub mod experts;
 pub mod fleet;
 pub mod gossip;
+pub mod groups;
 pub mod ids;
 pub mod journal;
 pub mod lapsed_records;
@@ -107,5 +110,6 @@
 pub mod store_contact;
 pub mod store_history;
 pub mod switch;
+pub mod units;
 pub mod updates;
 pub mod watcher;
--- a/crates/core/src/switch.rs
+++ b/crates/core/src/switch.rs
@@ -48,6 +48,7 @@
 use crate::orders::RankOrder;
 use crate::orders::RankStatus;
 use crate::rank_views::RankViews;
+use crate::updates::GroupState;
 
 /// Fencing tokens reserved for each term.
 const FENCES_PER_TERM: u64 = 4_096;
@@ -234,6 +235,18 @@
         self.views.get(rank).is_none_or(|view| view.placed.is_empty())
     }
 
+    /// Returns the epoch and the state of the group, by the latest reports; `None` while not all
+    /// ranks are known and none says that the group is broken. `has_lost_engine` states that an
+    /// engine is known to be gone.
+    pub fn group_state(&self, has_lost_engine: bool) -> Option<(GroupEpoch, GroupState)> {
+        if let Some(epoch) = self.views.formed_epoch().filter(|_| !has_lost_engine) {
+            return Some((epoch, GroupState::Open));
+        }
+        let epoch = self.views.known().map(|view| view.status.epoch).max()?;
+        let is_closed = self.views.known().any(|view| !view.status.open);
+        (is_closed || has_lost_engine).then_some((epoch, GroupState::Broken))
+    }
+
     /// Returns the number of ranks whose status was never received.
     pub fn unreported_ranks(&self) -> usize {
         self.views.unknown()
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -39,6 +39,9 @@
 use crate::permits::record_stated_limit;
 use crate::state::Gateway;
 use crate::state::InFlightGuard;
+use crate::unit_moves::WatchedStream;
+use crate::unit_moves::wait_for_move;
+use crate::unit_tracking::is_unit_active;
 
 /// Largest answer that is not a stream; typical ones have a few hundred bytes.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
@@ -72,6 +75,8 @@
     pub head: AnswerHead,
     /// Headers as the server sent them.
     pub headers: HeaderMap,
+    /// When the request was sent.
+    pub sent_at: Duration,
     body: Incoming,
     attempt_guard: AttemptGuard,
     _in_flight: InFlightGuard,
@@ -143,6 +148,7 @@
     let answer = OpenAnswer {
         head,
         headers: parts.headers,
+        sent_at,
         body,
         attempt_guard,
         _in_flight: in_flight,
@@ -318,13 +324,14 @@
 }
 
 /// Waits for `work`, but fails when its server sends no events while other servers of the
-/// service do, or is so slow that it delays their events.
+/// service do, is so slow that it delays their events, or belongs to a lost unit while another one
+/// can take the stream.
 pub async fn fail_if_degraded<T>(
     gateway: &Gateway,
-    service: &str,
-    server: &str,
+    stream: &WatchedStream,
     work: impl Future<Output = Result<T, FailedAttempt>>,
 ) -> Result<T, FailedAttempt> {
+    let WatchedStream { service, server, address, .. } = stream;
     let since = gateway.now();
     let degraded = async {
         loop {
@@ -333,9 +340,7 @@
             if delays_other_servers(gateway, service, server, now) {
                 return "the server is slow and delays its group";
             }
-            let meters = gateway.event_gaps.borrow();
-            let active =
-                meters.get(service).is_some_and(|meter| meter.is_active(now, ACTIVE_WINDOW));
+            let active = is_unit_active(gateway, service, *address, now, ACTIVE_WINDOW);
             if gateway.silence_detector.borrow().is_silent(now, server, since, active) {
                 return "the server is silent while others send events";
             }
@@ -345,6 +350,8 @@
         biased;
         result = work => result,
         reason = degraded => Err(FailedAttempt::broken(reason)),
+        () = wait_for_move(gateway, stream) =>
+            Err(FailedAttempt::broken("the group of the server is lost, and another one has room")),
     }
 }
 
--- a/crates/gateway/src/crash_tracking.rs
+++ b/crates/gateway/src/crash_tracking.rs
@@ -29,12 +29,14 @@
 use slog::o;
 use tokio::io::AsyncReadExt;
 
-use crate::gate::record_lost_server;
 use crate::part_tracking::record_part_answers;
 use crate::part_tracking::record_part_crashes;
 use crate::part_tracking::sweep_parts;
 use crate::permits::sweep_limits;
 use crate::state::Gateway;
+use crate::unit_tracking::record_crash_notice;
+use crate::unit_tracking::record_crashed_server;
+use crate::unit_tracking::record_refusing_host;
 
 /// Maximum number of crashes in a datagram, which has to fit a packet of 1,500 bytes.
 const MAX_DATAGRAM_CRASHES: usize = 24;
@@ -58,6 +60,12 @@
 /// Interval between two removals of outdated crashes and attempts.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Evidence of a crash: the server has started again.
+const RESTART_PROOF: &str = "started-again";
+/// Time by which such evidence may follow the crash; a group that forms again in the meantime is
+/// not lost by it.
+const RESTART_AGE: Duration = Duration::from_secs(2);
+
 /// Formats a digest as it appears in logs.
 pub fn format_digest(digest: RequestDigest) -> String {
     format!("{digest:016x}")
@@ -200,6 +208,7 @@
     address: SocketAddr,
     incarnation: &ServerIncarnation,
 ) {
+    record_refusing_host(gateway, incarnation);
     let suspects = gateway.crash_detector.borrow_mut().record_refused_connection(
         gateway.now(),
         address,
@@ -238,7 +247,7 @@
         incarnation,
     );
     for (earlier, suspects) in ended {
-        attribute_crash(gateway, &earlier, suspects, "started-again");
+        attribute_crash(gateway, &earlier, suspects, RESTART_PROOF);
     }
 }
 
@@ -254,10 +263,8 @@
         return;
     }
     let now = gateway.now();
-    let service = gateway.balance.borrow().service_of(&incarnation.server);
-    if let Some(service) = service {
-        record_lost_server(gateway, &service);
-    }
+    let noticed_at = if proof == RESTART_PROOF { now.saturating_sub(RESTART_AGE) } else { now };
+    record_crashed_server(gateway, incarnation, noticed_at);
     let parts: Vec<PartDigest> = suspects.parts.iter().map(|suspect| suspect.part).collect();
     gateway.journal.note(
         "server-ended",
@@ -350,6 +357,7 @@
     for crash in update.crashes {
         let incarnation = ServerIncarnation { server: crash.server, started_ms: crash.started_ms };
         let noticed_at = now.saturating_sub(Duration::from_millis(crash.age_ms));
+        record_crash_notice(gateway, &incarnation, noticed_at);
         record_crash(gateway, CrashReport { digest: crash.digest, incarnation, noticed_at }, false);
     }
 }
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -16,15 +16,19 @@
 use cuminpick::admission::overdue_capacity;
 use cuminpick::admission::stream_limit;
 use cuminpick::breaker::BreakerState;
-use cuminpick::breaker::CircuitBreaker;
+use cuminpick::groups::UnitName;
 use cuminpick::ids::FastMap;
 use cuminpick::ids::RequestId;
-use cuminpick::outage::OutageEstimate;
 use cuminpick::outage::OutageOutlook;
+use cuminpick::units::UnitState;
 use slog::o;
 use tokio::sync::oneshot;
 
 use crate::state::Gateway;
+use crate::unit_choice::unit_views;
+use crate::unit_moves::move_streams;
+use crate::unit_tracking::check_stalls;
+use crate::unit_tracking::has_units;
 
 /// Interval at which the queues are processed; a pass takes 40 ms or more.
 const QUEUE_INTERVAL: Duration = Duration::from_millis(10);
@@ -39,30 +43,79 @@
 /// Admission state of one service, and the streams that wait for it.
 #[derive(Default)]
 pub struct ServiceGate {
+    /// State of each unit; a service without several known groups is the unit `None`.
+    pub units: FastMap<UnitName, UnitState>,
+    /// This gateway's share of the capacity for streams that are moved off lost units.
+    pub move_share: CapacityShare,
     stream_gate: StreamGate,
-    breaker: CircuitBreaker,
-    outage: OutageEstimate,
-    /// When the service last came back from an outage.
-    returned_at: Option<Duration>,
     share: CapacityShare,
     waiters: FastMap<RequestId, oneshot::Sender<Option<Duration>>>,
 }
 
 impl ServiceGate {
-    /// Returns what is known of the service's outage, as it appears in logs; `None` if it has
-    /// none.
-    fn describe_outage(&self, now: Duration) -> Option<&'static str> {
-        if self.breaker.state(now) == BreakerState::Closed {
-            return None;
+    /// Returns the state of a unit, which is created if it is not known.
+    pub fn unit(&mut self, unit: &UnitName) -> &mut UnitState {
+        if !self.units.contains_key(unit) {
+            self.units.insert(unit.clone(), UnitState::default());
         }
-        Some(match self.outage.outlook(now) {
+        self.units.get_mut(unit).expect("the unit was inserted")
+    }
+}
+
+/// Outage of a service: all its units are lost.
+#[derive(Debug, Clone)]
+struct ServiceOutage {
+    outlook: OutageOutlook,
+    /// Time after which a refused stream should return.
+    retry_after: Duration,
+    /// Unit to which a probe may be sent now.
+    probe: Option<UnitName>,
+}
+
+impl ServiceOutage {
+    /// Returns what is known of the outage, as it appears in logs.
+    fn describe(&self) -> &'static str {
+        match self.outlook {
             OutageOutlook::Forming(_) => "forming",
             OutageOutlook::RankLost => "rank-lost",
             OutageOutlook::Unknown => "unknown",
-        })
+        }
     }
 }
 
+/// Returns the outage of a service, if all units are lost that have servers.
+fn service_outage(gateway: &Gateway, service: &str, now: Duration) -> Option<ServiceOutage> {
+    let units = match has_units(gateway, service) {
+        true => {
+            let views = unit_views(gateway, service, now);
+            if views.iter().any(|view| !view.is_lost) {
+                return None;
+            }
+            views.into_iter().map(|view| view.unit).collect()
+        }
+        false => vec![None],
+    };
+    let gates = gateway.gates.borrow();
+    let gate = gates.get(service)?;
+    let states = units.iter().filter_map(|unit| Some((unit, gate.units.get(unit)?)));
+    let states: Vec<(&UnitName, &UnitState)> =
+        states.filter(|(_, state)| state.is_lost(now)).collect();
+    // The service is back when the first of its units is.
+    let outlook =
+        states.iter().map(|(_, state)| state.outage.outlook(now)).min_by_key(|outlook| {
+            match outlook {
+                OutageOutlook::Forming(formed_at) => (0, *formed_at),
+                OutageOutlook::Unknown => (1, Duration::ZERO),
+                OutageOutlook::RankLost => (2, Duration::ZERO),
+            }
+        })?;
+    let share = gateway.random_share();
+    let retry_after = states.iter().map(|(_, state)| state.outage.retry_after(now, share)).min()?;
+    let due = states.iter().filter(|(_, state)| state.breaker.state(now) == BreakerState::HalfOpen);
+    let probe = due.min_by_key(|(_, state)| state.last_probe_at()).map(|(unit, _)| (*unit).clone());
+    Some(ServiceOutage { outlook, retry_after, probe })
+}
+
 /// Waits until a stream is admitted. If it is refused, returns the time after which the
 /// caller may retry. `attempt` is the identifier of the request in the log.
 pub async fn wait_for_admission(
@@ -93,7 +146,7 @@
     if !waited.is_zero() || retry_after.is_some() {
         let now = gateway.now();
         let capacity = service_capacity(gateway, service, now);
-        let outage = gateway.gates.borrow().get(service).and_then(|gate| gate.describe_outage(now));
+        let outage = service_outage(gateway, service, now).map(|outage| outage.describe());
         gateway.journal.note(
             "gate-passed",
             attempt,
@@ -128,81 +181,51 @@
 /// Returns the `Retry-After` of a refused stream while its service has an outage: its
 /// servers refuse all streams.
 pub fn outage_retry_after(gateway: &Gateway, service: &str) -> Option<Duration> {
-    let gates = gateway.gates.borrow();
-    let gate = gates.get(service)?;
-    let now = gateway.now();
-    let is_out = gate.breaker.state(now) != BreakerState::Closed;
-    is_out.then(|| gate.outage.retry_after(now, gateway.random_share()))
+    service_outage(gateway, service, gateway.now()).map(|outage| outage.retry_after)
+}
+
+/// Returns the time between events that a new stream can expect, if it has been measured: that of
+/// the unit with the shortest one.
+pub fn expected_event_gap(gateway: &Gateway, service: &str, now: Duration) -> Option<Duration> {
+    if has_units(gateway, service) {
+        let views = unit_views(gateway, service, now);
+        let serving = views.iter().filter(|view| !view.is_lost);
+        return serving.filter_map(|view| view.event_gap).min();
+    }
+    gateway.event_gaps.borrow().get(service).and_then(|meter| meter.mean(now))
 }
 
 /// Returns how long outages of a service last.
 pub fn mean_outage(gateway: &Gateway, service: &str) -> Duration {
     let gates = gateway.gates.borrow();
-    gates.get(service).and_then(|gate| gate.outage.mean_duration()).unwrap_or(USUAL_OUTAGE)
+    let units = gates.get(service).map(|gate| gate.units.values());
+    let means = units.into_iter().flatten().filter_map(|state| state.outage.mean_duration());
+    means.max().unwrap_or(USUAL_OUTAGE)
 }
 
 /// Returns when a service last came back from an outage.
 pub fn service_returned_at(gateway: &Gateway, service: &str) -> Option<Duration> {
-    gateway.gates.borrow().get(service).and_then(|gate| gate.returned_at)
+    let gates = gateway.gates.borrow();
+    gates.get(service)?.units.values().filter_map(|state| state.returned_at).max()
 }
 
-/// Records that a server of `service` refused a stream.
-pub fn record_stream_refusal(gateway: &Gateway, service: &str) {
-    let now = gateway.now();
-    let mut gates = gateway.gates.borrow_mut();
-    if gates.entry(service.to_string()).or_default().breaker.record_refusal(now) {
-        gateway.journal.warn("service-turns-away", o!("service" => service.to_string()));
+/// Opens the breaker of a service without several units that has lost a server if its events have
+/// stopped: the ranks of its group wait for the lost one before they refuse anything.
+fn trip_if_stalled(gateway: &Gateway, service: &str, now: Duration) {
+    if has_units(gateway, service) {
+        return;
     }
-}
-
-/// Records that a server of `service` serves a stream.
-pub fn record_stream_success(gateway: &Gateway, service: &str) {
-    let now = gateway.now();
     let mut gates = gateway.gates.borrow_mut();
-    let gate = gates.entry(service.to_string()).or_default();
-    let was_out = gate.breaker.record_success();
-    gate.outage.record_service(now, was_out);
-    if was_out {
-        gate.returned_at = Some(now);
-        gateway.journal.note("service-back", None, o!("service" => service.to_string()));
-    }
-}
-
-/// Records that a server of `service` crashed or cannot be reached.
-pub fn record_lost_server(gateway: &Gateway, service: &str) {
-    let now = gateway.now();
-    gateway
-        .gates
-        .borrow_mut()
-        .entry(service.to_string())
-        .or_default()
-        .outage
-        .record_lost_server(now);
-}
-
-/// Records that a server of `service` has registered since it started.
-pub fn record_new_server(gateway: &Gateway, service: &str) {
-    let Some(table) = gateway.routing_table() else {
+    let Some(state) = gates.get_mut(service).and_then(|gate| gate.units.get_mut(&None)) else {
         return;
     };
-    let model = table.service(service).and_then(|spec| spec.engine.as_ref());
-    if let (Some(model), Some(gate)) = (model, gateway.gates.borrow_mut().get_mut(service)) {
-        gate.outage.record_new_server(gateway.now(), model.form_time);
-    }
-}
-
-/// Opens the breaker of a service that has lost a server if its events have stopped: the
-/// ranks of its group wait for the lost one before they refuse anything.
-fn trip_if_stalled(gateway: &Gateway, service: &str, gate: &mut ServiceGate, now: Duration) {
-    let is_stalled =
-        gate.outage.is_rank_lost()
-            && gate.breaker.state(now) == BreakerState::Closed
-            && gateway.balance.borrow().service_load(service).own_in_flight > 0
-            && gateway.event_gaps.borrow().get(service).is_some_and(|meter| {
-                meter.mean(now).is_some() && !meter.is_active(now, STALL_TIMEOUT)
-            });
+    let is_stalled = state.outage.is_rank_lost()
+        && state.breaker.state(now) == BreakerState::Closed
+        && gateway.balance.borrow().service_load(service).own_in_flight > 0
+        && state.event_gap.mean(now).is_some()
+        && !state.event_gap.is_active(now, STALL_TIMEOUT);
     if is_stalled {
-        gate.breaker.trip(now);
+        state.breaker.trip(now);
         gateway.journal.warn(
             "service-stalled",
             o!("service" => service.to_string(), "reason" => "a server is lost and no events arrive"),
@@ -213,8 +236,14 @@
 /// Processes the queues of all services at regular intervals, for as long as the process
 /// runs.
 pub async fn process_gate_queues(gateway: Rc<Gateway>) {
+    let mut last_tick = gateway.now();
     loop {
         tokio::time::sleep(QUEUE_INTERVAL).await;
+        let now = gateway.now();
+        gateway.groups.borrow_mut().remove_unconfirmed(now);
+        check_stalls(&gateway, now, last_tick);
+        move_streams(&gateway, now);
+        last_tick = now;
         let services: Vec<String> = {
             let gates = gateway.gates.borrow();
             let busy = gates.iter().filter(|(_, gate)| gate.stream_gate.waiting() > 0);
@@ -229,32 +258,31 @@
 /// Admits and refuses streams that wait for `service`.
 fn process_service_queue(gateway: &Rc<Gateway>, service: &str) {
     let now = gateway.now();
+    trip_if_stalled(gateway, service, now);
     let capacity = service_capacity(gateway, service, now);
+    let outage = service_outage(gateway, service, now);
     let gateways = gateway.balance.borrow().live_gateways();
     let mut gates = gateway.gates.borrow_mut();
     let Some(gate) = gates.get_mut(service) else {
         return;
     };
-    trip_if_stalled(gateway, service, gate, now);
-    let outage = |probes| GateCapacity::Outage {
-        probes,
-        outlook: gate.outage.outlook(now),
-        retry_after: gate.outage.retry_after(now, gateway.random_share()),
-    };
-    let gate_capacity = match gate.breaker.state(now) {
-        BreakerState::Closed => {
+    let gate_capacity = match &outage {
+        None => {
             let overdue = gate.share.allowance(now, capacity.overdue, gateways);
             GateCapacity::Streams { total: capacity.total, overdue }
         }
-        BreakerState::HalfOpen => outage(1),
-        BreakerState::Open => outage(0),
+        Some(outage) => GateCapacity::Outage {
+            probes: u32::from(outage.probe.is_some()),
+            outlook: outage.outlook,
+            retry_after: outage.retry_after,
+        },
     };
     for decision in gate.stream_gate.process_queue(now, gate_capacity) {
         let (request, retry_after) = match decision {
             GateDecision::Admit(request) => {
                 gate.share.record_admission();
-                if gate.breaker.state(now) == BreakerState::HalfOpen {
-                    gate.breaker.record_probe(now);
+                if let Some(probe) = outage.as_ref().and_then(|outage| outage.probe.as_ref()) {
+                    gate.unit(probe).record_probe(now);
                 }
                 (request, None)
             }
@@ -284,8 +312,19 @@
 const UNBOUNDED: ServiceCapacity =
     ServiceCapacity { total: u32::MAX, overdue: u32::MAX, streams: 0, event_gap: None };
 
-/// Returns the capacity of a service as far as this gateway knows it.
+/// Returns the capacity of a service as far as this gateway knows it: of all units together that
+/// are not lost.
 fn service_capacity(gateway: &Gateway, service: &str, now: Duration) -> ServiceCapacity {
+    if has_units(gateway, service) {
+        let views = unit_views(gateway, service, now);
+        let none = ServiceCapacity { total: 0, overdue: 0, streams: 0, event_gap: None };
+        return views.iter().filter(|view| !view.is_lost).fold(none, |sum, view| ServiceCapacity {
+            total: sum.total.saturating_add(view.capacity.total),
+            overdue: sum.overdue.saturating_add(view.capacity.overdue),
+            streams: sum.streams + view.streams,
+            event_gap: sum.event_gap.max(view.event_gap),
+        });
+    }
     let Some(table) = gateway.routing_table() else {
         return UNBOUNDED;
     };
@@ -297,7 +336,11 @@
         let balance = gateway.balance.borrow();
         (balance.service_load(service), balance.available_capacity(service))
     };
-    let event_gap = gateway.event_gaps.borrow().get(service).and_then(|meter| meter.mean(now));
+    let event_gap = {
+        let gates = gateway.gates.borrow();
+        let state = gates.get(service).and_then(|gate| gate.units.get(&None));
+        state.and_then(|state| state.event_gap.mean(now))
+    };
     let streams = load.own_in_flight + load.others_in_flight;
     let group = GroupLoad { ranks, slots, streams, event_gap };
     let Some(limit) = stream_limit(model, &group, target) else {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -48,3 +48,6 @@
 pub mod store_return;
 pub mod store_watch;
 pub mod token_tracking;
+pub mod unit_choice;
+pub mod unit_moves;
+pub mod unit_tracking;
--- a/crates/gateway/src/peer_views.rs
+++ b/crates/gateway/src/peer_views.rs
@@ -16,6 +16,7 @@
 use cuminpick::copy_filter::CopyKnowledge;
 use cuminpick::copy_filter::SETTLE_TIME;
 use cuminpick::store_history::StoreEra;
+use cuminpick::updates::GroupMembers;
 use cuminpick_platform::call::CallClient;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -38,6 +39,7 @@
 use tokio::time::Instant;
 
 use crate::config_updates::adopt_from_peer;
+use crate::group_tracking::apply_group_members;
 use crate::state::Gateway;
 use crate::store_return::apply_era_news;
 use crate::store_return::settled_at;
@@ -75,6 +77,9 @@
     era: StoreEra,
     /// Configuration that the asking gateway has in force.
     config: Option<ConfigStamp>,
+    /// Whether the asking gateway starts, and does not know the groups of ranks.
+    #[serde(default)]
+    wants_groups: bool,
 }
 
 /// A configuration with its content, as the store held it.
@@ -93,6 +98,9 @@
     config: Option<SharedConfig>,
     /// What has changed since the copy, while the store may still list it.
     copy: Option<CopyView>,
+    /// Groups of ranks, if the asking gateway starts.
+    #[serde(default)]
+    groups: Vec<GroupMembers>,
 }
 
 /// What has changed since the copy from which the store came back.
@@ -175,12 +183,16 @@
         settles_in_ms: (until - now).as_millis() as u64,
         knowledge: gateway.copy_filter.borrow().knowledge(),
     });
-    StoreView { config, copy }
+    let groups = match question.wants_groups {
+        true => gateway.groups.borrow().known(),
+        false => Vec::new(),
+    };
+    StoreView { config, copy, groups }
 }
 
 fn own_question(gateway: &Gateway) -> ViewQuestion {
     let config = gateway.config_order.borrow().in_force();
-    ViewQuestion { era: gateway.store.eras().era(), config }
+    ViewQuestion { era: gateway.store.eras().era(), config, wants_groups: false }
 }
 
 /// Asks another gateway what it knows.
@@ -213,7 +225,7 @@
         let left_out = gateway.random_bits() as usize % peers.len();
         peers.swap_remove(left_out);
     }
-    let question = own_question(&gateway);
+    let question = ViewQuestion { wants_groups: true, ..own_question(&gateway) };
     let mut asking = JoinSet::new();
     for peer in peers {
         asking.spawn_local(async move { (peer, ask_gateway(peer, question, VIEW_TIMEOUT).await) });
@@ -281,6 +293,9 @@
     if let Some(config) = view.config {
         adopt_from_peer(gateway, peer, config);
     }
+    for members in view.groups {
+        apply_group_members(gateway, members);
+    }
     let Some(copy) = view.copy else {
         return;
     };
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -281,6 +281,7 @@
             gateway.journal.warn("peer-news-unreadable", o!("from" => from));
             continue;
         };
+        gateway.peer_heard_at.set(gateway.now());
         match message {
             UpdateMessage::Gateway(update) => {
                 gateway.metrics.count_control("gateway-news", "in", length);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,6 +1,7 @@
 //! Relays a server's event stream to the caller. When the stream is interrupted, it is
 //! resumed at another server after the last event that was sent.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,6 +21,9 @@
 use crate::serve::OpenStream;
 use crate::serve::RequestLog;
 use crate::serve::ValidAnswer;
+use crate::unit_tracking::AwaitGuard;
+use crate::unit_tracking::record_event_gap;
+use crate::unit_tracking::record_stream_data;
 
 /// Events that are buffered for a caller that reads slowly.
 const EVENT_CHANNEL_CAPACITY: usize = 8;
@@ -46,6 +50,7 @@
         sender,
         events_sent: 0,
         last_event_at: None,
+        last_server: None,
         longest_gap: Duration::ZERO,
         longest_gap_after: 0,
         first_event,
@@ -61,6 +66,8 @@
     event_order: EventOrder,
     events_sent: u32,
     last_event_at: Option<Instant>,
+    /// Server that sent the last event.
+    last_server: Option<SocketAddr>,
     longest_gap: Duration,
     /// Number of events before the longest gap.
     longest_gap_after: u32,
@@ -85,7 +92,7 @@
                 RelayEnd::CallerLeft => return self.finish("caller-left", "during the stream"),
                 RelayEnd::TimedOut => return self.abort("the answer's deadline passed").await,
                 RelayEnd::Broken(failed) => {
-                    self.exchange.record_failure(&stream.choice.server, &failed);
+                    self.exchange.record_failure(&stream.choice, &failed);
                     let OpenStream { choice, answer, .. } = stream;
                     drop(answer);
                     if self.exchange.probe_after_loss(&choice, &failed).await.is_err() {
@@ -104,7 +111,7 @@
     async fn relay_events(&mut self, stream: &mut OpenStream) -> RelayEnd {
         loop {
             for event in std::mem::take(&mut stream.events) {
-                if let Err(end) = self.send_event(event).await {
+                if let Err(end) = self.send_event(event, stream.choice.address).await {
                     return end;
                 }
             }
@@ -139,30 +146,30 @@
     }
 
     /// Sends an event to the caller; drops duplicates and fails on a gap.
-    async fn send_event(&mut self, event: StreamEvent) -> Result<(), RelayEnd> {
+    async fn send_event(&mut self, event: StreamEvent, server: SocketAddr) -> Result<(), RelayEnd> {
         match self.event_order.advance(event.number) {
             EventPosition::Duplicate => return Ok(()),
             EventPosition::Gap => return Err(broken_answer("an event is missing")),
             EventPosition::Next => {}
         }
-        self.record_event_gap();
+        self.record_event_gap(server);
         self.events_sent += 1;
         let sending = self.sender.send(Ok(Bytes::from(event.bytes)));
         sending.await.map_err(|_| RelayEnd::CallerLeft)
     }
 
     /// Records the time since the previous event, for the service and for this stream.
-    fn record_event_gap(&mut self) {
+    fn record_event_gap(&mut self, server: SocketAddr) {
         let now = Instant::now();
+        let is_same_server = self.last_server.replace(server) == Some(server);
         if let Some(last) = self.last_event_at.replace(now) {
             let gap = now - last;
             if gap > self.longest_gap {
                 self.longest_gap = gap;
                 self.longest_gap_after = self.events_sent;
             }
-            let since_start = self.exchange.gateway.now();
-            let mut meters = self.exchange.gateway.event_gaps.borrow_mut();
-            meters.entry(self.exchange.service.clone()).or_default().record(since_start, gap);
+            let Exchange { gateway, service, .. } = &self.exchange;
+            record_event_gap(gateway, service, server, gap, is_same_server);
         }
     }
 
@@ -226,13 +233,18 @@
 ) -> Result<Option<Bytes>, FailedAttempt> {
     let gateway = &exchange.gateway;
     let resumable = exchange.route.repeat == RepeatRule::ResumableStream;
+    let address = stream.choice.address;
+    let awaiting = AwaitGuard::begin(gateway, &exchange.service, address);
+    let watched = exchange.watched_stream(&stream.choice, stream.sent_at, true);
     let next_bytes = stream.answer.next_bytes();
     let read = if resumable && exchange.retry_state.may_retry_after_failure() {
-        fail_if_degraded(gateway, &exchange.service, &stream.choice.server, next_bytes).await
+        fail_if_degraded(gateway, &watched, next_bytes).await
     } else {
         next_bytes.await
     };
+    drop(awaiting);
     if let Ok(Some(_)) = read {
+        record_stream_data(gateway, &exchange.service, address);
         gateway.silence_detector.borrow_mut().record_event(gateway.now(), &stream.choice.server);
     }
     read
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -10,6 +10,7 @@
 mod suspects;
 mod turn;
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -62,14 +63,17 @@
 use crate::crash_tracking::format_digest;
 use crate::crash_tracking::format_digests;
 use crate::framing::HeadBytes;
+use crate::gate::expected_event_gap;
 use crate::gate::outage_retry_after;
-use crate::gate::record_lost_server;
-use crate::gate::record_stream_refusal;
-use crate::gate::record_stream_success;
 use crate::gate::wait_for_admission;
 use crate::part_tracking::TrialGuard;
 use crate::relay::start_relay;
 use crate::state::Gateway;
+use crate::unit_moves::WatchedStream;
+use crate::unit_tracking::record_lost_server;
+use crate::unit_tracking::record_stream_refusal;
+use crate::unit_tracking::record_stream_success;
+use crate::unit_tracking::record_unit_success;
 
 /// `Retry-After` of a refusal while the configuration is not loaded or no server is
 /// available; listing them in the store takes a few milliseconds.
@@ -158,6 +162,7 @@
     Ok(Exchange {
         gateway: Rc::clone(gateway),
         retry_state: RetryState::new(route.repeat, route.max_attempts),
+        retry_prepaid: Rc::default(),
         route: route.clone(),
         service,
         content: AttemptContent { digest, parts: head.shared_parts.into() },
@@ -220,6 +225,8 @@
     pub caller_last_event: Option<EventNumber>,
     /// Attempts so far, and whether another one is allowed.
     pub retry_state: RetryState,
+    /// Set when the next attempt was taken from the retry budget already.
+    retry_prepaid: Rc<Cell<bool>>,
     /// What gateways attribute crashes to; equal for all attempts.
     content: AttemptContent,
     organisation: Option<OrganisationName>,
@@ -265,6 +272,8 @@
     pub ended: bool,
     /// Server that sends the stream.
     pub choice: BalanceChoice,
+    /// When the request was sent to the server.
+    pub sent_at: Duration,
 }
 
 impl Exchange {
@@ -312,8 +321,7 @@
         let now = self.gateway.now();
         let arrived = now.saturating_sub(self.arrived.elapsed());
         let total_time = self.answer_deadline.saturating_duration_since(self.arrived);
-        let measured_gap =
-            self.gateway.event_gaps.borrow().get(&self.service).and_then(|meter| meter.mean(now));
+        let measured_gap = expected_event_gap(&self.gateway, &self.service, now);
         let event_gap = measured_gap.or(self.route.max_event_gap).unwrap_or_default();
         let required_time =
             self.gateway.stream_lengths.borrow().required_time(&self.route.name, event_gap);
@@ -365,7 +373,7 @@
                 Ok(answer) => return Ok(answer),
                 Err(failed) => failed,
             };
-            self.record_failure(&choice.server, &failed);
+            self.record_failure(&choice, &failed);
             self.probe_after_loss(&choice, &failed).await?;
             self.check_quarantine()?;
             if !self.retry_state.may_retry() {
@@ -382,7 +390,7 @@
 
     /// Takes a retry from the budget if the next attempt is one; returns false if none is left.
     fn take_retry_budget(&self) -> bool {
-        if !self.retry_state.counts_as_retry() {
+        if self.retry_prepaid.take() || !self.retry_state.counts_as_retry() {
             return true;
         }
         let gateways = self.gateway.balance.borrow().live_or_registered_gateways();
@@ -406,6 +414,8 @@
             priority: self.priority,
             last_event: after,
         };
+        let sent_at = self.gateway.now();
+        let watched = self.watched_stream(choice, sent_at, after != self.caller_last_event);
         let attempt_pending = &mut self.attempt_pending;
         let streaming = self.route.streaming;
         let retryable = self.retry_state.may_retry_after_failure();
@@ -421,14 +431,35 @@
         let rule = RecallRule { service: &self.service, content, trial, may_retry: retryable };
         let attempt = unless_recalled(gateway, rule, attempt);
         let result = if streaming && retryable {
-            fail_if_degraded(gateway, &self.service, &choice.server, attempt).await
+            fail_if_degraded(gateway, &watched, attempt).await
         } else {
             with_timeout(timeout, attempt).await
         };
         self.attempt_pending = false;
+        if let Ok(ValidAnswer::Stream(stream)) = &result {
+            record_unit_success(&self.gateway, &self.service, choice.address, stream.sent_at);
+        }
         result
     }
 
+    /// Returns the stream as it is watched while it is at a server.
+    pub fn watched_stream(
+        &self,
+        choice: &BalanceChoice,
+        sent_at: Duration,
+        has_begun: bool,
+    ) -> WatchedStream {
+        WatchedStream {
+            service: self.service.clone(),
+            server: choice.server.clone(),
+            address: choice.address,
+            sent_at,
+            priority: self.priority,
+            has_begun,
+            retry_prepaid: Rc::clone(&self.retry_prepaid),
+        }
+    }
+
     /// Returns the longest wait for an answer; `None` unless another server can be asked.
     fn attempt_timeout(&self) -> Option<Duration> {
         let retryable = self.retry_state.may_retry_after_failure();
@@ -463,7 +494,8 @@
 
     /// Records a failed attempt. Avoids the server, unless it answered with an error of its
     /// own.
-    pub fn record_failure(&mut self, server: &str, failed: &FailedAttempt) {
+    pub fn record_failure(&mut self, choice: &BalanceChoice, failed: &FailedAttempt) {
+        let server = choice.server.as_str();
         let retry = self.retry_state.counts_as_retry();
         self.retry_state.record_failure(failed.failure);
         self.last_failure = Some(failed.failure);
@@ -478,10 +510,10 @@
         }
         match failed.failure {
             AttemptFailure::NotRun if self.route.streaming => {
-                record_stream_refusal(&self.gateway, &self.service);
+                record_stream_refusal(&self.gateway, &self.service, choice.address);
             }
             AttemptFailure::NotConnected if self.route.streaming => {
-                record_lost_server(&self.gateway, &self.service);
+                record_lost_server(&self.gateway, &self.service, choice.address);
             }
             _ => {}
         }
@@ -562,6 +594,7 @@
     mut answer: OpenAnswer,
     choice: &BalanceChoice,
 ) -> Result<ValidAnswer, FailedAttempt> {
+    let sent_at = answer.sent_at;
     let mut buffered = BufferedBytes::begin(gateway);
     let mut splitter = EventSplitter::default();
     let mut events = Vec::new();
@@ -593,6 +626,7 @@
         events,
         ended,
         choice,
+        sent_at,
     })))
 }
 
--- a/crates/gateway/src/serve/choice.rs
+++ b/crates/gateway/src/serve/choice.rs
@@ -20,6 +20,8 @@
 use super::turn::CapacityTurn;
 use super::turn::is_contended;
 use crate::permits::obtain_permit;
+use crate::unit_choice::choose_in_units;
+use crate::unit_tracking::has_units;
 
 /// Part of the target latency that a request may wait for a server with a free slot.
 const CAPACITY_WAIT_SHARE: f64 = 0.6;
@@ -94,6 +96,10 @@
             limits: Some(LimitFilter { limits: &limits, unlimited_only }),
         };
         let mut rng = self.gateway.rng.borrow_mut();
+        if has_units(&self.gateway, &self.service) {
+            let may_probe = self.route.streaming && self.retry_state.may_retry_after_failure();
+            return choose_in_units(&self.gateway, &query, &mut rng, may_probe);
+        }
         self.gateway.balance.borrow().choose(self.gateway.now(), &query, &mut rng)
     }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -16,6 +16,7 @@
 use cuminpick::crash_detection::CrashDetector;
 use cuminpick::deadlines::DeadlineTracker;
 use cuminpick::deadlines::StreamLengths;
+use cuminpick::groups::GroupTable;
 use cuminpick::ids::ChoiceRng;
 use cuminpick::ids::FastMap;
 use cuminpick::ids::FastSet;
@@ -50,6 +51,7 @@
 use crate::gate::ServiceGate;
 use crate::part_tracking::PartNews;
 use crate::peers::PeerLinks;
+use crate::unit_moves::MoveTickets;
 
 /// Longest time after its configuration for which a gateway that starts waits for what must
 /// not get requests; all are listed at the same time, so a second more shows a failure.
@@ -100,6 +102,14 @@
     pub event_gaps: RefCell<FastMap<ServiceName, EventGapMeter>>,
     /// Streams that wait for admission, by service.
     pub gates: RefCell<FastMap<ServiceName, ServiceGate>>,
+    /// Groups of ranks, as their leaders report them.
+    pub groups: RefCell<GroupTable>,
+    /// Streams that may be moved off a lost unit.
+    pub move_tickets: RefCell<MoveTickets>,
+    /// When the last datagram arrived from another process.
+    pub peer_heard_at: Cell<Duration>,
+    /// Since when this process has run without a longer interruption.
+    pub watched_since: Cell<Duration>,
     /// Deadlines that callers set, by route.
     pub deadlines: RefCell<DeadlineTracker>,
     /// Number of events per stream, by route.
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -39,12 +39,12 @@
 use crate::crash_records::is_outdated;
 use crate::crash_records::remove_outdated_record;
 use crate::crash_tracking::record_registration;
-use crate::gate::record_new_server;
 use crate::state::Gateway;
 use crate::store_return::delay_after_return;
 use crate::store_return::handle_era_changes;
 use crate::store_return::handle_outages;
 use crate::store_return::settled_at;
+use crate::unit_tracking::record_new_server;
 
 /// Maximum duration of a watch; bounds how long a store that hangs goes unnoticed.
 const WATCH_WAIT: Duration = Duration::from_secs(8);
@@ -392,9 +392,9 @@
                            "cold_ms" => record.cold_remaining.as_millis() as u64,
                            "revision" => event.object.revision),
                     );
-                    let service = record.service.clone();
+                    let (service, address) = (record.service.clone(), record.address);
                     if self.gateway.balance.borrow_mut().upsert(now, record) {
-                        record_new_server(&self.gateway, &service);
+                        record_new_server(&self.gateway, &service, address);
                     }
                 }
             }
--- /dev/null
+++ b/crates/gateway/src/unit_choice.rs
@@ -0,0 +1,145 @@
+//! Chooses a unit, and a server of it, for an attempt at a service with several units.
+
+use std::time::Duration;
+
+use cuminpick::admission::GroupLoad;
+use cuminpick::balance::BalanceChoice;
+use cuminpick::balance::BalanceQuery;
+use cuminpick::balance::ChoiceError;
+use cuminpick::groups::UnitName;
+use cuminpick::ids::ChoiceRng;
+use cuminpick::units::UnitCapacity;
+use cuminpick::units::UnitState;
+use cuminpick::units::choose_unit;
+use cuminpick::units::unit_capacity;
+
+use crate::state::Gateway;
+
+/// A unit that has servers, as known to this gateway.
+#[derive(Debug, Clone)]
+pub struct UnitView {
+    /// Name of the unit.
+    pub unit: UnitName,
+    /// Whether it gets no streams but probes.
+    pub is_lost: bool,
+    /// What it can take.
+    pub capacity: UnitCapacity,
+    /// Streams that run there, over all gateways.
+    pub streams: u32,
+    /// Smoothed time between events, if known.
+    pub event_gap: Option<Duration>,
+}
+
+/// Returns the units of a service that have servers, in order of their names.
+pub fn unit_views(gateway: &Gateway, service: &str, now: Duration) -> Vec<UnitView> {
+    let table = gateway.routing_table();
+    let spec = table.as_ref().and_then(|table| table.service(service));
+    let model = spec.and_then(|spec| spec.engine.as_ref());
+    let target = table.as_ref().and_then(|table| table.shortest_event_gap(service));
+    let loads = {
+        let groups = gateway.groups.borrow();
+        let unit_of = |address| groups.unit_of(service, address);
+        gateway.balance.borrow().unit_loads(service, unit_of)
+    };
+    let gates = gateway.gates.borrow();
+    let gate = gates.get(service);
+    let mut views: Vec<UnitView> = loads
+        .into_iter()
+        .filter(|(_, load)| load.ranks > 0)
+        .map(|(unit, load)| {
+            let state = gate.and_then(|gate| gate.units.get(&unit));
+            let event_gap = state.and_then(|state| state.event_gap.mean(now));
+            let (ranks, slots, streams) = (load.ranks, load.slots, load.streams);
+            let group_load = GroupLoad { ranks, slots, streams, event_gap };
+            let capacity = match (model, target) {
+                (Some(model), Some(target)) => unit_capacity(model, &group_load, target),
+                _ => UnitCapacity { total: u32::MAX, overdue: u32::MAX, ranks },
+            };
+            let is_lost = state.is_some_and(|state| state.is_lost(now));
+            UnitView { unit, is_lost, capacity, streams, event_gap }
+        })
+        .collect();
+    views.sort_by(|left, right| left.unit.cmp(&right.unit));
+    views
+}
+
+/// Chooses a server: of a lost unit if a probe is due and the request may be one, otherwise of a
+/// unit that serves, drawn in proportion to its free places.
+pub fn choose_in_units(
+    gateway: &Gateway,
+    query: &BalanceQuery<'_>,
+    rng: &mut ChoiceRng,
+    may_probe: bool,
+) -> Result<BalanceChoice, ChoiceError> {
+    let now = gateway.now();
+    let views = unit_views(gateway, query.service, now);
+    let (lost, mut serving): (Vec<UnitView>, Vec<UnitView>) =
+        views.into_iter().partition(|view| view.is_lost);
+    if serving.is_empty() {
+        let choice = match last_probed(gateway, query.service, &lost) {
+            Some(unit) => choose_in_unit(gateway, query, rng, &unit),
+            None => Err(ChoiceError::AllTried),
+        };
+        return choice.or_else(|_| gateway.balance.borrow().choose(now, query, rng));
+    }
+    if may_probe && let Some(choice) = choose_probe(gateway, query, rng, &lost) {
+        return Ok(choice);
+    }
+    let mut failure = ChoiceError::AllTried;
+    while !serving.is_empty() {
+        let capacities: Vec<UnitCapacity> =
+            serving.iter().map(|view| view.capacity.clone()).collect();
+        let drawn = choose_unit(&capacities, rng.next_bits()).unwrap_or(0);
+        let view = serving.swap_remove(drawn);
+        match choose_in_unit(gateway, query, rng, &view.unit) {
+            Ok(choice) => return Ok(choice),
+            Err(ChoiceError::AllTried | ChoiceError::NoneAvailable) => {}
+            Err(error) => failure = error,
+        }
+    }
+    Err(failure)
+}
+
+fn choose_in_unit(
+    gateway: &Gateway,
+    query: &BalanceQuery<'_>,
+    rng: &mut ChoiceRng,
+    unit: &UnitName,
+) -> Result<BalanceChoice, ChoiceError> {
+    let groups = gateway.groups.borrow();
+    let group_of = |address| groups.group_of(query.service, address);
+    let balance = gateway.balance.borrow();
+    balance.choose_among(gateway.now(), query, rng, |address| group_of(address) == unit.as_ref())
+}
+
+/// Chooses a server of a lost unit to which a probe is due.
+fn choose_probe(
+    gateway: &Gateway,
+    query: &BalanceQuery<'_>,
+    rng: &mut ChoiceRng,
+    lost: &[UnitView],
+) -> Option<BalanceChoice> {
+    let now = gateway.now();
+    let gateways = gateway.balance.borrow().live_gateways();
+    let is_due = |state: &UnitState| state.is_probe_due(now, gateways);
+    let due = {
+        let gates = gateway.gates.borrow();
+        let units = &gates.get(query.service)?.units;
+        lost.iter().find(|view| units.get(&view.unit).is_some_and(is_due))?
+    };
+    let choice = choose_in_unit(gateway, query, rng, &due.unit).ok()?;
+    let mut gates = gateway.gates.borrow_mut();
+    gates.get_mut(query.service)?.unit(&due.unit).record_probe(now);
+    Some(choice)
+}
+
+/// Returns the unit for which the gate admitted the last probe while all units are lost.
+fn last_probed(gateway: &Gateway, service: &str, lost: &[UnitView]) -> Option<UnitName> {
+    let gates = gateway.gates.borrow();
+    let units = &gates.get(service)?.units;
+    let probed = lost.iter().filter_map(|view| {
+        let probed_at = units.get(&view.unit)?.last_probe_at()?;
+        Some((probed_at, view.unit.clone()))
+    });
+    probed.max().map(|(_, unit)| unit)
+}
--- a/crates/rank-agent/src/daemon.rs
+++ b/crates/rank-agent/src/daemon.rs
@@ -36,6 +36,7 @@
 use crate::lead::record_presence;
 use crate::lead::record_report_from;
 use crate::lead::step_down;
+use crate::members::record_lost_engine;
 use crate::messages::AgentMessage;
 use crate::observe::OrderRoute;
 use crate::observe::observe_engine;
@@ -216,6 +217,7 @@
             record_presence(agent, term, id, rank).await
         }
         AgentMessage::MapUnknown { term, id, .. } => record_missing_base(agent, from, term, id),
+        AgentMessage::EngineLost { rank, .. } => record_lost_engine(agent, rank),
         AgentMessage::Outcome { term, id, outcome, .. } => {
             record_outcome(agent, term, id, outcome).await;
         }
--- a/crates/rank-agent/src/lead.rs
+++ b/crates/rank-agent/src/lead.rs
@@ -16,6 +16,7 @@
 use cuminpick::experts::RankIndex;
 use cuminpick::experts::is_switch_worthwhile;
 use cuminpick::experts::plan_map;
+use cuminpick::groups::MembersSchedule;
 use cuminpick::ids::FastMap;
 use cuminpick::ids::FastSet;
 use cuminpick::orders::LeaderAction;
@@ -38,6 +39,7 @@
 use crate::dispatch::engine_of_rank;
 use crate::dispatch::read_engine_directly;
 use crate::dispatch::resend_full_maps;
+use crate::members::send_members;
 use crate::messages::AgentMessage;
 use crate::messages::RankReport;
 use crate::state::Agent;
@@ -57,6 +59,9 @@
 const DIRECT_READ_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which gateways are informed of slow engines.
 const GATEWAY_UPDATE_INTERVAL: Duration = Duration::from_millis(200);
+/// Interval at which the leader checks whether gateways have to be told of its group; half of that
+/// at which a change is repeated.
+const MEMBERS_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 /// Slowdown, relative to a healthy engine, from which an engine is reported as slow.
 const SLOW_ENGINE_FACTOR: f64 = 1.25;
 /// Minimum sum of recent expert counts for a plan; a pass of one request adds a
@@ -104,6 +109,10 @@
     direct_read_at: Duration,
     /// Addresses of the ranks' agents, taken from their reports.
     pub(crate) agents: FastMap<RankIndex, SocketAddr>,
+    /// Ranks whose engines refuse connections, by their agents.
+    pub(crate) lost_engines: FastSet<RankIndex>,
+    /// When the gateways are told the ranks and the state of the group.
+    pub(crate) members_schedule: MembersSchedule,
 }
 
 impl Leadership {
@@ -128,6 +137,8 @@
             reported_slow: false,
             engines: Vec::new(),
             agents: FastMap::default(),
+            lost_engines: FastSet::default(),
+            members_schedule: MembersSchedule::default(),
         }
     }
 }
@@ -159,6 +170,7 @@
 pub async fn lead_group(agent: Rc<Agent>) {
     let mut next_beacon = Duration::ZERO;
     let mut next_update = Duration::ZERO;
+    let mut next_members = Duration::ZERO;
     loop {
         tokio::time::sleep(TICK_INTERVAL).await;
         let now = agent.now();
@@ -173,6 +185,10 @@
             next_update = now + GATEWAY_UPDATE_INTERVAL;
             send_gateway_updates(&agent).await;
         }
+        if now >= next_members {
+            next_members = now + MEMBERS_CHECK_INTERVAL;
+            send_members(&agent, now).await;
+        }
         resend_full_maps(&agent, now);
         let actions = {
             let mut state = agent.state.borrow_mut();
@@ -332,6 +348,7 @@
             leadership.rank_engines.remove(&report.status.rank);
             leadership.agents.insert(report.status.rank, from);
         }
+        leadership.lost_engines.remove(&report.status.rank);
         if let Some(demand) = &mut leadership.demand {
             demand.add_counts(now, &unpack_counts(&report.counts));
         }
--- a/crates/rank-agent/src/lib.rs
+++ b/crates/rank-agent/src/lib.rs
@@ -9,7 +9,8 @@
 //! - [`observe`] reads the engine and reports to the leader.
 //! - [`messages`] defines the datagrams that agents exchange.
 //! - [`lead`] executes the leader's decisions, [`dispatch`] sends its orders to the ranks and
-//!   [`group`] reads the addresses of their engines.
+//!   [`group`] reads the addresses of their engines; [`members`] tells the gateways which engines
+//!   form the group, and whether it makes passes.
 //! - [`elect`] claims the leadership in the platform's store when there is no leader.
 //! - [`state`] holds what the tasks share.
 
@@ -18,6 +19,7 @@
 pub mod elect;
 pub mod group;
 pub mod lead;
+pub mod members;
 pub mod messages;
 pub mod observe;
 pub mod state;
--- a/crates/rank-agent/src/messages.rs
+++ b/crates/rank-agent/src/messages.rs
@@ -160,6 +160,13 @@
         /// Identity of the order within the term.
         id: OrderId,
     },
+    /// The sender's engine refuses connections: its rank is lost.
+    EngineLost {
+        /// Name of the group.
+        group: GroupName,
+        /// Rank of the engine.
+        rank: RankIndex,
+    },
 }
 
 impl AgentMessage {
@@ -174,7 +181,8 @@
             | AgentMessage::MapUnknown { group, .. }
             | AgentMessage::Outcome { group, .. }
             | AgentMessage::Relay { group, .. }
-            | AgentMessage::Relayed { group, .. } => group,
+            | AgentMessage::Relayed { group, .. }
+            | AgentMessage::EngineLost { group, .. } => group,
         }
     }
 
@@ -190,6 +198,7 @@
             AgentMessage::Outcome { .. } => "outcome",
             AgentMessage::Relay { .. } => "pass-on",
             AgentMessage::Relayed { .. } => "passed",
+            AgentMessage::EngineLost { .. } => "engine-lost",
         }
     }
 }
--- a/crates/rank-agent/src/observe.rs
+++ b/crates/rank-agent/src/observe.rs
@@ -24,6 +24,8 @@
 use cuminpick::orders::RankOrder;
 use cuminpick::orders::RankStatus;
 use cuminpick::routing::ExpertLayout;
+use cuminpick_platform::call::CallError;
+use cuminpick_platform::call::ConnectFailure;
 use cuminpick_platform::engine::EngineClient;
 use cuminpick_platform::engine::EngineError;
 use slog::o;
@@ -31,6 +33,7 @@
 use crate::lead::record_outcome;
 use crate::lead::record_report;
 use crate::lead::step_down;
+use crate::members::report_lost_engine;
 use crate::messages::AgentMessage;
 use crate::messages::RankReport;
 use crate::messages::SentOrder;
@@ -92,6 +95,9 @@
             Ok(ranks) => observer.read_delay(ranks),
             Err(error) => {
                 observer.log_failure(&error);
+                if is_refused(&error) {
+                    report_lost_engine(&observer.agent).await;
+                }
                 READ_RETRY_DELAY
             }
         };
@@ -100,6 +106,14 @@
     }
 }
 
+/// Returns whether the engine's host refused the connection, so that no engine runs there.
+fn is_refused(error: &EngineError) -> bool {
+    let EngineError::Call(error) = error else {
+        return false;
+    };
+    matches!(error, CallError::NotConnected(_, ConnectFailure::Refused))
+}
+
 /// Reads one engine repeatedly and keeps what the next report depends on.
 struct Observer {
     agent: Rc<Agent>,
