--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -376,6 +376,12 @@
         self.gateways[gateway].settings.callers.unwrap()
     }
 
+    /// Returns the address at which a gateway receives the datagrams of other processes.
+    pub(crate) fn peer_address(&self, gateway: usize) -> SocketAddr {
+        let settings = &self.gateways[gateway].settings;
+        SocketAddr::new(settings.ip, settings.first_internal_port)
+    }
+
     /// Sends a request to a gateway, with a key if there is one.
     pub(crate) async fn call_at(
         &self,
