Refuse streams by the rate at which streams leave the service

Cause: the wait of a stream was estimated from the admissions in windows that began at time zero or at the end of an outage. A group that returned just before the end of the first second had admitted one stream by then, so all overdue streams were refused with 230 places free. One failed connection to a server that still booted marked a rank as lost, and everything was refused at once. Two outdated server records used up both attempts of a request, and a gateway without a configuration refused all requests at once.

Change: - The rate is the number of running streams over all gateways divided by the mean duration of a stream (events x event gap), known after one second of service. A stream is refused, also on arrival, once its wait passes its latest start, by its place in the order of the queues. Streams that free places are there for are not refused. - Overdue streams get up to 0.9 of the places after an outage as far as streams on time leave them unused. - Retry-After follows from the waiting and the returning streams and the rate, is spread over 0.5 s and is 400 ms at least. - A lost server counts only if the service has served since the process started and since a server last registered. - Status 421 uses up no attempt, four times at most, but draws on the retry budget; the server is excluded until its record changes, and a stream waits for new records while all are outdated. - A request waits for configuration and servers for 0.1 of its time, one second and 512 requests at most. - Log lines stream-refused, start-waited and start-wait-full.

The tests outage_outlook, learned_duration and spare_server now begin with a service that has served, which a lost rank requires; wrong_server now expects an outdated record to be excluded for good instead of avoided for 5 s, and unservable_refused_early states the rate.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -7,13 +7,18 @@
 //! more streams arrive than it could serve. Streams that would push a pass over the
 //! target therefore wait; those that can still begin on time are admitted first.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
+use crate::expected_wait::find_unservable;
+use crate::ids::FastMap;
 use crate::ids::RequestId;
 use crate::outage::OutageOutlook;
 use crate::queue::FairQueue;
 use crate::queue::WaitingRequest;
-use crate::rate::PlacementRate;
+use crate::rate::ArrivalRate;
+use crate::rate::LeaveRate;
+use crate::rate::RunningStreams;
 use crate::routing::EngineModel;
 use crate::updates::update_interval;
 
@@ -28,6 +33,15 @@
 /// Share of the longest accepted event gap up to which overdue streams are admitted; the
 /// passes of a group that is half full of them still leave time for prompts.
 const OVERDUE_TARGET_SHARE: f64 = 0.65;
+/// Share of the places that overdue streams always leave to those that are on time.
+const ON_TIME_RESERVE: f64 = 0.1;
+/// Share of the places that streams which are on time have to leave unused for overdue streams to
+/// use all but the reserve. In simulated returns, overdue streams that get them with less than
+/// that push a fifth of the others over their time.
+const RELEASING_SPARE_SHARE: f64 = 0.1;
+/// Factor by which the places that streams on time need are overestimated: just after a return the
+/// measured event gap is behind the number of streams by a few percent.
+const NEED_MARGIN: f64 = 1.05;
 /// Update intervals after which all gateways have reported the streams they admitted.
 const SHARE_INTERVALS: u32 = 2;
 /// Most streams that may wait at one gateway; more than can end within a deadline.
@@ -102,11 +116,52 @@
     Some(((max_per_rank * ranks) as u32).min(load.slots))
 }
 
+/// Demand of streams that can begin on time, over all gateways.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct OnTimeDemand {
+    /// Streams that arrive per second.
+    pub arrivals_per_second: f64,
+    /// Mean number of events of a stream.
+    pub mean_events: f64,
+}
+
 /// Returns how many more streams that can no longer begin on time a group may run, so
 /// that streams that begin on time keep their event gaps meanwhile.
-pub fn overdue_capacity(model: &EngineModel, load: &GroupLoad, target: Duration) -> u32 {
-    let limit = stream_limit(model, load, target.mul_f64(OVERDUE_TARGET_SHARE));
-    limit.map_or(u32::MAX, |limit| limit.saturating_sub(load.streams))
+///
+/// If those that begin on time leave places unused, the bound rises up to a reserve for them:
+/// places then do not stay empty while overdue streams wait until they have to be refused.
+/// Otherwise each overdue stream would take the place of one that could begin on time.
+pub fn overdue_capacity(
+    model: &EngineModel,
+    load: &GroupLoad,
+    target: Duration,
+    demand: Option<OnTimeDemand>,
+) -> u32 {
+    let limits = (
+        stream_limit(model, load, target.mul_f64(OVERDUE_TARGET_SHARE)),
+        stream_limit(model, load, target),
+    );
+    let (Some(overdue_limit), Some(limit)) = limits else {
+        return u32::MAX;
+    };
+    let highest = (f64::from(limit) * (1.0 - ON_TIME_RESERVE)).max(f64::from(overdue_limit));
+    let spare = demand.map_or(0.0, |demand| spare_share(model, load, limit, demand));
+    let released = (spare / RELEASING_SPARE_SHARE).min(1.0);
+    let rise = (highest - f64::from(overdue_limit)) * released;
+    (overdue_limit + rise as u32).saturating_sub(load.streams)
+}
+
+/// Returns the share of `limit` streams that those which begin on time do not need; 0 if it is
+/// not known.
+fn spare_share(model: &EngineModel, load: &GroupLoad, limit: u32, demand: OnTimeDemand) -> f64 {
+    let Some(event_gap) = load.event_gap else {
+        return 0.0;
+    };
+    let pass_seconds =
+        |streams: u32| model.pass_seconds(f64::from(streams) / load.ranks as f64, 1.0);
+    let gap_at_limit = event_gap.as_secs_f64() * pass_seconds(limit) / pass_seconds(load.streams);
+    let needed = demand.arrivals_per_second * demand.mean_events * gap_at_limit;
+    (1.0 - NEED_MARGIN * needed / f64::from(limit.max(1))).max(0.0)
 }
 
 /// Share of a group's capacity that one gateway may use until it learns which streams the
@@ -180,13 +235,60 @@
     Refuse(RequestId, Duration),
 }
 
+/// Why a stream was refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RefusalReason {
+    /// Its latest start has passed.
+    Expired,
+    /// Its expected wait passes its latest start.
+    ExpectedWait,
+    /// The service is known not to be back before its latest start.
+    Outage,
+}
+
+/// What a stream was refused for, as it appears in logs.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RefusalCause {
+    /// Why it was refused.
+    pub reason: RefusalReason,
+    /// Expected wait of the stream, if the rate is known.
+    pub expected_wait: Option<Duration>,
+    /// Streams per second that leave the service for this gateway, if known.
+    pub rate: Option<f64>,
+    /// Free places of the service.
+    pub free: u32,
+}
+
+impl RefusalReason {
+    /// Returns the name used in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            RefusalReason::Expired => "expired",
+            RefusalReason::ExpectedWait => "expected-wait",
+            RefusalReason::Outage => "outage",
+        }
+    }
+}
+
 /// Queue of the streams of one service that wait for admission.
 #[derive(Debug, Clone)]
 pub struct StreamGate {
     on_time: FairQueue,
     overdue: FairQueue,
     waiting_streams: Vec<GateRequest>,
-    rate: PlacementRate,
+    rate: LeaveRate,
+    /// Streams that leave the service now, as last stated by [`StreamGate::record_running`].
+    running: Option<RunningStreams>,
+    /// Time of the last decisions.
+    decided_at: Duration,
+    /// Latest starts on time of the streams that were added since the last decisions.
+    added: Vec<Duration>,
+    /// Rate at which streams arrive that can begin on time.
+    arrivals: ArrivalRate,
+    /// When the callers of refused streams are expected to return.
+    returns: VecDeque<Duration>,
+    /// Causes of the refusals that were not asked for yet.
+    refusal_causes: FastMap<RequestId, RefusalCause>,
     /// Time after which a stream that is refused during the current outage should return.
     outage_retry_after: Option<Duration>,
     /// Time until which callers that were refused during an outage may still retry.
@@ -199,7 +301,13 @@
             on_time: FairQueue::new(QUEUE_CAPACITY),
             overdue: FairQueue::new(QUEUE_CAPACITY),
             waiting_streams: Vec::new(),
-            rate: PlacementRate::default(),
+            rate: LeaveRate::default(),
+            running: None,
+            decided_at: Duration::ZERO,
+            added: Vec::new(),
+            arrivals: ArrivalRate::default(),
+            returns: VecDeque::new(),
+            refusal_causes: FastMap::default(),
             outage_retry_after: None,
             recovering_until: Duration::ZERO,
         }
@@ -219,18 +327,58 @@
         let accepted =
             self.on_time.push(queue_priority(stream.priority), &stream.organisation, waiting);
         if accepted {
+            self.added.push(stream.on_time_until);
             self.waiting_streams.push(stream);
         }
         accepted
     }
 
-    /// Returns the time after which the caller of a refused stream should retry.
+    /// Records the streams that the service runs, from which the rate at which they leave
+    /// follows; `None` while that is not known. Without a record nothing is refused for its wait.
+    pub fn record_running(&mut self, running: Option<RunningStreams>) {
+        self.running = running;
+    }
+
+    /// Returns how many streams arrive at this gateway per second that can begin on time; `None`
+    /// until that is known.
+    pub fn on_time_arrivals(&self, now: Duration) -> Option<f64> {
+        self.arrivals.per_second(now)
+    }
+
+    /// Returns why a stream was refused, once.
+    pub fn take_refusal_cause(&mut self, request: RequestId) -> Option<RefusalCause> {
+        self.refusal_causes.remove(&request)
+    }
+
+    /// Returns the time after which the caller of a refused stream should retry: when there
+    /// is a free place for it after those that wait or are expected to return.
     pub fn retry_after(&self) -> Duration {
         if let Some(retry_after) = self.outage_retry_after {
             return retry_after;
         }
-        let waiting = self.on_time.len() + self.overdue.len();
-        self.rate.expected_wait(waiting).unwrap_or(MIN_RETRY_AFTER).max(MIN_RETRY_AFTER)
+        let ahead = self.on_time.len() + self.overdue.len() + self.returns.len();
+        let wait = self.rate.expected_wait(self.decided_at, ahead);
+        wait.unwrap_or(MIN_RETRY_AFTER).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
+    }
+
+    /// Returns the time after which the caller of a stream that is refused now should retry, and
+    /// expects its return then.
+    pub fn expect_return(&mut self, now: Duration, request: RequestId) -> Duration {
+        let mut retry_after = self.retry_after();
+        if self.outage_retry_after.is_none() {
+            retry_after += RETRY_SPREAD.mul_f64(request_share(request));
+        }
+        if self.returns.len() >= QUEUE_CAPACITY {
+            self.returns.pop_front();
+        }
+        self.returns.push_back(now + retry_after);
+        retry_after
+    }
+
+    /// Refuses a stream that no longer waits.
+    fn refuse(&mut self, now: Duration, request: RequestId, cause: RefusalCause) -> GateDecision {
+        self.refusal_causes.insert(request, cause);
+        GateDecision::Refuse(request, self.expect_return(now, request))
     }
 
     /// Removes a stream whose caller has left.
@@ -239,6 +387,7 @@
             self.overdue.remove(request);
         }
         self.waiting_streams.retain(|stream| stream.request != request);
+        self.refusal_causes.remove(&request);
     }
 
     /// Admits streams up to the capacity, and refuses those that cannot complete in time.
@@ -261,20 +410,21 @@
             }
         };
         if outlook.is_some() != was_out {
-            self.rate = PlacementRate::default();
+            self.rate = LeaveRate::default();
             self.recovering_until = now + RECOVERY_PERIOD;
         }
         if now >= self.recovering_until {
             overdue = capacity;
         }
-        self.rate.advance(now);
+        self.update_rates(now, outlook.is_some());
         let mut decisions = Vec::new();
         for request in self.on_time.take_expired(now) {
             self.move_to_overdue(request);
         }
         for request in self.overdue.take_expired(now) {
             self.remove_waiting(request);
-            decisions.push(GateDecision::Refuse(request, self.retry_after()));
+            let cause = self.refusal_cause(now, RefusalReason::Expired, None, capacity);
+            decisions.push(self.refuse(now, request, cause));
         }
         for _ in 0..capacity {
             let next = match self.on_time.pop() {
@@ -289,16 +439,25 @@
                 break;
             };
             self.remove_waiting(request);
-            self.rate.record_placement(now);
             decisions.push(GateDecision::Admit(request));
         }
         decisions.extend(match outlook {
-            Some(outlook) => self.refuse_until_return(outlook),
-            None => self.refuse_unservable(now),
+            Some(outlook) => self.refuse_until_return(now, outlook),
+            None => self.refuse_unservable(now, capacity.saturating_sub(admitted(&decisions))),
         });
         decisions
     }
 
+    /// Brings the rates, and the returns of refused callers, up to date.
+    fn update_rates(&mut self, now: Duration, is_out: bool) {
+        self.decided_at = now;
+        let on_time = self.added.drain(..).filter(|on_time_until| *on_time_until > now).count();
+        self.arrivals.record(now, on_time);
+        let running = self.running.filter(|_| !is_out);
+        self.rate.record(now, running.and_then(|running| running.leave_rate()));
+        self.returns.retain(|return_at| *return_at > now);
+    }
+
     fn move_to_overdue(&mut self, request: RequestId) {
         let Some(stream) = self.waiting_streams.iter().find(|stream| stream.request == request)
         else {
@@ -309,8 +468,7 @@
     }
 
     /// Refuses the streams that the service cannot serve before their latest start.
-    fn refuse_until_return(&mut self, outlook: OutageOutlook) -> Vec<GateDecision> {
-        let retry = self.retry_after();
+    fn refuse_until_return(&mut self, now: Duration, outlook: OutageOutlook) -> Vec<GateDecision> {
         let is_hopeless = |stream: &GateRequest| match outlook {
             OutageOutlook::Forming(formed_at) => stream.latest_start < formed_at,
             OutageOutlook::RankLost => true,
@@ -322,33 +480,39 @@
             .filter(|stream| is_hopeless(stream))
             .map(|stream| stream.request)
             .collect();
-        for request in &hopeless {
-            self.remove(*request);
-        }
-        hopeless.into_iter().map(|request| GateDecision::Refuse(request, retry)).collect()
+        let cause = self.refusal_cause(now, RefusalReason::Outage, None, 0);
+        hopeless.iter().for_each(|request| self.remove(*request));
+        hopeless.into_iter().map(|request| self.refuse(now, request, cause)).collect()
     }
 
-    /// Refuses overdue streams whose expected wait passes their latest start.
-    fn refuse_unservable(&mut self, now: Duration) -> Vec<GateDecision> {
-        let retry = self.retry_after();
-        let mut refused = Vec::new();
-        loop {
-            let waiting = self.on_time.len() + self.overdue.len();
-            let Some(wait) = self.rate.expected_wait(waiting) else {
-                break;
-            };
-            let overdue = self.waiting_streams.iter().filter(|stream| stream.on_time_until <= now);
-            let Some(earliest) = overdue.min_by_key(|stream| stream.latest_start) else {
-                break;
-            };
-            if now + wait <= earliest.latest_start {
-                break;
-            }
-            let request = earliest.request;
-            self.remove(request);
-            refused.push(GateDecision::Refuse(request, retry));
+    /// Refuses the streams whose expected wait passes their latest start, although `free` places
+    /// go to the first ones.
+    fn refuse_unservable(&mut self, now: Duration, free: u32) -> Vec<GateDecision> {
+        let Some(rate) = self.rate.per_second(now) else {
+            return Vec::new();
+        };
+        if self.waiting() <= free as usize {
+            return Vec::new();
         }
-        refused
+        let unservable = find_unservable(&self.waiting_streams, now, rate, free);
+        // All are removed first: the first one to return comes after those that still wait.
+        unservable.iter().for_each(|(request, _)| self.remove(*request));
+        let refuse = |(request, ahead)| {
+            let cause = self.refusal_cause(now, RefusalReason::ExpectedWait, Some(ahead), free);
+            self.refuse(now, request, cause)
+        };
+        unservable.into_iter().map(refuse).collect()
+    }
+
+    fn refusal_cause(
+        &self,
+        now: Duration,
+        reason: RefusalReason,
+        ahead: Option<usize>,
+        free: u32,
+    ) -> RefusalCause {
+        let expected_wait = ahead.and_then(|ahead| self.rate.expected_wait(now, ahead));
+        RefusalCause { reason, expected_wait, rate: self.rate.per_second(now), free }
     }
 
     fn remove_waiting(&mut self, request: RequestId) {
@@ -356,8 +520,26 @@
     }
 }
 
+/// Returns the number of admissions among decisions.
+fn admitted(decisions: &[GateDecision]) -> u32 {
+    decisions.iter().filter(|decision| matches!(decision, GateDecision::Admit(_))).count() as u32
+}
+
+/// Returns a share, 0 to 1, by which the return of a request's caller is delayed. The numbers of
+/// requests are random.
+fn request_share(request: RequestId) -> f64 {
+    (request % SPREAD_STEPS) as f64 / SPREAD_STEPS as f64
+}
+
 /// Shortest time after which a refused stream may be retried; a few passes.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(400);
+/// Longest time after which a refused stream should be retried: the deadline of a caller. A
+/// later return would be useless, and the estimate is least certain then.
+const MAX_RETRY_AFTER: Duration = RECOVERY_PERIOD;
+/// Time over which the callers of refused streams are spread that return for free places.
+const RETRY_SPREAD: Duration = Duration::from_millis(500);
+/// Number of delays over which they are spread.
+const SPREAD_STEPS: u64 = 1_024;
 
 /// Time after an outage within which callers that waited or were refused during it retry;
 /// the deadline of a caller.
--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -46,9 +46,6 @@
 /// Requests in flight per slot at which a server counts as full; engines queue up to
 /// twice their slots.
 const MAX_REQUESTS_PER_SLOT: u32 = 3;
-/// Time for which a server is avoided whose address another server has; its record expires
-/// within a few heartbeats.
-const REPLACED_AVOIDANCE_PERIOD: Duration = Duration::from_secs(5);
 /// Age after which a reported slowdown no longer counts; five messages of the group's
 /// leader.
 const MAX_SLOWDOWN_AGE: Duration = Duration::from_secs(1);
@@ -71,6 +68,8 @@
     /// Requests in flight of the other gateways: the sum of the last count of each.
     others_in_flight: u32,
     avoid_until: Duration,
+    /// Whether another server answers at the address, so that the record is outdated.
+    replaced: bool,
     recent_starts: VecDeque<Duration>,
 }
 
@@ -132,6 +131,9 @@
 pub enum ChoiceError {
     /// No server of the service accepts requests, or none is known.
     NoneAvailable,
+    /// The records of all servers that accept requests are outdated: other servers, whose records
+    /// are not known yet, answer at their addresses.
+    AllReplaced,
     /// All servers that accept requests were tried.
     AllTried,
     /// All remaining servers are at capacity.
@@ -218,9 +220,11 @@
         match self.backends.get_mut(&record.id) {
             Some(backend) => {
                 let is_new = backend.record.started_ms != record.started_ms;
+                let is_moved = backend.record.address != record.address;
                 if is_new {
                     backend.avoid_until = Duration::ZERO;
                 }
+                backend.replaced &= !is_new && !is_moved;
                 backend.record = record;
                 backend.cold_until = cold_until;
                 is_new
@@ -233,6 +237,7 @@
                     in_flight: 0,
                     others_in_flight: reported.sum(),
                     avoid_until: Duration::ZERO,
+                    replaced: false,
                     recent_starts: VecDeque::new(),
                     record: record.clone(),
                 };
@@ -459,7 +464,7 @@
             available = self.departing_servers(now, query);
         }
         if available.is_empty() {
-            return Err(ChoiceError::NoneAvailable);
+            return Err(self.unavailability(query));
         }
         let untried: Vec<&Backend> = available
             .into_iter()
@@ -553,10 +558,10 @@
         }
     }
 
-    /// Avoids a server at whose address another one answers.
-    pub fn avoid_replaced(&mut self, now: Duration, id: &str) {
+    /// Excludes a server at whose address another one answers, until its record changes.
+    pub fn exclude_replaced(&mut self, id: &str) {
         if let Some(backend) = self.backends.get_mut(id) {
-            backend.avoid_until = now + REPLACED_AVOIDANCE_PERIOD;
+            backend.replaced = true;
         }
     }
 
@@ -565,9 +570,26 @@
     }
 
     fn is_listed_ready(&self, backend: &Backend) -> bool {
+        !backend.replaced && self.is_recorded_ready(backend)
+    }
+
+    fn is_recorded_ready(&self, backend: &Backend) -> bool {
         backend.record.state == ServerState::Ready && !self.zones_out.contains(&backend.record.zone)
     }
 
+    /// Returns why a service has no server that accepts requests.
+    fn unavailability(&self, query: &BalanceQuery<'_>) -> ChoiceError {
+        let is_replaced = |backend: &Backend| {
+            backend.record.service == query.service
+                && backend.replaced
+                && self.is_recorded_ready(backend)
+        };
+        match self.backends.values().any(is_replaced) {
+            true => ChoiceError::AllReplaced,
+            false => ChoiceError::NoneAvailable,
+        }
+    }
+
     /// Returns when this incarnation of a server announced that it leaves.
     fn leaving_since(&self, record: &ServerRecord) -> Option<Duration> {
         self.announcements.leaving_since(&record.id, record.started_ms)
--- a/crates/core/src/deadlines.rs
+++ b/crates/core/src/deadlines.rs
@@ -9,6 +9,7 @@
 
 use crate::ids::ClassName;
 use crate::ids::FastMap;
+use crate::ids::ServiceName;
 
 /// Window over which the longest time left of a class is taken; the window before it counts
 /// as well. It spans many requests of a class, and a caller that allows more time than
@@ -74,22 +75,28 @@
 /// worthwhile; some streams are shorter than the average.
 const MIN_TIME_SHARE: f64 = 0.8;
 
-/// Moving average of the number of events in a stream, by class.
+/// Moving average of the number of events in a stream, by class and by service.
 #[derive(Debug, Clone, Default)]
 pub struct StreamLengths {
     classes: FastMap<ClassName, f64>,
+    services: FastMap<ServiceName, f64>,
 }
 
 impl StreamLengths {
     /// Records the number of events of a stream that was completed.
     pub fn record(&mut self, class: &str, events: u32) {
-        let events = f64::from(events);
-        match self.classes.get_mut(class) {
-            Some(mean) => *mean += LENGTH_WEIGHT * (events - *mean),
-            None => {
-                self.classes.insert(class.to_string(), events);
-            }
-        }
+        update_mean(&mut self.classes, class, events);
+    }
+
+    /// Records the number of events of a stream that `service` completed.
+    pub fn record_service(&mut self, service: &str, events: u32) {
+        update_mean(&mut self.services, service, events);
+    }
+
+    /// Returns the mean number of events of the streams of a service; `None` until one was
+    /// completed.
+    pub fn service_mean(&self, service: &str) -> Option<f64> {
+        self.services.get(service).copied()
     }
 
     /// Returns the time that a stream of `class` needs at `event_gap` between events; zero
@@ -104,3 +111,14 @@
         self.classes.retain(|class, _| known(class));
     }
 }
+
+/// Records the number of events of a stream in the moving average of its class or service.
+fn update_mean(means: &mut FastMap<String, f64>, name: &str, events: u32) {
+    let events = f64::from(events);
+    match means.get_mut(name) {
+        Some(mean) => *mean += LENGTH_WEIGHT * (events - *mean),
+        None => {
+            means.insert(name.to_string(), events);
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -76,6 +76,7 @@
 pub mod entry_assignment;
 pub mod entry_event;
 pub mod event_stream;
+mod expected_wait;
 pub mod expert_counts;
 pub mod experts;
 pub mod fleet;
--- a/crates/core/src/outage.rs
+++ b/crates/core/src/outage.rs
@@ -37,13 +37,20 @@
 pub struct OutageEstimate {
     lost_at: Option<Duration>,
     formed_at: Option<Duration>,
+    /// Whether the service has run a stream since the start of this process and since a server
+    /// of it last registered.
+    has_served: bool,
     mean_duration: Option<Duration>,
 }
 
 impl OutageEstimate {
     /// Records that a server cannot be reached or has crashed; the service is not out
-    /// because of it unless it refuses streams or its events stop as well.
+    /// because of it unless it refuses streams or its events stop as well. Before the service
+    /// has served, its servers may just be starting; then nothing says how long that takes.
     pub fn record_lost_server(&mut self, now: Duration) {
+        if !self.has_served {
+            return;
+        }
         self.lost_at.get_or_insert(now);
         self.formed_at = None;
     }
@@ -52,6 +59,7 @@
     /// started; a group takes `form_time` to form.
     pub fn record_new_server(&mut self, now: Duration, form_time: Duration) {
         self.formed_at = Some(now + form_time);
+        self.has_served = false;
     }
 
     /// Records that the service runs a stream that was sent after the loss.
@@ -64,6 +72,7 @@
             self.mean_duration = Some(mean);
         }
         self.formed_at = None;
+        self.has_served = true;
     }
 
     /// Returns the mean duration of the earlier outages; `None` if there was none.
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -21,6 +21,9 @@
 const START_SLACK_SHARE: f64 = (1.0 - USED_SHARE) / 2.0;
 /// Failed connections after which a request is given up.
 const MAX_FAILED_CONNECTS: u32 = 4;
+/// Outdated server records that a request may meet without losing an attempt. When all servers
+/// have started again, every record that a gateway knows may be outdated.
+const MAX_FREE_REPLACED: u32 = 4;
 
 /// Bounds on the retries of all gateways together.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -130,6 +133,8 @@
     pub sent: u32,
     /// Number of connections that could not be established.
     pub failed_connects: u32,
+    /// Number of servers that were replaced by another one, and do not count as sent.
+    pub replaced: u32,
     /// Whether the request may have run at a server.
     pub may_have_run: bool,
 }
@@ -137,13 +142,21 @@
 impl RetryState {
     /// Creates the state before the first attempt.
     pub fn new(repeat: RepeatRule, max_attempts: u32) -> RetryState {
-        RetryState { repeat, max_attempts, sent: 0, failed_connects: 0, may_have_run: false }
+        RetryState {
+            repeat,
+            max_attempts,
+            sent: 0,
+            failed_connects: 0,
+            replaced: 0,
+            may_have_run: false,
+        }
     }
 
     /// Records why an attempt failed.
     pub fn record_failure(&mut self, failure: AttemptFailure) {
         match failure {
             AttemptFailure::NotConnected => self.failed_connects += 1,
+            AttemptFailure::Replaced if self.replaced < MAX_FREE_REPLACED => self.replaced += 1,
             AttemptFailure::NotRun | AttemptFailure::Replaced => self.sent += 1,
             AttemptFailure::Broken | AttemptFailure::Recalled | AttemptFailure::Failed => {
                 self.sent += 1;
@@ -167,8 +180,13 @@
     }
 
     /// Returns whether the next attempt draws on the retry budget: it does once the request
-    /// was sent to a server.
+    /// was sent to a server, also if that was not the one that its record names.
     pub fn counts_as_retry(&self) -> bool {
-        self.sent > 0
+        self.sent > 0 || self.replaced > 0
+    }
+
+    /// Returns the number of attempts so far.
+    pub fn attempts(&self) -> u32 {
+        self.sent + self.failed_connects + self.replaced
     }
 }
--- a/crates/core/tests/balance_choice.rs
+++ b/crates/core/tests/balance_choice.rs
@@ -264,12 +264,22 @@
     }
 }
 
-/// A server at whose address another one answers is avoided until its record has expired.
+/// A server at whose address another one answers is not chosen again until its record changes:
+/// that server is gone. When all records are outdated, those of the new servers are to come.
 #[test]
 fn wrong_server() {
     let mut table = table(&["a", "b"]);
-    table.avoid_replaced(START, "a");
+    table.exclude_replaced("a");
     table.start_request(START, "b");
-    let later = START + Duration::from_secs(4);
-    assert_eq!(chosen(&table, later), Ok("b".to_string()));
+    let later = START + Duration::from_secs(60);
+    for now in [START, START + Duration::from_secs(4), later] {
+        assert_eq!(chosen(&table, now), Ok("b".to_string()));
+    }
+    table.exclude_replaced("b");
+    assert_eq!(chosen(&table, later), Err(ChoiceError::AllReplaced));
+    table.upsert(later, record("a", "bole"));
+    assert_eq!(chosen(&table, later), Err(ChoiceError::AllReplaced));
+    let started_ms = record("a", "bole").started_ms + 1;
+    table.upsert(later, ServerRecord { started_ms, ..record("a", "bole") });
+    assert_eq!(chosen(&table, later), Ok("a".to_string()));
 }
--- a/crates/core/tests/repeat_rules.rs
+++ b/crates/core/tests/repeat_rules.rs
@@ -44,6 +44,27 @@
     assert!(!state.may_have_run && !state.counts_as_retry());
 }
 
+/// Guards against requests that are given up at two outdated records after all servers have
+/// started again: nothing ran there, so the attempts are left for the servers in their place. The
+/// budget still bounds them.
+#[test]
+fn replaced_servers() {
+    let mut state = RetryState::new(RepeatRule::Idempotent, 2);
+    for replaced in 1..=4 {
+        state.record_failure(AttemptFailure::Replaced);
+        assert!(state.may_retry() && state.counts_as_retry() && !state.may_have_run);
+        assert_eq!((state.sent, state.attempts()), (0, replaced));
+    }
+    state.record_failure(AttemptFailure::Replaced);
+    state.record_failure(AttemptFailure::Replaced);
+    assert!(!state.may_retry() && !state.may_have_run);
+    let mut once = RetryState::new(RepeatRule::AtMostOnce, 1);
+    once.record_failure(AttemptFailure::Replaced);
+    assert!(once.may_retry());
+    once.record_failure(AttemptFailure::Broken);
+    assert!(!once.may_retry() && once.may_have_run);
+}
+
 /// Four gateways that each see a quarter of the load stay within their common bound over
 /// any window.
 #[test]
--- a/crates/core/tests/service_outage.rs
+++ b/crates/core/tests/service_outage.rs
@@ -172,6 +172,7 @@
     let second = Duration::from_secs(1);
     let mut estimate = OutageEstimate::default();
     assert_eq!(estimate.outlook(second), OutageOutlook::Unknown);
+    estimate.record_service(second, false);
     estimate.record_lost_server(second);
     assert_eq!(estimate.outlook(second * 2), OutageOutlook::RankLost);
     estimate.record_new_server(second * 6, Duration::from_millis(600));
@@ -187,6 +188,7 @@
 fn learned_duration() {
     let second = Duration::from_secs(1);
     let mut estimate = OutageEstimate::default();
+    estimate.record_service(Duration::ZERO, false);
     estimate.record_lost_server(second);
     assert_eq!(estimate.retry_after(second * 2, 0.0), OUTAGE_RETRY_AFTER);
     estimate.record_service(second * 5, true);
@@ -201,9 +203,41 @@
 fn spare_server() {
     let second = Duration::from_secs(1);
     let mut estimate = OutageEstimate::default();
+    estimate.record_service(Duration::ZERO, false);
     estimate.record_lost_server(second);
     estimate.record_service(second * 2, false);
     assert_eq!(estimate.outlook(second * 2), OutageOutlook::Unknown);
     estimate.record_lost_server(second * 3);
     assert_eq!(estimate.retry_after(second * 3, 0.0), OUTAGE_RETRY_AFTER);
 }
+
+/// Guards against the refusal of everything when all servers start at the same time: one failed
+/// connection to a VM that still boots says nothing of how long that takes.
+#[test]
+fn simultaneous_start() {
+    let second = Duration::from_secs(1);
+    let mut estimate = OutageEstimate::default();
+    estimate.record_lost_server(second);
+    assert_eq!(estimate.outlook(second), OutageOutlook::Unknown);
+    let mut gate = StreamGate::default();
+    assert!(gate.enqueue(gate_request(1, second)));
+    assert!(gate.process_queue(second, during_outage(0, estimate.outlook(second))).is_empty());
+    // Once it has served, a lost rank is known to keep the group from running.
+    estimate.record_service(second * 2, true);
+    estimate.record_lost_server(second * 3);
+    assert_eq!(estimate.outlook(second * 3), OutageOutlook::RankLost);
+}
+
+/// A rank that has registered again may not accept connections yet; streams go on waiting for
+/// the group to form.
+#[test]
+fn failed_connect_while_forming() {
+    let second = Duration::from_secs(1);
+    let mut estimate = OutageEstimate::default();
+    estimate.record_service(second, false);
+    estimate.record_lost_server(second * 2);
+    estimate.record_new_server(second * 4, second);
+    estimate.record_lost_server(second * 4);
+    assert_eq!(estimate.outlook(second * 4), OutageOutlook::Forming(second * 5));
+    assert!(!estimate.is_rank_lost());
+}
--- a/crates/core/tests/stream_gate.rs
+++ b/crates/core/tests/stream_gate.rs
@@ -17,6 +17,7 @@
 use cuminpick::admission::stream_limit;
 use cuminpick::outage::OUTAGE_RETRY_AFTER;
 use cuminpick::outage::OutageOutlook;
+use cuminpick::rate::RunningStreams;
 
 use crate::engine::engine_model;
 
@@ -131,14 +132,22 @@
         streams,
         event_gap: Some(pass_time(streams, 1.3)),
     };
-    assert!(overdue_capacity(&engine_model(), &load(60), TARGET) > 0);
-    assert_eq!(overdue_capacity(&engine_model(), &load(140), TARGET), 0);
+    assert!(overdue_capacity(&engine_model(), &load(60), TARGET, None) > 0);
+    assert_eq!(overdue_capacity(&engine_model(), &load(140), TARGET, None), 0);
 }
 
 /// A stream that cannot complete in time is refused early, not at its deadline.
 #[test]
 fn unservable_refused_early() {
     let mut gate = StreamGate::default();
+    // 20 streams leave the service per second.
+    gate.record_running(Some(RunningStreams {
+        total: 48,
+        own: 48,
+        gateways: 1,
+        mean_events: 24.0,
+        event_gap: Duration::from_millis(100),
+    }));
     let mut now = Duration::ZERO;
     let mut refused_ages = Vec::new();
     let mut asked_at = Vec::new();
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -142,6 +142,7 @@
         listed_kinds: RefCell::default(),
         configured_at: Cell::new(None),
         leaving_since: Cell::new(None),
+        starting_requests: Cell::new(0),
         open_requests: Cell::new(0),
         buffered_bytes: Cell::new(0),
         capacity_changed: Notify::new(),
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -24,6 +24,8 @@
 use slog::o;
 use tokio::sync::oneshot;
 
+use crate::service_rate::on_time_demand;
+use crate::service_rate::running_streams;
 use crate::state::Gateway;
 
 /// Interval at which the queues are processed; a pass takes 40 ms or more.
@@ -49,6 +51,11 @@
 }
 
 impl ServiceGate {
+    /// Returns how many streams arrive at this gateway per second that can begin on time.
+    pub fn on_time_arrivals(&self, now: Duration) -> Option<f64> {
+        self.stream_gate.on_time_arrivals(now)
+    }
+
     /// Returns what is known of the service's outage, as it appears in logs; `None` if it has
     /// none.
     fn describe_outage(&self, now: Duration) -> Option<&'static str> {
@@ -79,7 +86,10 @@
         let mut gates = gateway.gates.borrow_mut();
         let gate = gates.entry(service.to_string()).or_default();
         if !gate.stream_gate.enqueue(gate_request) {
-            return Some(gate.stream_gate.retry_after());
+            let retry_after = gate.stream_gate.expect_return(started, request);
+            drop(gates);
+            log_full_queue(gateway, service, attempt, retry_after);
+            return Some(retry_after);
         }
         gate.waiters.insert(request, sender);
         gate.stream_gate.waiting()
@@ -88,6 +98,9 @@
         QueuedStream { gateway: Rc::clone(gateway), service: service.to_string(), request };
     process_service_queue(gateway, service);
     let retry_after = receiver.await.unwrap_or_default();
+    if retry_after.is_some() {
+        log_refusal(gateway, service, attempt, request);
+    }
     drop(queued);
     let waited = gateway.now().saturating_sub(started);
     if !waited.is_zero() || retry_after.is_some() {
@@ -108,6 +121,30 @@
     retry_after
 }
 
+/// Logs that a stream is refused since too many wait at this gateway.
+fn log_full_queue(gateway: &Gateway, service: &str, attempt: Option<&str>, retry_after: Duration) {
+    let retry_ms = retry_after.as_millis() as u64;
+    let fields = o!("service" => service.to_string(), "reason" => "queue-full",
+                    "retry_ms" => retry_ms);
+    gateway.journal.note("stream-refused", attempt, fields);
+}
+
+/// Logs why a stream was refused.
+fn log_refusal(gateway: &Gateway, service: &str, attempt: Option<&str>, request: RequestId) {
+    let mut gates = gateway.gates.borrow_mut();
+    let gate = gates.get_mut(service);
+    let Some(cause) = gate.and_then(|gate| gate.stream_gate.take_refusal_cause(request)) else {
+        return;
+    };
+    gateway.journal.note(
+        "stream-refused",
+        attempt,
+        o!("service" => service.to_string(), "reason" => cause.reason.name(),
+           "expected_wait_ms" => cause.expected_wait.map_or(-1, |wait| wait.as_millis() as i64),
+           "rate" => cause.rate.unwrap_or(-1.0), "free" => cause.free),
+    );
+}
+
 /// A stream in the queue of a gate; dropping it takes the stream out of the queue.
 struct QueuedStream {
     gateway: Rc<Gateway>,
@@ -117,10 +154,11 @@
 
 impl Drop for QueuedStream {
     fn drop(&mut self) {
-        if let Some(gate) = self.gateway.gates.borrow_mut().get_mut(&self.service)
-            && gate.waiters.remove(&self.request).is_some()
-        {
-            gate.stream_gate.remove(self.request);
+        if let Some(gate) = self.gateway.gates.borrow_mut().get_mut(&self.service) {
+            gate.stream_gate.take_refusal_cause(self.request);
+            if gate.waiters.remove(&self.request).is_some() {
+                gate.stream_gate.remove(self.request);
+            }
         }
     }
 }
@@ -135,6 +173,16 @@
     is_out.then(|| gate.outage.retry_after(now, gateway.random_share()))
 }
 
+/// Returns the `Retry-After` of a refused stream: when its service has a free place for it. `None`
+/// for a service whose capacity is not known.
+pub fn stream_retry_after(gateway: &Gateway, service: &str) -> Option<Duration> {
+    let table = gateway.routing_table()?;
+    table.service(service)?.engine.as_ref()?;
+    let request = gateway.random_bits();
+    let now = gateway.now();
+    Some(gateway.gates.borrow_mut().get_mut(service)?.stream_gate.expect_return(now, request))
+}
+
 /// Returns how long outages of a service last.
 pub fn mean_outage(gateway: &Gateway, service: &str) -> Duration {
     let gates = gateway.gates.borrow();
@@ -231,6 +279,7 @@
     let now = gateway.now();
     let capacity = service_capacity(gateway, service, now);
     let gateways = gateway.balance.borrow().live_gateways();
+    let running = running_streams(gateway, service, now);
     let mut gates = gateway.gates.borrow_mut();
     let Some(gate) = gates.get_mut(service) else {
         return;
@@ -249,6 +298,7 @@
         BreakerState::HalfOpen => outage(1),
         BreakerState::Open => outage(0),
     };
+    gate.stream_gate.record_running(running);
     for decision in gate.stream_gate.process_queue(now, gate_capacity) {
         let (request, retry_after) = match decision {
             GateDecision::Admit(request) => {
@@ -305,5 +355,6 @@
     };
     // Until the time of a pass has been measured, only streams that are late are limited.
     let total = if event_gap.is_some() { limit.saturating_sub(streams) } else { u32::MAX };
-    ServiceCapacity { total, overdue: overdue_capacity(model, &group, target), streams, event_gap }
+    let overdue = overdue_capacity(model, &group, target, on_time_demand(gateway, service, now));
+    ServiceCapacity { total, overdue, streams, event_gap }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,8 @@
 //! - [`gate`] delays or refuses streams that would make passes too slow; [`group_tracking`],
 //!   [`demand_exchange`] and [`token_tracking`] supply what it and the choice of a server know
 //!   of groups, of demand at other gateways and of servers' memory.
+//! - [`service_rate`] supplies the rates from which the gate estimates waits, and [`start_wait`]
+//!   holds requests that arrive before the configuration is known.
 //! - [`framing`] rejects requests whose body could be framed in two ways.
 //! - [`answer`] builds the answers to callers, among them refusals.
 
@@ -44,6 +46,8 @@
 pub mod permits;
 pub mod relay;
 pub mod serve;
+pub mod service_rate;
+pub mod start_wait;
 pub mod state;
 pub mod store_return;
 pub mod store_watch;
--- a/crates/gateway/src/peer_views.rs
+++ b/crates/gateway/src/peer_views.rs
@@ -234,6 +234,7 @@
         }
     }
     gateway.views_inherited.set(true);
+    gateway.capacity_changed.notify_waiters();
     gateway.journal.note(
         "views-inherited",
         None,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -74,12 +74,11 @@
             match self.relay_events(&mut stream).await {
                 RelayEnd::Complete => {
                     stream.answer.record_end();
-                    let route = &self.exchange.route.name;
-                    self.exchange
-                        .gateway
-                        .stream_lengths
-                        .borrow_mut()
-                        .record(route, self.events_sent);
+                    let Exchange { gateway, route, service, .. } = &self.exchange;
+                    let mut lengths = gateway.stream_lengths.borrow_mut();
+                    lengths.record(&route.name, self.events_sent);
+                    lengths.record_service(service, self.events_sent);
+                    drop(lengths);
                     return self.finish("answered", "the stream is complete");
                 }
                 RelayEnd::CallerLeft => return self.finish("caller-left", "during the stream"),
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -66,9 +66,11 @@
 use crate::gate::record_lost_server;
 use crate::gate::record_stream_refusal;
 use crate::gate::record_stream_success;
+use crate::gate::stream_retry_after;
 use crate::gate::wait_for_admission;
 use crate::part_tracking::TrialGuard;
 use crate::relay::start_relay;
+use crate::start_wait::await_serving_table;
 use crate::state::Gateway;
 
 /// `Retry-After` of a refusal while the configuration is not loaded or no server is
@@ -119,7 +121,8 @@
     let head = decode_request(request.headers());
     log.request_id = head.attempt_id.clone().unwrap_or_default();
     let arrived = Instant::now();
-    let Some(table) = gateway.serving_table() else {
+    let serving_table = await_serving_table(gateway, &log.request_id, head.time_left);
+    let Some(table) = serving_table.await else {
         return Err(Refusal::not_run(RefusalKind::NotReady, Some(RETRY_WHEN_UNAVAILABLE)));
     };
     let path = request.uri().path().to_string();
@@ -317,14 +320,14 @@
         let event_gap = measured_gap.or(self.route.max_event_gap).unwrap_or_default();
         let required_time =
             self.gateway.stream_lengths.borrow().required_time(&self.route.name, event_gap);
-        let start_within = self.route.caller_timeout().mul_f64(LATEST_START_SHARE);
         let gate_request = GateRequest {
             request: self.gateway.random_bits(),
             priority: self.priority,
             organisation: self.organisation.clone().unwrap_or_default(),
             on_time_until: (arrived + self.route.target_latency.mul_f64(ON_TIME_START_SHARE))
                 .saturating_sub(self.elapsed_before_arrival),
-            latest_start: arrived + start_within.min(total_time.saturating_sub(required_time)),
+            latest_start: arrived
+                + self.latest_start().min(total_time.saturating_sub(required_time)),
         };
         match wait_for_admission(&self.gateway, &self.service, self.attempt_id(), gate_request)
             .await
@@ -445,7 +448,7 @@
             "attempt-sent",
             self.message.attempt_id.as_deref(),
             o!("server" => choice.server.clone(), "address" => choice.address.to_string(),
-               "attempt" => self.retry_state.sent + self.retry_state.failed_connects + 1,
+               "attempt" => self.retry_state.attempts() + 1,
                "own_in_flight" => choice.own_in_flight,
                "others_in_flight" => choice.others_in_flight,
                "born" => choice.started_ms, "digest" => format_digest(self.content.digest),
@@ -471,9 +474,7 @@
         let now = self.gateway.now();
         match failed.failure {
             AttemptFailure::Failed | AttemptFailure::Recalled => {}
-            AttemptFailure::Replaced => {
-                self.gateway.balance.borrow_mut().avoid_replaced(now, server)
-            }
+            AttemptFailure::Replaced => self.gateway.balance.borrow_mut().exclude_replaced(server),
             _ => self.gateway.balance.borrow_mut().avoid(now, server),
         }
         match failed.failure {
@@ -512,10 +513,25 @@
             "attempts-ended",
             self.message.attempt_id.as_deref(),
             o!("reason" => reason, "sent" => self.retry_state.sent,
-               "failed_connects" => self.retry_state.failed_connects),
+               "failed_connects" => self.retry_state.failed_connects,
+               "replaced" => self.retry_state.replaced),
         );
         let outage = outage_retry_after(&self.gateway, &self.service);
-        self.refusal(kind, self.time_to_return(outage.unwrap_or(RETRY_WHEN_FULL)))
+        let retry_after = outage.unwrap_or_else(|| self.usual_retry_after());
+        self.refusal(kind, self.time_to_return(retry_after))
+    }
+
+    /// Returns the time after which a caller may return while servers are full or refuse requests.
+    fn usual_retry_after(&self) -> Duration {
+        let stream_retry = self.route.streaming.then_some(&self.service);
+        let stream_retry =
+            stream_retry.and_then(|service| stream_retry_after(&self.gateway, service));
+        stream_retry.unwrap_or(RETRY_WHEN_FULL)
+    }
+
+    /// Returns how long after its arrival a stream can still be started.
+    fn latest_start(&self) -> Duration {
+        self.route.caller_timeout().mul_f64(LATEST_START_SHARE)
     }
 
     /// Returns a refusal that says whether the request may have run.
--- a/crates/gateway/src/serve/choice.rs
+++ b/crates/gateway/src/serve/choice.rs
@@ -15,7 +15,6 @@
 
 use super::Exchange;
 use super::ON_TIME_START_SHARE;
-use super::RETRY_WHEN_FULL;
 use super::RETRY_WHEN_UNAVAILABLE;
 use super::turn::CapacityTurn;
 use super::turn::is_contended;
@@ -32,7 +31,8 @@
 
 impl Exchange {
     /// Chooses a server. While none takes requests, waits for its turn and for one that does, for
-    /// a part of the target latency. A stream that has begun, and is to go on at another server,
+    /// a part of the target latency. While all records are outdated, a stream waits for those of
+    /// the servers that replaced them as long as it can still be started. A stream that has begun, and is to go on at another server,
     /// waits from now on.
     pub(super) async fn choose_server(
         &mut self,
@@ -57,6 +57,18 @@
                 let retry_after = self.time_to_return(RETRY_WHEN_UNAVAILABLE);
                 return Err(self.refusal(RefusalKind::NoServer, retry_after));
             }
+            if matches!(chosen, Err(ChoiceError::AllReplaced)) {
+                let waits_until = match self.route.streaming && !stream_begun {
+                    true => self.arrived + self.latest_start(),
+                    false => wait_until,
+                };
+                if Instant::now() >= waits_until {
+                    let retry_after = self.time_to_return(RETRY_WHEN_UNAVAILABLE);
+                    return Err(self.refusal(RefusalKind::NoServer, retry_after));
+                }
+                self.wait_for_change().await;
+                continue;
+            }
             let must_wait = chosen.is_err() || is_contended(&self.gateway, &self.service);
             if may_queue && must_wait {
                 may_queue = false;
@@ -156,7 +168,7 @@
             true => Duration::ZERO,
             false => RETURN_SPREAD.mul_f64(self.gateway.random_share()),
         };
-        let retry_after = wait.max(opening).max(RETRY_WHEN_FULL) + spread;
+        let retry_after = wait.max(opening).max(self.usual_retry_after()) + spread;
         self.gateway.journal.note(
             "capacity-lacking",
             self.attempt_id(),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -159,6 +159,8 @@
     pub configured_at: Cell<Option<Duration>>,
     /// When the process received SIGTERM, as time since its start; `None` before.
     pub leaving_since: Cell<Option<Duration>>,
+    /// Number of requests that wait until configuration and servers are known.
+    pub starting_requests: Cell<usize>,
     /// Number of requests that are not finished.
     pub open_requests: Cell<usize>,
     /// Bytes of servers' answers that are buffered now, over all requests.
@@ -209,6 +211,13 @@
         (is_complete || waited >= MAX_LISTING_WAIT).then(|| self.routing_table()).flatten()
     }
 
+    /// Returns how long [`Gateway::serving_table`] waits for what the store has not told; `None`
+    /// before the first configuration.
+    pub fn listing_time_left(&self) -> Option<Duration> {
+        let waits_until = self.configured_at.get()? + MAX_LISTING_WAIT;
+        Some(waits_until.saturating_sub(self.now()))
+    }
+
     /// Has servers and zones listed again before requests are served.
     pub fn relist_servers(&self) {
         self.listed_kinds
