--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -9,6 +9,7 @@
 
 use crate::admission::EventGapMeter;
 use crate::admission::GroupLoad;
+use crate::admission::OnTimeDemand;
 use crate::admission::overdue_capacity;
 use crate::admission::stream_limit;
 use crate::breaker::BreakerState;
@@ -323,11 +324,16 @@
 }
 
 /// Returns what one unit of several can take. Until its event gap has been measured its limit is
-/// the smallest one.
-pub fn unit_capacity(model: &EngineModel, load: &GroupLoad, target: Duration) -> UnitCapacity {
+/// the smallest one. `demand` is its part of the streams that can begin on time.
+pub fn unit_capacity(
+    model: &EngineModel,
+    load: &GroupLoad,
+    target: Duration,
+    demand: Option<OnTimeDemand>,
+) -> UnitCapacity {
     let limit = stream_limit(model, load, target);
     let total = limit.map_or(u32::MAX, |limit| limit.saturating_sub(load.streams));
-    let overdue = overdue_capacity(model, load, target);
+    let overdue = overdue_capacity(model, load, target, demand);
     UnitCapacity { total, overdue, ranks: load.ranks }
 }
 
--- a/crates/core/tests/group_units.rs
+++ b/crates/core/tests/group_units.rs
@@ -238,14 +238,14 @@
     unit.record_gap(ms(6_050), ms(3_050));
     assert_eq!(unit.event_gap.mean(ms(6_060)), None);
     let load = GroupLoad { ranks: RANKS, slots: 120, streams: 10, event_gap: None };
-    assert_eq!(unit_capacity(&engine_model(), &load, TARGET).total, 26);
+    assert_eq!(unit_capacity(&engine_model(), &load, TARGET, None).total, 26);
     unit.record_gap(ms(6_200), ms(140));
     assert_eq!(unit.event_gap.mean(ms(6_201)), Some(ms(140)));
     // A slow group has fewer free places than a fast one with the same streams.
     let slow = GroupLoad { streams: 40, event_gap: Some(ms(140)), ..load };
     let fast = GroupLoad { streams: 40, event_gap: Some(GAP), ..load };
-    let slow = unit_capacity(&engine_model(), &slow, TARGET).total;
-    let fast = unit_capacity(&engine_model(), &fast, TARGET).total;
+    let slow = unit_capacity(&engine_model(), &slow, TARGET, None).total;
+    let fast = unit_capacity(&engine_model(), &fast, TARGET, None).total;
     assert!(slow * 4 < fast, "{slow} and {fast}");
 }
 
@@ -290,7 +290,7 @@
                 let event_gap = Some(pass(streams[index], imbalances[index]));
                 let load =
                     GroupLoad { ranks: RANKS, slots: 120, streams: streams[index], event_gap };
-                unit_capacity(&model, &load, TARGET)
+                unit_capacity(&model, &load, TARGET, None)
             })
             .collect();
         // All streams of an update interval are chosen from the same view.
--- a/crates/gateway/src/unit_choice.rs
+++ b/crates/gateway/src/unit_choice.rs
@@ -13,6 +13,7 @@
 use cuminpick::units::choose_unit;
 use cuminpick::units::unit_capacity;
 
+use crate::service_rate::on_time_demand;
 use crate::state::Gateway;
 
 /// A unit that has servers, as known to this gateway.
@@ -41,6 +42,8 @@
         let unit_of = |address| groups.unit_of(service, address);
         gateway.balance.borrow().unit_loads(service, unit_of)
     };
+    let demand = on_time_demand(gateway, service, now);
+    let all_ranks: usize = loads.values().map(|load| load.ranks).sum();
     let gates = gateway.gates.borrow();
     let gate = gates.get(service);
     let mut views: Vec<UnitView> = loads
@@ -52,7 +55,11 @@
             let (ranks, slots, streams) = (load.ranks, load.slots, load.streams);
             let group_load = GroupLoad { ranks, slots, streams, event_gap };
             let capacity = match (model, target) {
-                (Some(model), Some(target)) => unit_capacity(model, &group_load, target),
+                (Some(model), Some(target)) => {
+                    let part = load.ranks as f64 / all_ranks.max(1) as f64;
+                    let demand = demand.map(|demand| demand.part(part));
+                    unit_capacity(model, &group_load, target, demand)
+                }
                 _ => UnitCapacity { total: u32::MAX, overdue: u32::MAX, ranks },
             };
             let is_lost = state.is_some_and(|state| state.is_lost(now));
