Divide scarce capacity by the demand of all gateways

Cause: on-time streams were admitted up to the whole free capacity at every gateway at once, from counts that are 60 ms old, and whoever waited there was admitted, whatever waited at the other gateways.

Change: `demand_meter` measures what waits and arrives by priority and organisation, and bounds what is told of it. `demand_shares` divides the free places between priorities in order, between organisations by max-min fairness, and between gateways by demand. `StreamGate` admits within the allotment while demand exceeds the capacity, and takes at least one of four streams of a priority from the overdue ones. `process_queue` is unchanged for callers without an allotment.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -9,6 +9,10 @@
 
 use std::time::Duration;
 
+use crate::demand_meter::DemandMeter;
+use crate::demand_meter::OwnDemand;
+use crate::demand_shares::DemandAllotment;
+use crate::ids::FastMap;
 use crate::ids::RequestId;
 use crate::outage::OutageOutlook;
 use crate::queue::FairQueue;
@@ -187,6 +191,9 @@
     overdue: FairQueue,
     waiting_streams: Vec<GateRequest>,
     rate: PlacementRate,
+    demand: DemandMeter,
+    /// On-time streams that were admitted since the last overdue one, by priority.
+    on_time_runs: FastMap<u8, u32>,
     /// Time after which a stream that is refused during the current outage should return.
     outage_retry_after: Option<Duration>,
     /// Time until which callers that were refused during an outage may still retry.
@@ -200,6 +207,8 @@
             overdue: FairQueue::new(QUEUE_CAPACITY),
             waiting_streams: Vec::new(),
             rate: PlacementRate::default(),
+            demand: DemandMeter::default(),
+            on_time_runs: FastMap::default(),
             outage_retry_after: None,
             recovering_until: Duration::ZERO,
         }
@@ -218,8 +227,11 @@
         let waiting = WaitingRequest { request: stream.request, expires_at: stream.on_time_until };
         let accepted =
             self.on_time.push(queue_priority(stream.priority), &stream.organisation, waiting);
+        self.demand.record_arrival(&stream, accepted);
         if accepted {
             self.waiting_streams.push(stream);
+        } else {
+            self.demand.record_refusal();
         }
         accepted
     }
@@ -238,7 +250,13 @@
         if !self.on_time.remove(request) {
             self.overdue.remove(request);
         }
-        self.waiting_streams.retain(|stream| stream.request != request);
+        self.remove_waiting(request);
+    }
+
+    /// Returns the demand for the service at this gateway. `name_bytes` is the length of the
+    /// names of gateway and service together.
+    pub fn own_demand(&mut self, now: Duration, gateways: usize, name_bytes: usize) -> OwnDemand {
+        self.demand.demand(now, &self.waiting_streams, gateways, name_bytes)
     }
 
     /// Admits streams up to the capacity, and refuses those that cannot complete in time.
@@ -249,6 +267,18 @@
     /// many streams are overdue, overdue streams only get the capacity that is given for
     /// them.
     pub fn process_queue(&mut self, now: Duration, capacity: GateCapacity) -> Vec<GateDecision> {
+        self.process_allotted(now, capacity, &mut DemandAllotment::unlimited(now))
+    }
+
+    /// Admits and refuses streams like [`StreamGate::process_queue`], and admits within
+    /// `allotment` only while the demand exceeds the capacity.
+    pub fn process_allotted(
+        &mut self,
+        now: Duration,
+        capacity: GateCapacity,
+        allotment: &mut DemandAllotment,
+    ) -> Vec<GateDecision> {
+        self.demand.advance(now);
         let was_out = self.outage_retry_after.is_some();
         let (capacity, mut overdue, outlook) = match capacity {
             GateCapacity::Streams { total, overdue } => {
@@ -276,18 +306,8 @@
             self.remove_waiting(request);
             decisions.push(GateDecision::Refuse(request, self.retry_after()));
         }
-        for _ in 0..capacity {
-            let next = match self.on_time.pop() {
-                Some(next) => Some(next),
-                None if overdue > 0 => {
-                    overdue -= 1;
-                    self.overdue.pop()
-                }
-                None => None,
-            };
-            let Some((request, _)) = next else {
-                break;
-            };
+        let admitted = self.admit_streams(capacity, overdue, allotment);
+        for request in admitted {
             self.remove_waiting(request);
             self.rate.record_placement(now);
             decisions.push(GateDecision::Admit(request));
@@ -296,9 +316,82 @@
             Some(outlook) => self.refuse_until_return(outlook),
             None => self.refuse_unservable(now),
         });
+        if decisions.iter().any(|decision| matches!(decision, GateDecision::Refuse(..))) {
+            self.demand.record_refusal();
+        }
         decisions
     }
 
+    /// Takes the streams to be admitted out of the queues: at most `capacity`, of which at most
+    /// `overdue` are overdue.
+    fn admit_streams(
+        &mut self,
+        capacity: u32,
+        mut overdue: u32,
+        allotment: &mut DemandAllotment,
+    ) -> Vec<RequestId> {
+        let mut admitted = Vec::new();
+        for _ in 0..capacity {
+            let next = if allotment.is_limiting() {
+                self.take_allotted(&mut overdue, allotment)
+            } else {
+                self.take_next(&mut overdue)
+            };
+            let Some(request) = next else {
+                break;
+            };
+            admitted.push(request);
+        }
+        admitted
+    }
+
+    /// Takes the next stream while all demand fits into the capacity.
+    fn take_next(&mut self, overdue: &mut u32) -> Option<RequestId> {
+        if let Some((request, _)) = self.on_time.pop() {
+            return Some(request);
+        }
+        *overdue = overdue.checked_sub(1)?;
+        self.overdue.pop().map(|(request, _)| request)
+    }
+
+    /// Takes the next stream that has a place in `allotment`: the most urgent one, and of a
+    /// priority one that can begin on time, unless it is the turn of an overdue one.
+    fn take_allotted(
+        &mut self,
+        overdue: &mut u32,
+        allotment: &mut DemandAllotment,
+    ) -> Option<RequestId> {
+        let mut priorities: Vec<u8> =
+            self.on_time.priorities().chain(self.overdue.priorities()).collect();
+        priorities.sort_unstable_by(|left, right| right.cmp(left));
+        priorities.dedup();
+        priorities.into_iter().find_map(|level| {
+            let priority = queue_priority(level);
+            let permits = |name: &str| allotment.has_place(priority, name);
+            let run = self.on_time_runs.entry(priority).or_default();
+            let is_overdue_turn = *run >= MAX_ON_TIME_RUN;
+            let mut next = None;
+            if is_overdue_turn && *overdue > 0 {
+                next = self.overdue.pop_permitted(level, permits).map(|taken| (taken, true));
+            }
+            if next.is_none() {
+                next = self.on_time.pop_permitted(level, permits).map(|taken| (taken, false));
+            }
+            if next.is_none() && !is_overdue_turn && *overdue > 0 {
+                next = self.overdue.pop_permitted(level, permits).map(|taken| (taken, true));
+            }
+            let ((request, organisation), is_overdue) = next?;
+            if is_overdue {
+                *overdue -= 1;
+                *run = 0;
+            } else {
+                *run = (*run + 1).min(MAX_ON_TIME_RUN);
+            }
+            allotment.record_admission(priority, &organisation);
+            Some(request)
+        })
+    }
+
     fn move_to_overdue(&mut self, request: RequestId) {
         let Some(stream) = self.waiting_streams.iter().find(|stream| stream.request == request)
         else {
@@ -352,6 +445,7 @@
     }
 
     fn remove_waiting(&mut self, request: RequestId) {
+        self.demand.record_departure(request);
         self.waiting_streams.retain(|stream| stream.request != request);
     }
 }
@@ -363,6 +457,10 @@
 /// the deadline of a caller.
 const RECOVERY_PERIOD: Duration = Duration::from_secs(8);
 
+/// Most admissions of on-time streams of a priority in a row while overdue ones wait and capacity
+/// is scarce, so that newcomers do not pass a caller that was refused and came back without end.
+const MAX_ON_TIME_RUN: u32 = 3;
+
 /// Returns the priority of a request in the queue, which serves higher values first.
 fn queue_priority(priority: u8) -> u8 {
     u8::MAX - priority
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,7 +20,9 @@
 //!   [`balance`] chooses a backend server, [`retry`] decides on further attempts,
 //!   [`event_stream`] splits streams into complete events, and [`deadlines`] recognises
 //!   requests that return after a refusal. [`admission`] delays streams that would slow
-//!   their group too much, and [`breaker`] delays requests while a service refuses all;
+//!   their group too much; while more of them wait than fit, [`demand_shares`] divides the
+//!   capacity between priorities, organisations and gateways by the demand that each gateway
+//!   measures with [`demand_meter`]; [`breaker`] delays requests while a service refuses all;
 //!   [`outage`] estimates for how long. [`request_limits`] keeps to the limits that servers
 //!   state, [`capacity_queue`] orders requests where all servers state one, and
 //!   [`announcements`] remembers which of them leave or want a pause.
@@ -71,6 +73,8 @@
 pub mod crash_detection;
 pub mod deadlines;
 pub mod demand;
+pub mod demand_meter;
+pub mod demand_shares;
 pub mod election;
 pub mod entry;
 pub mod entry_assignment;
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -96,8 +96,31 @@
         let mut candidates = levels
             .filter_map(|(priority, level)| Some((*priority, next_organisation(level, skipped)?)));
         let (priority, name) = candidates.next()?;
+        let waiting = self.pop_from(priority, &name)?;
+        Some((waiting.request, waiting.expires_at))
+    }
+
+    /// Removes the next request of one priority, considering only the organisations that
+    /// `permits`; returns it with its organisation.
+    pub fn pop_permitted(
+        &mut self,
+        priority: u8,
+        permits: impl Fn(&str) -> bool,
+    ) -> Option<(RequestId, OrganisationName)> {
+        let level = self.levels.get(&priority)?;
+        let name = next_permitted(level, permits)?;
+        let waiting = self.pop_from(priority, &name)?;
+        Some((waiting.request, name))
+    }
+
+    /// Returns the priorities of the queued requests, highest first.
+    pub fn priorities(&self) -> impl Iterator<Item = u8> {
+        self.levels.keys().rev().copied()
+    }
+
+    fn pop_from(&mut self, priority: u8, organisation: &str) -> Option<WaitingRequest> {
         let level = self.levels.get_mut(&priority)?;
-        let queue = level.queues.get_mut(&name)?;
+        let queue = level.queues.get_mut(organisation)?;
         let waiting = queue.waiting.pop_front()?;
         level.virtual_time = queue.next_turn;
         queue.next_turn += 1;
@@ -108,7 +131,7 @@
             self.levels.remove(&priority);
         }
         self.length -= 1;
-        Some((waiting.request, waiting.expires_at))
+        Some(waiting)
     }
 
     /// Removes and returns the requests that have expired.
@@ -167,15 +190,23 @@
     }
 }
 
-/// Returns the organisation with the lowest virtual time; its name breaks ties.
+/// Returns the organisation with the lowest virtual time that is not `skipped`.
 fn next_organisation(
     level: &PriorityLevel,
     skipped: &[OrganisationName],
+) -> Option<OrganisationName> {
+    next_permitted(level, |name| !skipped.iter().any(|skipped| skipped == name))
+}
+
+/// Returns the permitted organisation with the lowest virtual time; its name breaks ties.
+fn next_permitted(
+    level: &PriorityLevel,
+    permits: impl Fn(&str) -> bool,
 ) -> Option<OrganisationName> {
     level
         .queues
         .iter()
-        .filter(|(name, queue)| !queue.waiting.is_empty() && !skipped.contains(name))
+        .filter(|(name, queue)| !queue.waiting.is_empty() && permits(name))
         .min_by(|left, right| (left.1.next_turn, left.0).cmp(&(right.1.next_turn, right.0)))
         .map(|(name, _)| name.clone())
 }
