Exchange demand between gateways, and admit within the allotment

Cause: the allotment of `demand_shares` had no source and no user.

Change: a gateway tells its demand for a service while streams have waited for longer than an interval or were refused within a second, and once more when that ends. The gate computes its allotment when the last one has expired and admits within it; probes during an outage are not limited. Each refusal is logged with the allotment and the figures behind it (`gate-refused`), each change of the division too (`demand-division`).

Conclusion: gateways divide scarce capacity by what waits at all of them.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -114,6 +114,7 @@
         retry_budget: RefCell::new(WindowedRetryBudget::new(bounds, now)),
         event_gaps: RefCell::new(FastMap::default()),
         gates: RefCell::new(FastMap::default()),
+        demand: RefCell::default(),
         deadlines: RefCell::new(DeadlineTracker::default()),
         stream_lengths: RefCell::new(StreamLengths::default()),
         silence_detector: RefCell::new(SilenceDetector::default()),
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -24,6 +24,7 @@
 use slog::o;
 use tokio::sync::oneshot;
 
+use crate::demand_exchange::log_refusal;
 use crate::state::Gateway;
 
 /// Interval at which the queues are processed; a pass takes 40 ms or more.
@@ -49,6 +50,11 @@
 }
 
 impl ServiceGate {
+    /// Returns the queue of the streams that wait.
+    pub fn stream_gate_mut(&mut self) -> &mut StreamGate {
+        &mut self.stream_gate
+    }
+
     /// Returns what is known of the service's outage, as it appears in logs; `None` if it has
     /// none.
     fn describe_outage(&self, now: Duration) -> Option<&'static str> {
@@ -75,6 +81,7 @@
     let request = gate_request.request;
     let started = gateway.now();
     let late = gate_request.on_time_until <= started;
+    let (priority, organisation) = (gate_request.priority, gate_request.organisation.clone());
     let waiting = {
         let mut gates = gateway.gates.borrow_mut();
         let gate = gates.entry(service.to_string()).or_default();
@@ -89,6 +96,9 @@
     process_service_queue(gateway, service);
     let retry_after = receiver.await.unwrap_or_default();
     drop(queued);
+    if retry_after.is_some() {
+        log_refusal(gateway, service, attempt, priority, &organisation);
+    }
     let waited = gateway.now().saturating_sub(started);
     if !waited.is_zero() || retry_after.is_some() {
         let now = gateway.now();
@@ -249,7 +259,14 @@
         BreakerState::HalfOpen => outage(1),
         BreakerState::Open => outage(0),
     };
-    for decision in gate.stream_gate.process_queue(now, gate_capacity) {
+    let places = match gate_capacity {
+        GateCapacity::Streams { total, .. } => total,
+        // Probes are not limited by the demand.
+        GateCapacity::Outage { .. } => u32::MAX,
+    };
+    let mut demand = gateway.demand.borrow_mut();
+    let allotment = demand.allotment(gateway, service, &mut gate.stream_gate, places);
+    for decision in gate.stream_gate.process_allotted(now, gate_capacity, allotment) {
         let (request, retry_after) = match decision {
             GateDecision::Admit(request) => {
                 gate.share.record_admission();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -29,6 +29,7 @@
 use crate::crash_tracking::apply_crash_update;
 use crate::crash_tracking::take_crash_update;
 use crate::demand_exchange::apply_demand_update;
+use crate::demand_exchange::record_contact;
 use crate::demand_exchange::take_demand_updates;
 use crate::group_tracking::apply_group_members;
 use crate::listen::bind_listener;
@@ -285,6 +286,7 @@
             UpdateMessage::Gateway(update) => {
                 gateway.metrics.count_control("gateway-news", "in", length);
                 addresses.borrow_mut().insert(update.from.clone(), sender);
+                record_contact(&gateway, &update.from);
                 let now = gateway.now();
                 gateway.balance.borrow_mut().update_peer_counts(
                     now,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -47,6 +47,7 @@
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
+use crate::demand_exchange::DemandExchange;
 use crate::gate::ServiceGate;
 use crate::part_tracking::PartNews;
 use crate::peers::PeerLinks;
@@ -100,6 +101,8 @@
     pub event_gaps: RefCell<FastMap<ServiceName, EventGapMeter>>,
     /// Streams that wait for admission, by service.
     pub gates: RefCell<FastMap<ServiceName, ServiceGate>>,
+    /// Demand for capacity, exchanged with the other gateways.
+    pub demand: RefCell<DemandExchange>,
     /// Deadlines that callers set, by route.
     pub deadlines: RefCell<DeadlineTracker>,
     /// Number of events per stream, by route.
