Merge order over all gateways

Streams that cannot be served are looked for in the order in which the queues serve them while capacity is scarce: by priority before those that are on time.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -10,6 +10,9 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use crate::demand_meter::DemandMeter;
+use crate::demand_meter::OwnDemand;
+use crate::demand_shares::DemandAllotment;
 use crate::expected_wait::find_unservable;
 use crate::ids::FastMap;
 use crate::ids::RequestId;
@@ -301,6 +304,9 @@
     returns: VecDeque<Duration>,
     /// Causes of the refusals that were not asked for yet.
     refusal_causes: FastMap<RequestId, RefusalCause>,
+    demand: DemandMeter,
+    /// On-time streams that were admitted since the last overdue one, by priority.
+    on_time_runs: FastMap<u8, u32>,
     /// Time after which a stream that is refused during the current outage should return.
     outage_retry_after: Option<Duration>,
     /// Time until which callers that were refused during an outage may still retry.
@@ -320,6 +326,8 @@
             arrivals: ArrivalRate::default(),
             returns: VecDeque::new(),
             refusal_causes: FastMap::default(),
+            demand: DemandMeter::default(),
+            on_time_runs: FastMap::default(),
             outage_retry_after: None,
             recovering_until: Duration::ZERO,
         }
@@ -338,9 +346,12 @@
         let waiting = WaitingRequest { request: stream.request, expires_at: stream.on_time_until };
         let accepted =
             self.on_time.push(queue_priority(stream.priority), &stream.organisation, waiting);
+        self.demand.record_arrival(&stream, accepted);
         if accepted {
             self.added.push(stream.on_time_until);
             self.waiting_streams.push(stream);
+        } else {
+            self.demand.record_refusal();
         }
         accepted
     }
@@ -398,10 +409,16 @@
         if !self.on_time.remove(request) {
             self.overdue.remove(request);
         }
-        self.waiting_streams.retain(|stream| stream.request != request);
+        self.remove_waiting(request);
         self.refusal_causes.remove(&request);
     }
 
+    /// Returns the demand for the service at this gateway. `name_bytes` is the length of the
+    /// names of gateway and service together.
+    pub fn own_demand(&mut self, now: Duration, gateways: usize, name_bytes: usize) -> OwnDemand {
+        self.demand.demand(now, &self.waiting_streams, gateways, name_bytes)
+    }
+
     /// Admits streams up to the capacity, and refuses those that cannot complete in time.
     ///
     /// During an outage streams wait until their latest start, unless the service is known
@@ -410,6 +427,18 @@
     /// many streams are overdue, overdue streams only get the capacity that is given for
     /// them.
     pub fn process_queue(&mut self, now: Duration, capacity: GateCapacity) -> Vec<GateDecision> {
+        self.process_allotted(now, capacity, &mut DemandAllotment::unlimited(now))
+    }
+
+    /// Admits and refuses streams like [`StreamGate::process_queue`], and admits within
+    /// `allotment` only while the demand exceeds the capacity.
+    pub fn process_allotted(
+        &mut self,
+        now: Duration,
+        capacity: GateCapacity,
+        allotment: &mut DemandAllotment,
+    ) -> Vec<GateDecision> {
+        self.demand.advance(now);
         let was_out = self.outage_retry_after.is_some();
         let (capacity, mut overdue, outlook) = match capacity {
             GateCapacity::Streams { total, overdue } => {
@@ -438,25 +467,19 @@
             let cause = self.refusal_cause(now, RefusalReason::Expired, None, capacity);
             decisions.push(self.refuse(now, request, cause));
         }
-        for _ in 0..capacity {
-            let next = match self.on_time.pop() {
-                Some(next) => Some(next),
-                None if overdue > 0 => {
-                    overdue -= 1;
-                    self.overdue.pop()
-                }
-                None => None,
-            };
-            let Some((request, _)) = next else {
-                break;
-            };
+        let admitted = self.admit_streams(capacity, overdue, allotment);
+        let free = capacity.saturating_sub(admitted.len() as u32);
+        for request in admitted {
             self.remove_waiting(request);
             decisions.push(GateDecision::Admit(request));
         }
         decisions.extend(match outlook {
             Some(outlook) => self.refuse_until_return(now, outlook),
-            None => self.refuse_unservable(now, capacity.saturating_sub(admitted(&decisions))),
+            None => self.refuse_unservable(now, free),
         });
+        if decisions.iter().any(|decision| matches!(decision, GateDecision::Refuse(..))) {
+            self.demand.record_refusal();
+        }
         decisions
     }
 
@@ -470,6 +493,76 @@
         self.returns.retain(|return_at| *return_at > now);
     }
 
+    /// Takes the streams to be admitted out of the queues: at most `capacity`, of which at most
+    /// `overdue` are overdue.
+    fn admit_streams(
+        &mut self,
+        capacity: u32,
+        mut overdue: u32,
+        allotment: &mut DemandAllotment,
+    ) -> Vec<RequestId> {
+        let mut admitted = Vec::new();
+        for _ in 0..capacity {
+            let next = if allotment.is_limiting() {
+                self.take_allotted(&mut overdue, allotment)
+            } else {
+                self.take_next(&mut overdue)
+            };
+            let Some(request) = next else {
+                break;
+            };
+            admitted.push(request);
+        }
+        admitted
+    }
+
+    /// Takes the next stream while all demand fits into the capacity.
+    fn take_next(&mut self, overdue: &mut u32) -> Option<RequestId> {
+        if let Some((request, _)) = self.on_time.pop() {
+            return Some(request);
+        }
+        *overdue = overdue.checked_sub(1)?;
+        self.overdue.pop().map(|(request, _)| request)
+    }
+
+    /// Takes the next stream that has a place in `allotment`: the most urgent one, and of a
+    /// priority one that can begin on time, unless it is the turn of an overdue one.
+    fn take_allotted(
+        &mut self,
+        overdue: &mut u32,
+        allotment: &mut DemandAllotment,
+    ) -> Option<RequestId> {
+        let mut priorities: Vec<u8> =
+            self.on_time.priorities().chain(self.overdue.priorities()).collect();
+        priorities.sort_unstable_by(|left, right| right.cmp(left));
+        priorities.dedup();
+        priorities.into_iter().find_map(|level| {
+            let priority = queue_priority(level);
+            let permits = |name: &str| allotment.has_place(priority, name);
+            let run = self.on_time_runs.entry(priority).or_default();
+            let is_overdue_turn = *run >= MAX_ON_TIME_RUN;
+            let mut next = None;
+            if is_overdue_turn && *overdue > 0 {
+                next = self.overdue.pop_permitted(level, permits).map(|taken| (taken, true));
+            }
+            if next.is_none() {
+                next = self.on_time.pop_permitted(level, permits).map(|taken| (taken, false));
+            }
+            if next.is_none() && !is_overdue_turn && *overdue > 0 {
+                next = self.overdue.pop_permitted(level, permits).map(|taken| (taken, true));
+            }
+            let ((request, organisation), is_overdue) = next?;
+            if is_overdue {
+                *overdue -= 1;
+                *run = 0;
+            } else {
+                *run = (*run + 1).min(MAX_ON_TIME_RUN);
+            }
+            allotment.record_admission(priority, &organisation);
+            Some(request)
+        })
+    }
+
     fn move_to_overdue(&mut self, request: RequestId) {
         let Some(stream) = self.waiting_streams.iter().find(|stream| stream.request == request)
         else {
@@ -528,15 +621,11 @@
     }
 
     fn remove_waiting(&mut self, request: RequestId) {
+        self.demand.record_departure(request);
         self.waiting_streams.retain(|stream| stream.request != request);
     }
 }
 
-/// Returns the number of admissions among decisions.
-fn admitted(decisions: &[GateDecision]) -> u32 {
-    decisions.iter().filter(|decision| matches!(decision, GateDecision::Admit(_))).count() as u32
-}
-
 /// Returns a share, 0 to 1, by which the return of a request's caller is delayed. The numbers of
 /// requests are random.
 fn request_share(request: RequestId) -> f64 {
@@ -557,6 +646,10 @@
 /// the deadline of a caller.
 const RECOVERY_PERIOD: Duration = Duration::from_secs(8);
 
+/// Most admissions of on-time streams of a priority in a row while overdue ones wait and capacity
+/// is scarce, so that newcomers do not pass a caller that was refused and came back without end.
+const MAX_ON_TIME_RUN: u32 = 3;
+
 /// Returns the priority of a request in the queue, which serves higher values first.
 fn queue_priority(priority: u8) -> u8 {
     u8::MAX - priority
--- a/crates/core/src/expected_wait.rs
+++ b/crates/core/src/expected_wait.rs
@@ -16,8 +16,8 @@
 /// per second leave, with the number of streams before each that take a place which is not
 /// free yet.
 ///
-/// Streams are served as the queues serve them: those that are on time first, then by
-/// priority, and in rounds of one stream of each organisation. Those of the same round count
+/// Streams are served as the queues serve them while capacity is scarce: by priority, then those
+/// that are on time, and in rounds of one stream of each organisation. Those of the same round count
 /// as none before a stream, since which of them comes first is not known.
 pub(crate) fn find_unservable(
     waiting: &[GateRequest],
@@ -25,9 +25,9 @@
     rate: f64,
     free: u32,
 ) -> Vec<(RequestId, usize)> {
-    let mut levels: BTreeMap<(bool, u8), FastMap<&str, VecDeque<&GateRequest>>> = BTreeMap::new();
+    let mut levels: BTreeMap<(u8, bool), FastMap<&str, VecDeque<&GateRequest>>> = BTreeMap::new();
     for stream in waiting {
-        let level = levels.entry((stream.on_time_until <= now, stream.priority)).or_default();
+        let level = levels.entry((stream.priority, stream.on_time_until <= now)).or_default();
         level.entry(stream.organisation.as_str()).or_default().push_back(stream);
     }
     let mut unservable = Vec::new();
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -118,6 +118,7 @@
         move_tickets: RefCell::default(),
         peer_heard_at: Cell::default(),
         watched_since: Cell::default(),
+        demand: RefCell::default(),
         deadlines: RefCell::new(DeadlineTracker::default()),
         stream_lengths: RefCell::new(StreamLengths::default()),
         silence_detector: RefCell::new(SilenceDetector::default()),
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -24,6 +24,7 @@
 use slog::o;
 use tokio::sync::oneshot;
 
+use crate::demand_exchange::log_gate_refusal;
 use crate::service_rate::on_time_demand;
 use crate::service_rate::running_streams;
 use crate::state::Gateway;
@@ -55,6 +56,11 @@
 }
 
 impl ServiceGate {
+    /// Returns the queue of the streams that wait.
+    pub fn stream_gate_mut(&mut self) -> &mut StreamGate {
+        &mut self.stream_gate
+    }
+
     /// Returns how many streams arrive at this gateway per second that can begin on time.
     pub fn on_time_arrivals(&self, now: Duration) -> Option<f64> {
         self.stream_gate.on_time_arrivals(now)
@@ -135,6 +141,7 @@
     let request = gate_request.request;
     let started = gateway.now();
     let late = gate_request.on_time_until <= started;
+    let (priority, organisation) = (gate_request.priority, gate_request.organisation.clone());
     let waiting = {
         let mut gates = gateway.gates.borrow_mut();
         let gate = gates.entry(service.to_string()).or_default();
@@ -155,6 +162,9 @@
         log_refusal(gateway, service, attempt, request);
     }
     drop(queued);
+    if retry_after.is_some() {
+        log_gate_refusal(gateway, service, attempt, priority, &organisation);
+    }
     let waited = gateway.now().saturating_sub(started);
     if !waited.is_zero() || retry_after.is_some() {
         let now = gateway.now();
@@ -327,7 +337,14 @@
         },
     };
     gate.stream_gate.record_running(running);
-    for decision in gate.stream_gate.process_queue(now, gate_capacity) {
+    let places = match gate_capacity {
+        GateCapacity::Streams { total, .. } => total,
+        // Probes are not limited by the demand.
+        GateCapacity::Outage { .. } => u32::MAX,
+    };
+    let mut demand = gateway.demand.borrow_mut();
+    let allotment = demand.allotment(gateway, service, &mut gate.stream_gate, places);
+    for decision in gate.stream_gate.process_allotted(now, gate_capacity, allotment) {
         let (request, retry_after) = match decision {
             GateDecision::Admit(request) => {
                 gate.share.record_admission();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -48,6 +48,7 @@
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
+use crate::demand_exchange::DemandExchange;
 use crate::gate::ServiceGate;
 use crate::part_tracking::PartNews;
 use crate::peers::PeerLinks;
@@ -110,6 +111,8 @@
     pub peer_heard_at: Cell<Duration>,
     /// Since when this process has run without a longer interruption.
     pub watched_since: Cell<Duration>,
+    /// Demand for capacity, exchanged with the other gateways.
+    pub demand: RefCell<DemandExchange>,
     /// Deadlines that callers set, by route.
     pub deadlines: RefCell<DeadlineTracker>,
     /// Number of events per stream, by route.
