Reopen full units early, and ignore old crash notices at a young gateway

Three refusals of full servers kept their unit closed until a probe was due; events from it now open it again, since a broken group sends none. A gateway that had run for less than five seconds took crash notices of any age for recent ones; the test crash_notice failed by that, and passes now. Streams that may not be sent again are probes once a unit has been lost for ten seconds.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -12,10 +12,10 @@
 
 use crate::announcements::AnnouncementLog;
 use crate::crash_detection::ServerIncarnation;
-use crate::groups::UnitName;
 use crate::ids::ChoiceRng;
 use crate::ids::FastMap;
 use crate::ids::FastSet;
+use crate::ids::GroupName;
 use crate::ids::MemberId;
 use crate::ids::ServerId;
 use crate::ids::ServiceName;
@@ -559,16 +559,16 @@
         available.fold((0, 0), |(count, slots), backend| (count + 1, slots + backend.record.slots))
     }
 
-    /// Returns the load and the capacity of each unit of a service; `unit_of` tells the unit of the
-    /// server at an address.
-    pub fn unit_loads(
+    /// Returns the load and the capacity of each unit of a service; `group_of` tells the group of
+    /// the server at an address.
+    pub fn unit_loads<'a>(
         &self,
         service: &str,
-        unit_of: impl Fn(SocketAddr) -> UnitName,
-    ) -> FastMap<UnitName, UnitLoad> {
-        let mut loads: FastMap<UnitName, UnitLoad> = FastMap::default();
+        group_of: impl Fn(SocketAddr) -> Option<&'a GroupName>,
+    ) -> FastMap<Option<&'a GroupName>, UnitLoad> {
+        let mut loads: FastMap<Option<&GroupName>, UnitLoad> = FastMap::default();
         for backend in self.backends.values().filter(|other| other.record.service == service) {
-            let load = loads.entry(unit_of(backend.record.address)).or_default();
+            let load = loads.entry(group_of(backend.record.address)).or_default();
             load.streams += backend.in_flight + backend.others_in_flight;
             if self.is_available(backend) {
                 load.ranks += 1;
--- a/crates/core/src/groups.rs
+++ b/crates/core/src/groups.rs
@@ -143,6 +143,11 @@
         self.services.get(service).is_some_and(|groups| groups.len() >= MIN_UNIT_GROUPS)
     }
 
+    /// Returns the groups of a service's servers by address, if any is known.
+    pub fn servers(&self, service: &str) -> Option<&FastMap<SocketAddr, GroupName>> {
+        self.by_server.get(service)
+    }
+
     /// Returns the group of a server.
     pub fn group_of(&self, service: &str, address: SocketAddr) -> Option<&GroupName> {
         self.by_server.get(service)?.get(&address)
--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -24,6 +24,12 @@
 const STALL_GAPS: u32 = 5;
 /// Shortest time without any event after which a unit counts as stalled.
 const MIN_STALL_TIME: Duration = Duration::from_millis(250);
+/// The same while the event gap has not been measured; passes of the initial expert map are slower.
+const UNMEASURED_STALL_TIME: Duration = Duration::from_millis(500);
+/// Time after a return within which gateways that use the unit have measured its event gap.
+const START_TIME: Duration = Duration::from_secs(2);
+/// Time after which a probe without an event goes on at another unit.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time for which a report that a group is broken counts, unless it is repeated.
 const BROKEN_REPORT_AGE: Duration = Duration::from_secs(3);
 /// Interval between two probes of a lost unit while others serve, per gateway: all gateways
@@ -82,6 +88,8 @@
     /// When the unit last came back from an outage.
     pub returned_at: Option<Duration>,
     loss: Option<UnitLoss>,
+    /// Whether the unit has served a stream of this gateway.
+    has_served: bool,
     /// Until when a report that the group is broken counts.
     broken_until: Option<Duration>,
     last_event_at: Option<Duration>,
@@ -105,8 +113,8 @@
 
     fn lose(&mut self, now: Duration, cause: LossCause) -> bool {
         if let Some(loss) = &mut self.loss {
-            // A crash or a report says more than events that have stopped.
-            if loss.cause == LossCause::Stall {
+            // A crash or a report says more than missing events or refusals.
+            if matches!(loss.cause, LossCause::Stall | LossCause::Refusals) {
                 loss.cause = cause;
             }
             return false;
@@ -196,8 +204,15 @@
         was_lost
     }
 
+    /// Returns whether the unit has served a stream of this gateway, or has formed. Before that
+    /// servers may refuse connections since their VMs are still starting.
+    pub fn has_served(&self) -> bool {
+        self.has_served
+    }
+
     fn recover(&mut self, now: Duration) -> bool {
         let was_lost = self.breaker.record_success();
+        self.has_served = true;
         self.outage.record_service(now, was_lost);
         self.loss = None;
         self.broken_until = None;
@@ -229,12 +244,13 @@
     }
 
     /// Records the gap before an event; returns whether the unit is back by it. It is if its events
-    /// had only stopped for a while. A gap that spans a loss or a return is not one between passes.
+    /// had only stopped for a while, or its servers had refused streams: those of a broken group
+    /// send no events, but full ones do. A gap that spans a loss or a return is not one between passes.
     pub fn record_gap(&mut self, now: Duration, gap: Duration) -> bool {
         let began = now.saturating_sub(gap);
         let is_spanning = |at: Duration| began < at;
         if let Some(loss) = self.loss {
-            let resumed = loss.cause == LossCause::Stall
+            let resumed = matches!(loss.cause, LossCause::Stall | LossCause::Refusals)
                 && self.broken_until.is_none()
                 && !is_spanning(loss.since);
             if resumed {
@@ -264,8 +280,10 @@
         }
         let last_event = self.last_event_at.unwrap_or_default();
         let silent_since = last_event.max(self.awaited_since).max(watched_since);
-        let usual_gap = self.event_gap.last_mean().unwrap_or_default();
-        let limit = (usual_gap * STALL_GAPS).max(MIN_STALL_TIME);
+        let limit = match self.event_gap.last_mean() {
+            Some(usual_gap) => (usual_gap * STALL_GAPS).max(MIN_STALL_TIME),
+            None => UNMEASURED_STALL_TIME,
+        };
         now >= silent_since + limit && other_data_at >= silent_since + limit / 2
     }
 
@@ -293,6 +311,13 @@
         now >= self.last_probe_at.unwrap_or(loss.since) + interval
     }
 
+    /// Returns whether the unit has returned lately and its event gap has not been measured since.
+    /// Later the streams of other gateways show what it can run.
+    pub fn is_starting(&self, now: Duration) -> bool {
+        self.event_gap.mean(now).is_none()
+            && self.returned_at.is_some_and(|at| now < at + START_TIME)
+    }
+
     /// Returns when the last probe was sent to the lost unit.
     pub fn last_probe_at(&self) -> Option<Duration> {
         self.last_probe_at
@@ -307,7 +332,7 @@
     /// Returns whether a stream that was sent at `sent_at` should go on at another unit: it was sent
     /// before the loss, or is a probe that is still without an event.
     pub fn should_leave(&self, now: Duration, sent_at: Duration) -> bool {
-        self.loss.is_some_and(|loss| sent_at < loss.since || now >= sent_at + MIN_STALL_TIME * 2)
+        self.loss.is_some_and(|loss| sent_at < loss.since || now >= sent_at + PROBE_TIMEOUT)
     }
 }
 
@@ -322,10 +347,17 @@
     pub ranks: usize,
 }
 
-/// Returns what one unit of several can take. Until its event gap has been measured its limit is
-/// the smallest one.
-pub fn unit_capacity(model: &EngineModel, load: &GroupLoad, target: Duration) -> UnitCapacity {
-    let limit = stream_limit(model, load, target);
+/// Returns what one unit of several can take. While the unit starts, its limit is the smallest one.
+/// At other times without a measured event gap only streams that are late are limited, as in a
+/// service of one unit: this gateway alone may have had no streams there.
+pub fn unit_capacity(
+    model: &EngineModel,
+    load: &GroupLoad,
+    target: Duration,
+    is_starting: bool,
+) -> UnitCapacity {
+    let is_limited = is_starting || load.event_gap.is_some();
+    let limit = stream_limit(model, load, target).filter(|_| is_limited);
     let total = limit.map_or(u32::MAX, |limit| limit.saturating_sub(load.streams));
     let overdue = overdue_capacity(model, load, target);
     UnitCapacity { total, overdue, ranks: load.ranks }
--- a/crates/core/tests/group_units.rs
+++ b/crates/core/tests/group_units.rs
@@ -195,6 +195,27 @@
     assert!(crashed.is_lost(ms(3_461)));
 }
 
+/// Servers whose queues are full refuse streams while they send events; their unit must not stay
+/// closed until a probe is due.
+#[test]
+fn full_unit_reopens() {
+    let mut unit = running_unit(ms(3_000));
+    for millis in 3_001..3_004 {
+        unit.record_refusal(ms(millis));
+    }
+    assert_eq!(unit.loss().map(|loss| loss.cause), Some(LossCause::Refusals));
+    assert!(!unit.record_gap(ms(3_050), ms(60)));
+    assert!(unit.record_gap(ms(3_070), ms(60)));
+    assert!(!unit.is_lost(ms(3_071)));
+    // The refusals of a broken group.
+    for millis in 3_101..3_104 {
+        unit.record_refusal(ms(millis));
+    }
+    unit.record_broken(ms(3_110));
+    assert!(!unit.record_gap(ms(3_200), ms(60)));
+    assert_eq!(unit.loss().map(|loss| loss.cause), Some(LossCause::Broken));
+}
+
 /// Gateways repeat crashes for a minute; a group that has formed again is not lost by them.
 #[test]
 fn crash_counts_once() {
@@ -238,17 +259,33 @@
     unit.record_gap(ms(6_050), ms(3_050));
     assert_eq!(unit.event_gap.mean(ms(6_060)), None);
     let load = GroupLoad { ranks: RANKS, slots: 120, streams: 10, event_gap: None };
-    assert_eq!(unit_capacity(&engine_model(), &load, TARGET).total, 26);
+    assert!(unit.is_starting(ms(6_100)));
+    assert_eq!(unit_capacity(&engine_model(), &load, TARGET, true).total, 26);
     unit.record_gap(ms(6_200), ms(140));
     assert_eq!(unit.event_gap.mean(ms(6_201)), Some(ms(140)));
+    assert!(!unit.is_starting(ms(6_201)));
     // A slow group has fewer free places than a fast one with the same streams.
     let slow = GroupLoad { streams: 40, event_gap: Some(ms(140)), ..load };
     let fast = GroupLoad { streams: 40, event_gap: Some(GAP), ..load };
-    let slow = unit_capacity(&engine_model(), &slow, TARGET).total;
-    let fast = unit_capacity(&engine_model(), &fast, TARGET).total;
+    let slow = unit_capacity(&engine_model(), &slow, TARGET, false).total;
+    let fast = unit_capacity(&engine_model(), &fast, TARGET, false).total;
     assert!(slow * 4 < fast, "{slow} and {fast}");
 }
 
+/// A gateway that has had no streams at a unit does not know its event gap. While others run more
+/// there than the limit of a starting unit, it must not wait for a measurement that it cannot make.
+#[test]
+fn unmeasured_unit_admits() {
+    let load = GroupLoad { ranks: RANKS, slots: 120, streams: 90, event_gap: None };
+    assert_eq!(unit_capacity(&engine_model(), &load, TARGET, false).total, u32::MAX);
+    let mut unit = UnitState::default();
+    assert!(!unit.is_starting(ms(10)));
+    unit.record_broken(ms(1_000));
+    unit.record_open(ms(3_000), true);
+    assert!(unit.is_starting(ms(4_000)));
+    assert!(!unit.is_starting(ms(5_000)));
+}
+
 /// Streams go to units in proportion to what these can still take, so that the slow one of three
 /// groups does not get a third of them.
 #[test]
@@ -290,7 +327,7 @@
                 let event_gap = Some(pass(streams[index], imbalances[index]));
                 let load =
                     GroupLoad { ranks: RANKS, slots: 120, streams: streams[index], event_gap };
-                unit_capacity(&model, &load, TARGET)
+                unit_capacity(&model, &load, TARGET, false)
             })
             .collect();
         // All streams of an update interval are chosen from the same view.
--- a/crates/gateway/src/crash_tracking.rs
+++ b/crates/gateway/src/crash_tracking.rs
@@ -356,8 +356,9 @@
     }
     for crash in update.crashes {
         let incarnation = ServerIncarnation { server: crash.server, started_ms: crash.started_ms };
-        let noticed_at = now.saturating_sub(Duration::from_millis(crash.age_ms));
-        record_crash_notice(gateway, &incarnation, noticed_at);
+        let age = Duration::from_millis(crash.age_ms);
+        let noticed_at = now.saturating_sub(age);
+        record_crash_notice(gateway, &incarnation, age);
         record_crash(gateway, CrashReport { digest: crash.digest, incarnation, noticed_at }, false);
     }
 }
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -25,6 +25,7 @@
 use tokio::sync::oneshot;
 
 use crate::state::Gateway;
+use crate::unit_choice::UnitView;
 use crate::unit_choice::unit_views;
 use crate::unit_moves::move_streams;
 use crate::unit_tracking::check_stalls;
@@ -86,18 +87,30 @@
 /// Returns the outage of a service, if all units are lost that have servers.
 fn service_outage(gateway: &Gateway, service: &str, now: Duration) -> Option<ServiceOutage> {
     let units = match has_units(gateway, service) {
-        true => {
-            let views = unit_views(gateway, service, now);
-            if views.iter().any(|view| !view.is_lost) {
-                return None;
-            }
-            views.into_iter().map(|view| view.unit).collect()
-        }
-        false => vec![None],
+        true => unit_views(gateway, service, now),
+        false => Vec::new(),
+    };
+    outage_of_units(gateway, service, &units, now)
+}
+
+/// Does the same for a service whose units are known; `views` is empty if it has only one.
+fn outage_of_units(
+    gateway: &Gateway,
+    service: &str,
+    views: &[UnitView],
+    now: Duration,
+) -> Option<ServiceOutage> {
+    if views.iter().any(|view| !view.is_lost) {
+        return None;
+    }
+    let whole = None;
+    let units: Vec<&UnitName> = match views.is_empty() {
+        true => vec![&whole],
+        false => views.iter().map(|view| &view.unit).collect(),
     };
     let gates = gateway.gates.borrow();
     let gate = gates.get(service)?;
-    let states = units.iter().filter_map(|unit| Some((unit, gate.units.get(unit)?)));
+    let states = units.iter().filter_map(|unit| Some((*unit, gate.units.get(*unit)?)));
     let states: Vec<(&UnitName, &UnitState)> =
         states.filter(|(_, state)| state.is_lost(now)).collect();
     // The service is back when the first of its units is.
@@ -259,8 +272,12 @@
 fn process_service_queue(gateway: &Rc<Gateway>, service: &str) {
     let now = gateway.now();
     trip_if_stalled(gateway, service, now);
-    let capacity = service_capacity(gateway, service, now);
-    let outage = service_outage(gateway, service, now);
+    let (capacity, outage) = if has_units(gateway, service) {
+        let views = unit_views(gateway, service, now);
+        (units_capacity(&views), outage_of_units(gateway, service, &views, now))
+    } else {
+        (service_capacity(gateway, service, now), service_outage(gateway, service, now))
+    };
     let gateways = gateway.balance.borrow().live_gateways();
     let mut gates = gateway.gates.borrow_mut();
     let Some(gate) = gates.get_mut(service) else {
@@ -312,18 +329,22 @@
 const UNBOUNDED: ServiceCapacity =
     ServiceCapacity { total: u32::MAX, overdue: u32::MAX, streams: 0, event_gap: None };
 
+/// Returns the capacity of all units together that are not lost.
+fn units_capacity(views: &[UnitView]) -> ServiceCapacity {
+    let none = ServiceCapacity { total: 0, overdue: 0, streams: 0, event_gap: None };
+    views.iter().filter(|view| !view.is_lost).fold(none, |sum, view| ServiceCapacity {
+        total: sum.total.saturating_add(view.capacity.total),
+        overdue: sum.overdue.saturating_add(view.capacity.overdue),
+        streams: sum.streams + view.streams,
+        event_gap: sum.event_gap.max(view.event_gap),
+    })
+}
+
 /// Returns the capacity of a service as far as this gateway knows it: of all units together that
 /// are not lost.
 fn service_capacity(gateway: &Gateway, service: &str, now: Duration) -> ServiceCapacity {
     if has_units(gateway, service) {
-        let views = unit_views(gateway, service, now);
-        let none = ServiceCapacity { total: 0, overdue: 0, streams: 0, event_gap: None };
-        return views.iter().filter(|view| !view.is_lost).fold(none, |sum, view| ServiceCapacity {
-            total: sum.total.saturating_add(view.capacity.total),
-            overdue: sum.overdue.saturating_add(view.capacity.overdue),
-            streams: sum.streams + view.streams,
-            event_gap: sum.event_gap.max(view.event_gap),
-        });
+        return units_capacity(&unit_views(gateway, service, now));
     }
     let Some(table) = gateway.routing_table() else {
         return UNBOUNDED;
--- a/crates/gateway/src/serve/choice.rs
+++ b/crates/gateway/src/serve/choice.rs
@@ -20,6 +20,7 @@
 use super::turn::CapacityTurn;
 use super::turn::is_contended;
 use crate::permits::obtain_permit;
+use crate::unit_choice::ProbeRule;
 use crate::unit_choice::choose_in_units;
 use crate::unit_tracking::has_units;
 
@@ -97,8 +98,13 @@
         };
         let mut rng = self.gateway.rng.borrow_mut();
         if has_units(&self.gateway, &self.service) {
-            let may_probe = self.route.streaming && self.retry_state.may_retry_after_failure();
-            return choose_in_units(&self.gateway, &query, &mut rng, may_probe);
+            let may_repeat = self.retry_state.may_retry_after_failure();
+            let probe_rule = match (self.route.streaming, may_repeat) {
+                (false, _) => ProbeRule::Never,
+                (true, true) => ProbeRule::WhenDue,
+                (true, false) => ProbeRule::WhenOverdue,
+            };
+            return choose_in_units(&self.gateway, &query, &mut rng, probe_rule);
         }
         self.gateway.balance.borrow().choose(self.gateway.now(), &query, &mut rng)
     }
--- a/crates/gateway/src/unit_choice.rs
+++ b/crates/gateway/src/unit_choice.rs
@@ -15,6 +15,21 @@
 
 use crate::state::Gateway;
 
+/// Time after which a stream that may not be sent again may be the probe of a lost unit: other
+/// streams have been probes before, if there are any.
+const OVERDUE_PROBE_AGE: Duration = Duration::from_secs(10);
+
+/// Whether a request may be the probe of a lost unit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ProbeRule {
+    /// It may not: its answer would not show that the unit serves streams.
+    Never,
+    /// It may be when a probe is due: it may be sent again.
+    WhenDue,
+    /// It may be once the unit has been lost for [`OVERDUE_PROBE_AGE`].
+    WhenOverdue,
+}
+
 /// A unit that has servers, as known to this gateway.
 #[derive(Debug, Clone)]
 pub struct UnitView {
@@ -36,23 +51,26 @@
     let spec = table.as_ref().and_then(|table| table.service(service));
     let model = spec.and_then(|spec| spec.engine.as_ref());
     let target = table.as_ref().and_then(|table| table.shortest_event_gap(service));
-    let loads = {
-        let groups = gateway.groups.borrow();
-        let unit_of = |address| groups.unit_of(service, address);
-        gateway.balance.borrow().unit_loads(service, unit_of)
-    };
+    let groups = gateway.groups.borrow();
+    let servers = groups.servers(service);
+    let group_of = |address| servers.and_then(|servers| servers.get(&address));
+    let loads = gateway.balance.borrow().unit_loads(service, group_of);
     let gates = gateway.gates.borrow();
     let gate = gates.get(service);
     let mut views: Vec<UnitView> = loads
         .into_iter()
         .filter(|(_, load)| load.ranks > 0)
-        .map(|(unit, load)| {
+        .map(|(group, load)| {
+            let unit = group.cloned();
             let state = gate.and_then(|gate| gate.units.get(&unit));
             let event_gap = state.and_then(|state| state.event_gap.mean(now));
             let (ranks, slots, streams) = (load.ranks, load.slots, load.streams);
             let group_load = GroupLoad { ranks, slots, streams, event_gap };
             let capacity = match (model, target) {
-                (Some(model), Some(target)) => unit_capacity(model, &group_load, target),
+                (Some(model), Some(target)) => {
+                    let is_starting = state.is_some_and(|state| state.is_starting(now));
+                    unit_capacity(model, &group_load, target, is_starting)
+                }
                 _ => UnitCapacity { total: u32::MAX, overdue: u32::MAX, ranks },
             };
             let is_lost = state.is_some_and(|state| state.is_lost(now));
@@ -69,7 +87,7 @@
     gateway: &Gateway,
     query: &BalanceQuery<'_>,
     rng: &mut ChoiceRng,
-    may_probe: bool,
+    probe_rule: ProbeRule,
 ) -> Result<BalanceChoice, ChoiceError> {
     let now = gateway.now();
     let views = unit_views(gateway, query.service, now);
@@ -82,7 +100,7 @@
         };
         return choice.or_else(|_| gateway.balance.borrow().choose(now, query, rng));
     }
-    if may_probe && let Some(choice) = choose_probe(gateway, query, rng, &lost) {
+    if let Some(choice) = choose_probe(gateway, query, rng, &lost, probe_rule) {
         return Ok(choice);
     }
     let mut failure = ChoiceError::AllTried;
@@ -107,7 +125,8 @@
     unit: &UnitName,
 ) -> Result<BalanceChoice, ChoiceError> {
     let groups = gateway.groups.borrow();
-    let group_of = |address| groups.group_of(query.service, address);
+    let servers = groups.servers(query.service);
+    let group_of = |address| servers.and_then(|servers| servers.get(&address));
     let balance = gateway.balance.borrow();
     balance.choose_among(gateway.now(), query, rng, |address| group_of(address) == unit.as_ref())
 }
@@ -118,10 +137,19 @@
     query: &BalanceQuery<'_>,
     rng: &mut ChoiceRng,
     lost: &[UnitView],
+    probe_rule: ProbeRule,
 ) -> Option<BalanceChoice> {
     let now = gateway.now();
     let gateways = gateway.balance.borrow().live_gateways();
-    let is_due = |state: &UnitState| state.is_probe_due(now, gateways);
+    let min_age = match probe_rule {
+        ProbeRule::Never => return None,
+        ProbeRule::WhenDue => Duration::ZERO,
+        ProbeRule::WhenOverdue => OVERDUE_PROBE_AGE,
+    };
+    let is_due = |state: &UnitState| {
+        let is_old_enough = state.loss().is_some_and(|loss| now >= loss.since + min_age);
+        is_old_enough && state.is_probe_due(now, gateways)
+    };
     let due = {
         let gates = gateway.gates.borrow();
         let units = &gates.get(query.service)?.units;
--- a/crates/gateway/src/unit_tracking.rs
+++ b/crates/gateway/src/unit_tracking.rs
@@ -139,30 +139,32 @@
 }
 
 /// Records that the host of a server refused a connection: a rank of a group is gone. A server
-/// without a group may have left in order.
+/// without a group may have left in order, and one of a group that has not served yet may still be
+/// starting.
 pub fn record_refusing_host(gateway: &Gateway, incarnation: &ServerIncarnation) {
-    if is_group_member(gateway, incarnation) {
+    if is_serving_member(gateway, incarnation) {
         record_crashed_server(gateway, incarnation, gateway.now());
     }
 }
 
-/// Records a crash that another gateway noticed. It shows nothing if it is old, or if the server
+/// Records a crash that another gateway noticed `age` ago. It shows nothing if it is old, or if the server
 /// has started again since.
-pub fn record_crash_notice(
-    gateway: &Gateway,
-    incarnation: &ServerIncarnation,
-    noticed_at: Duration,
-) {
-    let is_recent = gateway.now() < noticed_at + MAX_NOTICE_AGE;
+pub fn record_crash_notice(gateway: &Gateway, incarnation: &ServerIncarnation, age: Duration) {
+    let is_recent = age < MAX_NOTICE_AGE;
+    let noticed_at = gateway.now().saturating_sub(age);
     let is_current = gateway.balance.borrow().is_current(incarnation);
-    if is_recent && is_current && is_group_member(gateway, incarnation) {
+    if is_recent && is_current && is_serving_member(gateway, incarnation) {
         record_crashed_server(gateway, incarnation, noticed_at);
     }
 }
 
-fn is_group_member(gateway: &Gateway, incarnation: &ServerIncarnation) -> bool {
+/// Returns whether a server belongs to a unit that is a group and has served streams.
+fn is_serving_member(gateway: &Gateway, incarnation: &ServerIncarnation) -> bool {
     let location = gateway.balance.borrow().location_of(&incarnation.server);
-    location.is_some_and(|(service, address)| unit_at(gateway, &service, address).is_some())
+    location.is_some_and(|(service, address)| {
+        let unit = unit_at(gateway, &service, address);
+        unit.is_some() && with_unit(gateway, &service, &unit, |state| state.has_served())
+    })
 }
 
 /// Records that a server has registered since it started.
@@ -261,14 +263,14 @@
         if !has_units(gateway, service) {
             continue;
         }
-        let data_times: Vec<(UnitName, Duration)> = gate
-            .units
-            .iter()
-            .map(|(unit, state)| (unit.clone(), state.last_data_at().unwrap_or_default()))
-            .collect();
+        let mut data_times: Vec<Duration> =
+            gate.units.values().filter_map(UnitState::last_data_at).collect();
+        data_times.sort();
+        let latest = data_times.pop().unwrap_or_default();
+        let second = data_times.pop().unwrap_or_default();
         for (unit, state) in &mut gate.units {
-            let others = data_times.iter().filter(|(other, _)| other != unit);
-            let elsewhere = others.map(|(_, at)| *at).max().unwrap_or_default();
+            let is_latest = state.last_data_at() == Some(latest);
+            let elsewhere = if is_latest { second } else { latest };
             let other_data = elsewhere.max(gateway.peer_heard_at.get());
             if state.loss().is_none()
                 && state.has_stalled(now, watched_since, other_data)
--- a/crates/gateway/tests/lost_group.rs
+++ b/crates/gateway/tests/lost_group.rs
@@ -10,6 +10,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cuminpick::updates::CrashNotice;
+use cuminpick::updates::CrashUpdate;
 use cuminpick::updates::GroupMembers;
 use cuminpick::updates::GroupState;
 use cuminpick::updates::UpdateMessage;
@@ -36,10 +38,14 @@
     }
 }
 
-fn send_members(to: SocketAddr, members: &GroupMembers) -> usize {
-    let bytes = postcard::to_stdvec(&UpdateMessage::Members(members.clone())).unwrap();
+fn send_message(to: SocketAddr, message: &UpdateMessage) {
+    let bytes = postcard::to_stdvec(message).unwrap();
     let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
-    socket.send_to(&bytes, to).unwrap()
+    socket.send_to(&bytes, to).unwrap();
+}
+
+fn send_members(to: SocketAddr, members: &GroupMembers) {
+    send_message(to, &UpdateMessage::Members(members.clone()));
 }
 
 /// Starts a site with two groups of two engines each.
@@ -140,6 +146,31 @@
     assert!(longest < Duration::from_millis(1_700), "{longest:?}\n{}", site.all_logs());
 }
 
+/// Another gateway has noticed the crash of a rank. An old notice, which gateways repeat, shows
+/// nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn crash_notice() {
+    let site = start_groups().await;
+    expect_complete(&site, start_streams(&site, "first", STREAMS)).await;
+    let notify = |index: usize, age_ms| {
+        let record = site.record(&format!("model-{index}"));
+        let (server, started_ms) = (record.id, record.started_ms);
+        let notice = CrashNotice { digest: 7, server, started_ms, age_ms };
+        let update = CrashUpdate { crashes: vec![notice], answered: Vec::new() };
+        send_message(site.peer_address(0), &UpdateMessage::Crashes(update));
+    };
+    notify(2, 30_000);
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    assert!(site.log_lines("group-state").is_empty(), "{}", site.all_logs());
+    notify(0, 20);
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let states = site.log_lines("group-state");
+    assert!(states.len() == 1 && states[0].contains("\"group\":\"a\""), "{states:?}");
+    let arrived_before = arrivals(&site, 0..2);
+    expect_complete(&site, start_streams(&site, "new", 6)).await;
+    assert_eq!(arrivals(&site, 0..2), arrived_before);
+}
+
 /// With one known group, or none, a service is one unit: no stream is moved because of a message.
 #[tokio::test(flavor = "multi_thread")]
 async fn single_group() {
@@ -177,14 +208,17 @@
 #[test]
 fn message_size() {
     let ranks = (0..32u8).map(|rank| SocketAddr::from(([10, 77, 3, rank], 40_000))).collect();
-    let message = UpdateMessage::Members(GroupMembers {
+    let members = GroupMembers {
         service: "model-large".to_string(),
         group: "model-large-17".to_string(),
         term: 1_000,
         epoch: 20,
         state: GroupState::Open,
         ranks,
-    });
+    };
+    let view_bytes = serde_json::to_vec(&members).unwrap().len();
+    assert!(view_bytes < 1_000, "{view_bytes} bytes");
+    let message = UpdateMessage::Members(members);
     let bytes = postcard::to_stdvec(&message).unwrap().len();
     assert!(bytes as f64 * 150.0 / 21.0 < 2_200.0, "{bytes} bytes");
 }
--- a/crates/rank-agent/tests/group_switch.rs
+++ b/crates/rank-agent/tests/group_switch.rs
@@ -15,12 +15,16 @@
 use cuminpick::routing::ExpertLayout;
 use cuminpick::routing::ServerRecord;
 use cuminpick::routing::ServerState;
+use cuminpick::updates::GroupState;
+use cuminpick::updates::UpdateMessage;
 use cuminpick_platform::platform_side::ServiceConfig;
 use cuminpick_platform::platform_side::encode_config;
 use cuminpick_platform::platform_side::encode_server;
+use cuminpick_platform::records::GatewayRecord;
 use cuminpick_platform::records::LeaderRecord;
 use cuminpick_platform::settings::NodeSettings;
 use cuminpick_platform::store::CONFIG_KIND;
+use cuminpick_platform::store::GATEWAY_KIND;
 use cuminpick_platform::store::LEADER_KIND;
 use cuminpick_platform::store::SERVER_KIND;
 use cuminpick_standins::site::engine::SiteEngine;
@@ -30,6 +34,7 @@
 use cuminpick_standins::site::store::SiteStore;
 use cuminpick_standins::site::store::StoreMode;
 use cuminpick_standins::site::store::StoreReturn;
+use tokio::net::UdpSocket;
 
 const LAYOUT: ExpertLayout = ExpertLayout {
     sets: 2,
@@ -396,3 +401,43 @@
     group.signal(leader, "CONT");
     group.wait_for_switches(1, "after the freeze").await;
 }
+
+/// Gateways learn from the leader which engines form a group, and at once that one of them is gone:
+/// otherwise they go on sending streams to the ranks that wait for it.
+#[tokio::test(flavor = "multi_thread")]
+async fn gateways_told_of_members() {
+    let group = TestGroup::start().await;
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let record = GatewayRecord { address: socket.local_addr().unwrap() };
+    group.store.put(GATEWAY_KIND, "edge-1", record.encode());
+    let next_members = async |wanted: GroupState| {
+        let mut buffer = [0; 2_048];
+        loop {
+            let length = socket.recv(&mut buffer).await.unwrap();
+            let message = postcard::from_bytes(&buffer[..length]).unwrap();
+            if let UpdateMessage::Members(members) = message
+                && members.state == wanted
+            {
+                return members;
+            }
+        }
+    };
+    let members = tokio::time::timeout(TIMEOUT, next_members(GroupState::Open)).await;
+    let members = members.unwrap_or_else(|_| panic!("no message; logs:\n{}", group.logs()));
+    assert_eq!((members.service.as_str(), members.group.as_str()), ("model", "group"));
+    assert_eq!(members.ranks.len(), RANKS);
+    assert!(members.term > 0);
+    // The leader's own engine as well as another one.
+    for rank in [group.leader().unwrap(), (group.leader().unwrap() + 1) % RANKS] {
+        let started = Instant::now();
+        group.engines[rank].crash();
+        let broken = tokio::time::timeout(TIMEOUT, next_members(GroupState::Broken)).await;
+        let broken = broken.unwrap_or_else(|_| panic!("no message; logs:\n{}", group.logs()));
+        assert!(started.elapsed() < Duration::from_millis(400), "{:?}", started.elapsed());
+        assert_eq!(broken.epoch, members.epoch);
+        let open = tokio::time::timeout(TIMEOUT, next_members(GroupState::Open)).await;
+        assert_eq!(open.unwrap().ranks, members.ranks);
+        // Repeats of the last change.
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+}
