--- a/crates/gateway/src/unit_choice.rs
+++ b/crates/gateway/src/unit_choice.rs
@@ -16,6 +16,21 @@
 use crate::service_rate::on_time_demand;
 use crate::state::Gateway;
 
+/// Time after which a stream that may not be sent again may be the probe of a lost unit: other
+/// streams have been probes before, if there are any.
+const OVERDUE_PROBE_AGE: Duration = Duration::from_secs(10);
+
+/// Whether a request may be the probe of a lost unit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ProbeRule {
+    /// It may not: its answer would not show that the unit serves streams.
+    Never,
+    /// It may be when a probe is due: it may be sent again.
+    WhenDue,
+    /// It may be once the unit has been lost for [`OVERDUE_PROBE_AGE`].
+    WhenOverdue,
+}
+
 /// A unit that has servers, as known to this gateway.
 #[derive(Debug, Clone)]
 pub struct UnitView {
@@ -37,11 +52,10 @@
     let spec = table.as_ref().and_then(|table| table.service(service));
     let model = spec.and_then(|spec| spec.engine.as_ref());
     let target = table.as_ref().and_then(|table| table.shortest_event_gap(service));
-    let loads = {
-        let groups = gateway.groups.borrow();
-        let unit_of = |address| groups.unit_of(service, address);
-        gateway.balance.borrow().unit_loads(service, unit_of)
-    };
+    let groups = gateway.groups.borrow();
+    let servers = groups.servers(service);
+    let group_of = |address| servers.and_then(|servers| servers.get(&address));
+    let loads = gateway.balance.borrow().unit_loads(service, group_of);
     let demand = on_time_demand(gateway, service, now);
     let all_ranks: usize = loads.values().map(|load| load.ranks).sum();
     let gates = gateway.gates.borrow();
@@ -49,7 +63,8 @@
     let mut views: Vec<UnitView> = loads
         .into_iter()
         .filter(|(_, load)| load.ranks > 0)
-        .map(|(unit, load)| {
+        .map(|(group, load)| {
+            let unit = group.cloned();
             let state = gate.and_then(|gate| gate.units.get(&unit));
             let event_gap = state.and_then(|state| state.event_gap.mean(now));
             let (ranks, slots, streams) = (load.ranks, load.slots, load.streams);
@@ -58,7 +73,8 @@
                 (Some(model), Some(target)) => {
                     let part = load.ranks as f64 / all_ranks.max(1) as f64;
                     let demand = demand.map(|demand| demand.part(part));
-                    unit_capacity(model, &group_load, target, demand)
+                    let is_starting = state.is_some_and(|state| state.is_starting(now));
+                    unit_capacity(model, &group_load, target, is_starting, demand)
                 }
                 _ => UnitCapacity { total: u32::MAX, overdue: u32::MAX, ranks },
             };
@@ -76,7 +92,7 @@
     gateway: &Gateway,
     query: &BalanceQuery<'_>,
     rng: &mut ChoiceRng,
-    may_probe: bool,
+    probe_rule: ProbeRule,
 ) -> Result<BalanceChoice, ChoiceError> {
     let now = gateway.now();
     let views = unit_views(gateway, query.service, now);
@@ -89,7 +105,7 @@
         };
         return choice.or_else(|_| gateway.balance.borrow().choose(now, query, rng));
     }
-    if may_probe && let Some(choice) = choose_probe(gateway, query, rng, &lost) {
+    if let Some(choice) = choose_probe(gateway, query, rng, &lost, probe_rule) {
         return Ok(choice);
     }
     let mut failure = ChoiceError::AllTried;
@@ -114,7 +130,8 @@
     unit: &UnitName,
 ) -> Result<BalanceChoice, ChoiceError> {
     let groups = gateway.groups.borrow();
-    let group_of = |address| groups.group_of(query.service, address);
+    let servers = groups.servers(query.service);
+    let group_of = |address| servers.and_then(|servers| servers.get(&address));
     let balance = gateway.balance.borrow();
     balance.choose_among(gateway.now(), query, rng, |address| group_of(address) == unit.as_ref())
 }
@@ -125,10 +142,19 @@
     query: &BalanceQuery<'_>,
     rng: &mut ChoiceRng,
     lost: &[UnitView],
+    probe_rule: ProbeRule,
 ) -> Option<BalanceChoice> {
     let now = gateway.now();
     let gateways = gateway.balance.borrow().live_gateways();
-    let is_due = |state: &UnitState| state.is_probe_due(now, gateways);
+    let min_age = match probe_rule {
+        ProbeRule::Never => return None,
+        ProbeRule::WhenDue => Duration::ZERO,
+        ProbeRule::WhenOverdue => OVERDUE_PROBE_AGE,
+    };
+    let is_due = |state: &UnitState| {
+        let is_old_enough = state.loss().is_some_and(|loss| now >= loss.since + min_age);
+        is_old_enough && state.is_probe_due(now, gateways)
+    };
     let due = {
         let gates = gateway.gates.borrow();
         let units = &gates.get(query.service)?.units;
