--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -279,7 +279,8 @@
     let now = gateway.now();
     let capacity = service_capacity(gateway, service, now);
     let gateways = gateway.balance.borrow().live_gateways();
-    let running = running_streams(gateway, service, now);
+    let streams = (capacity.streams, capacity.own_streams);
+    let running = running_streams(gateway, service, streams, capacity.event_gap);
     let mut gates = gateway.gates.borrow_mut();
     let Some(gate) = gates.get_mut(service) else {
         return;
@@ -326,13 +327,20 @@
     overdue: u32,
     /// Streams that run now, over all gateways.
     streams: u32,
+    /// Streams of this gateway that run now.
+    own_streams: u32,
     /// Smoothed time between events, if known.
     event_gap: Option<Duration>,
 }
 
 /// Capacity of a service whose limit is not known.
-const UNBOUNDED: ServiceCapacity =
-    ServiceCapacity { total: u32::MAX, overdue: u32::MAX, streams: 0, event_gap: None };
+const UNBOUNDED: ServiceCapacity = ServiceCapacity {
+    total: u32::MAX,
+    overdue: u32::MAX,
+    streams: 0,
+    own_streams: 0,
+    event_gap: None,
+};
 
 /// Returns the capacity of a service as far as this gateway knows it.
 fn service_capacity(gateway: &Gateway, service: &str, now: Duration) -> ServiceCapacity {
@@ -356,5 +364,5 @@
     // Until the time of a pass has been measured, only streams that are late are limited.
     let total = if event_gap.is_some() { limit.saturating_sub(streams) } else { u32::MAX };
     let overdue = overdue_capacity(model, &group, target, on_time_demand(gateway, service, now));
-    ServiceCapacity { total, overdue, streams, event_gap }
+    ServiceCapacity { total, overdue, streams, own_streams: load.own_in_flight, event_gap }
 }
--- a/crates/gateway/src/service_rate.rs
+++ b/crates/gateway/src/service_rate.rs
@@ -8,20 +8,17 @@
 
 use crate::state::Gateway;
 
-/// Returns the running streams of a service; `None` until its event gap and the length of its
-/// streams have been measured.
-pub fn running_streams(gateway: &Gateway, service: &str, now: Duration) -> Option<RunningStreams> {
-    let event_gap = gateway.event_gaps.borrow().get(service)?.mean(now)?;
+/// Returns the running streams of a service, `total` over all gateways and `own` of this one;
+/// `None` until its event gap and the length of its streams have been measured.
+pub fn running_streams(
+    gateway: &Gateway,
+    service: &str,
+    (total, own): (u32, u32),
+    event_gap: Option<Duration>,
+) -> Option<RunningStreams> {
     let mean_events = gateway.stream_lengths.borrow().service_mean(service)?;
-    let balance = gateway.balance.borrow();
-    let load = balance.service_load(service);
-    Some(RunningStreams {
-        total: load.own_in_flight + load.others_in_flight,
-        own: load.own_in_flight,
-        gateways: balance.live_gateways(),
-        mean_events,
-        event_gap,
-    })
+    let gateways = gateway.balance.borrow().live_gateways();
+    Some(RunningStreams { total, own, gateways, mean_events, event_gap: event_gap? })
 }
 
 /// Returns the demand of streams that can begin on time, over all gateways, if as many arrive at
