--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -18,6 +18,7 @@
 use cuminpick::breaker::BreakerState;
 use cuminpick::breaker::CircuitBreaker;
 use cuminpick::ids::FastMap;
+use cuminpick::ids::OrganisationName;
 use cuminpick::ids::RequestId;
 use cuminpick::outage::OutageEstimate;
 use cuminpick::outage::OutageOutlook;
@@ -82,6 +83,7 @@
     let request = gate_request.request;
     let started = gateway.now();
     let late = gate_request.on_time_until <= started;
+    let (priority, organisation) = (gate_request.priority, gate_request.organisation.clone());
     let waiting = {
         let mut gates = gateway.gates.borrow_mut();
         let gate = gates.entry(service.to_string()).or_default();
@@ -99,7 +101,7 @@
     process_service_queue(gateway, service);
     let retry_after = receiver.await.unwrap_or_default();
     if retry_after.is_some() {
-        log_refusal(gateway, service, attempt, request);
+        log_refusal(gateway, service, attempt, request, (priority, organisation));
     }
     drop(queued);
     let waited = gateway.now().saturating_sub(started);
@@ -129,8 +131,14 @@
     gateway.journal.note("stream-refused", attempt, fields);
 }
 
-/// Logs why a stream was refused.
-fn log_refusal(gateway: &Gateway, service: &str, attempt: Option<&str>, request: RequestId) {
+/// Logs why a stream of the given priority and organisation was refused.
+fn log_refusal(
+    gateway: &Gateway,
+    service: &str,
+    attempt: Option<&str>,
+    request: RequestId,
+    (priority, organisation): (u8, OrganisationName),
+) {
     let mut gates = gateway.gates.borrow_mut();
     let gate = gates.get_mut(service);
     let Some(cause) = gate.and_then(|gate| gate.stream_gate.take_refusal_cause(request)) else {
@@ -140,6 +148,7 @@
         "stream-refused",
         attempt,
         o!("service" => service.to_string(), "reason" => cause.reason.name(),
+           "priority" => priority, "organisation" => organisation,
            "expected_wait_ms" => cause.expected_wait.map_or(-1, |wait| wait.as_millis() as i64),
            "rate" => cause.rate.unwrap_or(-1.0), "free" => cause.free),
     );
