--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -18,6 +18,7 @@
 use cuminpick::breaker::BreakerState;
 use cuminpick::groups::UnitName;
 use cuminpick::ids::FastMap;
+use cuminpick::ids::OrganisationName;
 use cuminpick::ids::RequestId;
 use cuminpick::outage::OutageOutlook;
 use cuminpick::units::UnitState;
@@ -172,7 +173,7 @@
     process_service_queue(gateway, service);
     let retry_after = receiver.await.unwrap_or_default();
     if retry_after.is_some() {
-        log_refusal(gateway, service, attempt, request);
+        log_refusal(gateway, service, attempt, request, (priority, organisation));
     }
     drop(queued);
     if retry_after.is_some() {
@@ -205,8 +206,14 @@
     gateway.journal.note("stream-refused", attempt, fields);
 }
 
-/// Logs why a stream was refused.
-fn log_refusal(gateway: &Gateway, service: &str, attempt: Option<&str>, request: RequestId) {
+/// Logs why a stream of the given priority and organisation was refused.
+fn log_refusal(
+    gateway: &Gateway,
+    service: &str,
+    attempt: Option<&str>,
+    request: RequestId,
+    (priority, organisation): (u8, OrganisationName),
+) {
     let mut gates = gateway.gates.borrow_mut();
     let gate = gates.get_mut(service);
     let Some(cause) = gate.and_then(|gate| gate.stream_gate.take_refusal_cause(request)) else {
@@ -216,6 +223,7 @@
         "stream-refused",
         attempt,
         o!("service" => service.to_string(), "reason" => cause.reason.name(),
+           "priority" => priority, "organisation" => organisation,
            "expected_wait_ms" => cause.expected_wait.map_or(-1, |wait| wait.as_millis() as i64),
            "rate" => cause.rate.unwrap_or(-1.0), "free" => cause.free),
     );
@@ -337,7 +345,8 @@
         (service_capacity(gateway, service, now), service_outage(gateway, service, now))
     };
     let gateways = gateway.balance.borrow().live_gateways();
-    let running = running_streams(gateway, service, now);
+    let streams = (capacity.streams, capacity.own_streams);
+    let running = running_streams(gateway, service, streams, capacity.event_gap);
     let mut gates = gateway.gates.borrow_mut();
     let Some(gate) = gates.get_mut(service) else {
         return;
@@ -388,13 +397,20 @@
     overdue: u32,
     /// Streams that run now, over all gateways.
     streams: u32,
+    /// Streams of this gateway that run now.
+    own_streams: u32,
     /// Smoothed time between events, if known.
     event_gap: Option<Duration>,
 }
 
 /// Capacity of a service whose limit is not known.
-const UNBOUNDED: ServiceCapacity =
-    ServiceCapacity { total: u32::MAX, overdue: u32::MAX, streams: 0, event_gap: None };
+const UNBOUNDED: ServiceCapacity = ServiceCapacity {
+    total: u32::MAX,
+    overdue: u32::MAX,
+    streams: 0,
+    own_streams: 0,
+    event_gap: None,
+};
 
 /// Returns the capacity of all units together that are not lost.
 fn units_capacity(views: &[UnitView]) -> ServiceCapacity {
@@ -437,5 +453,5 @@
     // Until the time of a pass has been measured, only streams that are late are limited.
     let total = if event_gap.is_some() { limit.saturating_sub(streams) } else { u32::MAX };
     let overdue = overdue_capacity(model, &group, target, on_time_demand(gateway, service, now));
-    ServiceCapacity { total, overdue, streams, event_gap }
+    ServiceCapacity { total, overdue, streams, own_streams: load.own_in_flight, event_gap }
 }
