Send streams again whose first event is missing

A stream without a first event was moved only when its server was silent, and a server that answers other requests is not silent. Where engines lose single answers, first events came after up to 2.2 s at a median of 190 ms.

The core module first_event keeps the times to the first event by unit, and decides by two rules when a stream is given up: it is late, or it can be on time only if it is sent again now. At most one in ten streams of two seconds, and ten more, are given up. The retry is taken from the budget before the attempt is given up, and only if another server would take the stream.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,7 +25,7 @@
 //!   state, [`capacity_queue`] orders requests where all servers state one, and
 //!   [`announcements`] remembers which of them leave or want a pause.
 //!   [`silence`] detects servers that send nothing any more, [`relocation`] those that are
-//!   too slow for their group, [`crash_detection`] finds the requests that were at a crashed
+//!   too slow for their group, [`first_event`] single streams whose answer is lost, [`crash_detection`] finds the requests that were at a crashed
 //!   server, and [`quarantine`] decides which of them are refused for a time because servers
 //!   keep crashing while running them; [`part_quarantine`] does so for parts that the prompts
 //!   of such requests share, and [`part_trials`] decides which request tries a suspected part.
@@ -78,6 +78,7 @@
 pub mod event_stream;
 pub mod expert_counts;
 pub mod experts;
+pub mod first_event;
 pub mod fleet;
 pub mod gossip;
 pub mod ids;
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -116,6 +116,7 @@
         gates: RefCell::new(FastMap::default()),
         deadlines: RefCell::new(DeadlineTracker::default()),
         stream_lengths: RefCell::new(StreamLengths::default()),
+        first_events: RefCell::default(),
         silence_detector: RefCell::new(SilenceDetector::default()),
         crash_detector: RefCell::new(CrashDetector::default()),
         active_probes: RefCell::new(FastSet::default()),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,7 +14,8 @@
 //! - [`peers`] exchanges requests in flight and crashes with the other gateways, and
 //!   [`peer_views`] hands on what they know of the store.
 //! - [`serve`] handles a request from its head to its answer, [`attempt`] sends it to a
-//!   server, and [`relay`] forwards a stream.
+//!   server, [`first_event`] gives up streams whose answer is lost, and [`relay`] forwards a
+//!   stream.
 //! - [`crash_tracking`] detects servers that crash while they run a request, and shares the
 //!   crashes, [`crash_records`] also by the store; [`part_tracking`] does so for parts of
 //!   prompts.
@@ -34,6 +35,7 @@
 pub mod crash_tracking;
 pub mod daemon;
 pub mod demand_exchange;
+pub mod first_event;
 pub mod framing;
 pub mod gate;
 pub mod group_tracking;
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -5,11 +5,13 @@
 //! first event is there.
 
 mod choice;
+mod late_stream;
 mod recall;
 mod request_log;
 mod suspects;
 mod turn;
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -172,7 +174,8 @@
         caller_last_event: head.last_event,
         message,
         tried_servers: Vec::new(),
-        attempt_pending: false,
+        attempt_pending: Cell::new(false),
+        retry_reserved: Cell::new(false),
         last_failure: None,
     })
 }
@@ -232,7 +235,9 @@
     message: CallerMessage,
     tried_servers: Vec<ServerId>,
     /// Whether a request was sent whose outcome is not known yet.
-    attempt_pending: bool,
+    attempt_pending: Cell<bool>,
+    /// Whether the next retry was taken from the budget already.
+    retry_reserved: Cell<bool>,
     last_failure: Option<AttemptFailure>,
 }
 
@@ -336,7 +341,7 @@
 
     /// Returns the refusal of a request whose deadline has passed.
     fn timeout_refusal(&self) -> Refusal {
-        if self.attempt_pending || self.retry_state.may_have_run {
+        if self.attempt_pending.get() || self.retry_state.may_have_run {
             Refusal::may_have_run(RefusalKind::DeadlinePassed)
         } else {
             Refusal::not_run(RefusalKind::DeadlinePassed, None)
@@ -380,18 +385,9 @@
         }
     }
 
-    /// Takes a retry from the budget if the next attempt is one; returns false if none is left.
-    fn take_retry_budget(&self) -> bool {
-        if !self.retry_state.counts_as_retry() {
-            return true;
-        }
-        let gateways = self.gateway.balance.borrow().live_or_registered_gateways();
-        self.gateway.retry_budget.borrow_mut().try_take(self.gateway.now(), &self.service, gateways)
-    }
-
     /// Sends the request to one server and reads the start of its answer.
     async fn try_server(
-        &mut self,
+        &self,
         choice: &BalanceChoice,
         after: Option<EventNumber>,
         trial: Option<&TrialGuard>,
@@ -406,26 +402,36 @@
             priority: self.priority,
             last_event: after,
         };
-        let attempt_pending = &mut self.attempt_pending;
         let streaming = self.route.streaming;
         let retryable = self.retry_state.may_retry_after_failure();
         let gateway = &self.gateway;
         let message = &self.message;
         let content = &self.content;
+        let watch = self.watch_first_event(&choice.server, after);
+        let on_sent = || {
+            self.attempt_pending.set(true);
+            if streaming {
+                watch.record_sent();
+            }
+        };
         let attempt = async {
-            let answer =
-                send_attempt(gateway, message, choice, &facts, content, || *attempt_pending = true)
-                    .await?;
-            read_answer_start(gateway, answer, choice, streaming, retryable).await
+            let answer = send_attempt(gateway, message, choice, &facts, content, on_sent).await?;
+            let start = read_answer_start(gateway, answer, choice, streaming, retryable).await?;
+            if matches!(&start, ValidAnswer::Stream(stream) if !stream.events.is_empty()) {
+                watch.record_first_event();
+            }
+            Ok(start)
         };
         let rule = RecallRule { service: &self.service, content, trial, may_retry: retryable };
         let attempt = unless_recalled(gateway, rule, attempt);
         let result = if streaming && retryable {
+            let reserve_retry = || trial.is_none() && self.reserve_retry(&choice.server);
+            let attempt = watch.fail_if_late(reserve_retry, attempt);
             fail_if_degraded(gateway, &self.service, &choice.server, attempt).await
         } else {
             with_timeout(timeout, attempt).await
         };
-        self.attempt_pending = false;
+        self.attempt_pending.set(false);
         result
     }
 
--- a/crates/gateway/src/serve/choice.rs
+++ b/crates/gateway/src/serve/choice.rs
@@ -84,11 +84,27 @@
 
     /// Chooses among the servers that take requests now.
     fn find_server(&self, unlimited_only: bool) -> Result<BalanceChoice, ChoiceError> {
+        self.find_untried(&self.tried_servers, unlimited_only)
+    }
+
+    /// Returns whether another server than `server` would take the request now.
+    pub(super) fn has_other_server(&self, server: &str) -> bool {
+        let mut excluded = self.tried_servers.clone();
+        excluded.push(server.to_string());
+        self.find_untried(&excluded, false).is_ok()
+    }
+
+    /// Chooses among the servers, but for the excluded ones, that take requests now.
+    fn find_untried(
+        &self,
+        excluded: &[ServerId],
+        unlimited_only: bool,
+    ) -> Result<BalanceChoice, ChoiceError> {
         let limits = self.gateway.request_limits.borrow();
         let query = BalanceQuery {
             service: &self.service,
             zone: &self.gateway.settings.zone,
-            excluded: &self.tried_servers,
+            excluded,
             cold_requests_per_second: self.cold_requests_per_second,
             drain_time: self.gateway.settings.bounds.drain,
             limits: Some(LimitFilter { limits: &limits, unlimited_only }),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -16,6 +16,7 @@
 use cuminpick::crash_detection::CrashDetector;
 use cuminpick::deadlines::DeadlineTracker;
 use cuminpick::deadlines::StreamLengths;
+use cuminpick::first_event::FirstEventTimes;
 use cuminpick::ids::ChoiceRng;
 use cuminpick::ids::FastMap;
 use cuminpick::ids::FastSet;
@@ -104,6 +105,8 @@
     pub deadlines: RefCell<DeadlineTracker>,
     /// Number of events per stream, by route.
     pub stream_lengths: RefCell<StreamLengths>,
+    /// Times to the first event of streams.
+    pub first_events: RefCell<FirstEventTimes>,
     /// Time of the last event of each server.
     pub silence_detector: RefCell<SilenceDetector>,
     /// Attempts, in flight or recently lost, at each incarnation of each server.
--- a/crates/operators/src/metrics.rs
+++ b/crates/operators/src/metrics.rs
@@ -30,6 +30,7 @@
     attempts: Counter<u64>,
     control_bytes: Counter<u64>,
     server_ends: Counter<u64>,
+    given_up: Counter<u64>,
     unreadable_values: Counter<u64>,
     latencies: Histogram<f64>,
     gauges: Gauge<f64>,
@@ -53,6 +54,7 @@
             refusals: meter.u64_counter("cuminpick_refusals").build(),
             attempts: meter.u64_counter("cuminpick_attempts").build(),
             server_ends: meter.u64_counter("cuminpick_server_ends").build(),
+            given_up: meter.u64_counter("cuminpick_missing_first_events").build(),
             unreadable_values: meter.u64_counter("cuminpick_unreadable_values").build(),
             control_bytes: meter.u64_counter("cuminpick_control_bytes").build(),
             latencies: meter
@@ -87,6 +89,11 @@
         self.server_ends.add(1, &[KeyValue::new("proof", proof)]);
     }
 
+    /// Counts a stream that was given up at its server for its missing first event, by the rule.
+    pub fn count_given_up(&self, rule: &'static str) {
+        self.given_up.add(1, &[KeyValue::new("rule", rule)]);
+    }
+
     /// Counts a value in a server's answer that could not be read, such as `limit`.
     pub fn count_unreadable(&self, value: &'static str) {
         self.unreadable_values.add(1, &[KeyValue::new("value", value)]);
--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -135,6 +135,7 @@
     cancelled: u32,
     frozen: bool,
     crash_delay: Duration,
+    answer_delay: Duration,
     ignores_close: bool,
     request_limit: Option<f64>,
     leaving: bool,
@@ -226,6 +227,11 @@
         self.lock().crash_delay = delay;
     }
 
+    /// Sets the time by which all answers that begin from now on are delayed.
+    pub fn delay_answers(&self, delay: Duration) {
+        self.lock().answer_delay = delay;
+    }
+
     /// Lets requests with a part that crashes the server do so although their connections close.
     pub fn ignore_close(&self) {
         self.lock().ignores_close = true;
@@ -360,6 +366,8 @@
             }
             _ => {}
         }
+        let answer_delay = self.lock().answer_delay;
+        tokio::time::sleep(answer_delay).await;
         let event_count = path.rsplit_once("/stream/").and_then(|(_, count)| count.parse().ok());
         match event_count {
             Some(event_count) => {
