Keep the tokens of requests within the memory of servers

An engine crashes if its requests hold more tokens than its memory, and the choice of a server did not count tokens.

The core module token_load counts the tokens of requests at each server over all gateways. The choice of a server leaves out those without the memory; a request that fits nowhere claims the server with the most free memory. Without a stated memory nothing is counted.

Each gateway therefore uses only what it has told in each of its last four updates, plus the share that the others assume for it.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -24,6 +24,7 @@
 use crate::routing::ServerRecord;
 use crate::routing::ServerState;
 use crate::store_contact::StoreOutage;
+use crate::token_load::TokenFilter;
 use crate::updates::update_interval;
 
 /// Time for which a server is avoided after a failure; engines that crash are back after
@@ -95,6 +96,8 @@
     pub drain_time: Duration,
     /// Limits that servers state; `None` if they are not heeded.
     pub limits: Option<LimitFilter<'a>>,
+    /// Memory that servers have left; `None` if it is not known.
+    pub tokens: Option<TokenFilter<'a>>,
 }
 
 /// A chosen server, with the load on which the choice was based.
@@ -137,7 +140,7 @@
     /// All remaining servers are at capacity.
     AllFull,
     /// All servers that were not tried want no requests now: they asked for a pause, or state
-    /// limits that leave no room.
+    /// limits that leave no room, or have no memory left for the request.
     AllClosed,
 }
 
@@ -408,6 +411,11 @@
         self.peer_counts.len() + silent.count() + 1
     }
 
+    /// Returns the number of gateways, including this one, that sent an update within `age`.
+    pub fn gateways_heard_within(&self, now: Duration, age: Duration) -> usize {
+        self.peer_counts.values().filter(|peer| now < peer.last_heard + age).count() + 1
+    }
+
     /// Returns the requests in flight of this gateway, by server.
     pub fn own_counts(&self) -> Vec<(ServerId, u32)> {
         let busy = self.backends.iter().filter(|(_, backend)| backend.in_flight > 0);
@@ -473,6 +481,7 @@
                 && query.limits.is_none_or(|limits| {
                     limits.admits(now, &backend.record.id, backend.record.started_ms)
                 })
+                && query.tokens.is_none_or(|tokens| tokens.admits(now, &backend.record.id))
         };
         let untried: Vec<&Backend> = untried.into_iter().filter(admits).collect();
         if untried.is_empty() {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,8 +21,8 @@
 //!   [`event_stream`] splits streams into complete events, and [`deadlines`] recognises
 //!   requests that return after a refusal. [`admission`] delays streams that would slow
 //!   their group too much, and [`breaker`] delays requests while a service refuses all;
-//!   [`outage`] estimates for how long. [`request_limits`] keeps to the limits that servers
-//!   state, [`capacity_queue`] orders requests where all servers state one, and
+//!   [`outage`] estimates for how long. [`token_load`] keeps to the memory of servers and
+//!   [`request_limits`] to the limits that they state, [`capacity_queue`] orders requests where all servers state one, and
 //!   [`announcements`] remembers which of them leave or want a pause.
 //!   [`silence`] detects servers that send nothing any more, [`relocation`] those that are
 //!   too slow for their group, [`first_event`] single streams whose answer is lost, [`crash_detection`] finds the requests that were at a crashed
@@ -108,5 +108,6 @@
 pub mod store_contact;
 pub mod store_history;
 pub mod switch;
+pub mod token_load;
 pub mod updates;
 pub mod watcher;
--- a/crates/core/tests/balance_choice.rs
+++ b/crates/core/tests/balance_choice.rs
@@ -40,6 +40,7 @@
         cold_requests_per_second: cold,
         drain_time: Duration::from_secs(3),
         limits: None,
+        tokens: None,
     }
 }
 
--- a/crates/core/tests/gateway_updates.rs
+++ b/crates/core/tests/gateway_updates.rs
@@ -68,6 +68,7 @@
                 cold_requests_per_second: 0.0,
                 drain_time: Duration::from_secs(3),
                 limits: None,
+                tokens: None,
             };
             let choice = node.table.choose(now, &query, &mut rng).unwrap();
             node.table.start_request(now, &choice.server);
--- a/crates/core/tests/leaving_servers.rs
+++ b/crates/core/tests/leaving_servers.rs
@@ -39,6 +39,7 @@
         cold_requests_per_second: 0.0,
         drain_time: Duration::from_secs(3),
         limits: None,
+        tokens: None,
     };
     table.choose(now, &query, &mut ChoiceRng::new(7)).map(|choice| choice.server)
 }
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -117,6 +117,7 @@
         deadlines: RefCell::new(DeadlineTracker::default()),
         stream_lengths: RefCell::new(StreamLengths::default()),
         first_events: RefCell::default(),
+        token_load: RefCell::default(),
         silence_detector: RefCell::new(SilenceDetector::default()),
         crash_detector: RefCell::new(CrashDetector::default()),
         active_probes: RefCell::new(FastSet::default()),
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -33,6 +33,7 @@
 use cuminpick::routing::RepeatRule;
 use cuminpick::routing::RouteRule;
 use cuminpick::routing::RoutingTable;
+use cuminpick::token_load::TokenNeed;
 use cuminpick_platform::headers::ForwardFacts;
 use cuminpick_platform::headers::RequestHead;
 use cuminpick_platform::headers::decode_request;
@@ -72,6 +73,8 @@
 use crate::part_tracking::TrialGuard;
 use crate::relay::start_relay;
 use crate::state::Gateway;
+use crate::token_tracking::TokenHold;
+use crate::token_tracking::count_tokens;
 
 /// `Retry-After` of a refusal while the configuration is not loaded or no server is
 /// available; listing them in the store takes a few milliseconds.
@@ -144,6 +147,9 @@
     }
     let message = read_message(request, &head, &table).await?;
     let service = route.pick_target(gateway.random_bits()).cloned().unwrap_or_default();
+    let tokens = count_tokens(gateway, &service, &route.name, head.tokens)
+        .map_err(|_| Refusal::not_run(RefusalKind::TooLarge, None))?;
+    let token_need = TokenNeed { request: gateway.random_bits(), priority, tokens };
     let now = gateway.now();
     let elapsed_before_arrival = head.time_left.map_or(Duration::ZERO, |left| {
         gateway.deadlines.borrow_mut().observe(now, &route.name, left)
@@ -176,6 +182,8 @@
         tried_servers: Vec::new(),
         attempt_pending: Cell::new(false),
         retry_reserved: Cell::new(false),
+        token_need,
+        token_hold: None,
         last_failure: None,
     })
 }
@@ -238,6 +246,10 @@
     attempt_pending: Cell<bool>,
     /// Whether the next retry was taken from the budget already.
     retry_reserved: Cell<bool>,
+    /// Tokens that the request needs at a server.
+    token_need: TokenNeed,
+    /// Tokens that the current attempt holds.
+    token_hold: Option<TokenHold>,
     last_failure: Option<AttemptFailure>,
 }
 
@@ -471,6 +483,7 @@
     /// own.
     pub fn record_failure(&mut self, server: &str, failed: &FailedAttempt) {
         let retry = self.retry_state.counts_as_retry();
+        self.token_hold = None;
         self.retry_state.record_failure(failed.failure);
         self.last_failure = Some(failed.failure);
         self.tried_servers.push(server.to_string());
--- a/crates/gateway/src/serve/choice.rs
+++ b/crates/gateway/src/serve/choice.rs
@@ -10,6 +10,7 @@
 use cuminpick::refusal::Refusal;
 use cuminpick::refusal::RefusalKind;
 use cuminpick::request_limits::LimitFilter;
+use cuminpick::token_load::TokenFilter;
 use slog::o;
 use tokio::time::Instant;
 
@@ -20,6 +21,9 @@
 use super::turn::CapacityTurn;
 use super::turn::is_contended;
 use crate::permits::obtain_permit;
+use crate::token_tracking::TokenHold;
+use crate::token_tracking::claim_memory;
+use crate::token_tracking::service_memory;
 
 /// Part of the target latency that a request may wait for a server with a free slot.
 const CAPACITY_WAIT_SHARE: f64 = 0.6;
@@ -57,6 +61,14 @@
                 let retry_after = self.time_to_return(RETRY_WHEN_UNAVAILABLE);
                 return Err(self.refusal(RefusalKind::NoServer, retry_after));
             }
+            if chosen.is_err() && self.lacks_memory() {
+                if Instant::now() >= wait_until {
+                    return Err(self.capacity_refusal(Duration::ZERO));
+                }
+                claim_memory(&self.gateway, &self.service, self.attempt_id(), self.token_need);
+                self.wait_for_change().await;
+                continue;
+            }
             let must_wait = chosen.is_err() || is_contended(&self.gateway, &self.service);
             if may_queue && must_wait {
                 may_queue = false;
@@ -65,12 +77,15 @@
                 continue;
             }
             if let Ok(choice) = chosen {
+                // Other requests are chosen for while a permit is awaited.
+                self.token_hold = TokenHold::begin(&self.gateway, &choice.server, self.token_need);
                 if obtain_permit(&self.gateway, &choice.incarnation()).await {
                     if let Some(turn) = turn {
                         turn.record_served();
                     }
                     return Ok(choice);
                 }
+                self.token_hold = None;
                 refused_permits += 1;
                 continue;
             }
@@ -84,14 +99,19 @@
 
     /// Chooses among the servers that take requests now.
     fn find_server(&self, unlimited_only: bool) -> Result<BalanceChoice, ChoiceError> {
-        self.find_untried(&self.tried_servers, unlimited_only)
+        self.find_untried(&self.tried_servers, unlimited_only, true)
     }
 
     /// Returns whether another server than `server` would take the request now.
     pub(super) fn has_other_server(&self, server: &str) -> bool {
         let mut excluded = self.tried_servers.clone();
         excluded.push(server.to_string());
-        self.find_untried(&excluded, false).is_ok()
+        self.find_untried(&excluded, false, true).is_ok()
+    }
+
+    /// Returns whether a server would take the request if it had the memory.
+    fn lacks_memory(&self) -> bool {
+        self.token_need.tokens > 0 && self.find_untried(&self.tried_servers, false, false).is_ok()
     }
 
     /// Chooses among the servers, but for the excluded ones, that take requests now.
@@ -99,8 +119,15 @@
         &self,
         excluded: &[ServerId],
         unlimited_only: bool,
+        heeds_memory: bool,
     ) -> Result<BalanceChoice, ChoiceError> {
         let limits = self.gateway.request_limits.borrow();
+        let load = self.gateway.token_load.borrow();
+        let memory = (heeds_memory && self.token_need.tokens > 0)
+            .then(|| service_memory(&self.gateway, &self.service))
+            .flatten();
+        let tokens =
+            memory.map(|memory| TokenFilter { load: &load, memory, need: self.token_need });
         let query = BalanceQuery {
             service: &self.service,
             zone: &self.gateway.settings.zone,
@@ -108,6 +135,7 @@
             cold_requests_per_second: self.cold_requests_per_second,
             drain_time: self.gateway.settings.bounds.drain,
             limits: Some(LimitFilter { limits: &limits, unlimited_only }),
+            tokens,
         };
         let mut rng = self.gateway.rng.borrow_mut();
         self.gateway.balance.borrow().choose(self.gateway.now(), &query, &mut rng)
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -33,6 +33,7 @@
 use cuminpick::store_contact::StoreContact;
 use cuminpick::store_history::StorePosition;
 use cuminpick::store_history::StoreRevision;
+use cuminpick::token_load::TokenLoad;
 use cuminpick::updates::LeavingNotice;
 use cuminpick::updates::PermitReply;
 use cuminpick_operators::journal::Journal;
@@ -107,6 +108,8 @@
     pub stream_lengths: RefCell<StreamLengths>,
     /// Times to the first event of streams.
     pub first_events: RefCell<FirstEventTimes>,
+    /// Tokens of requests at servers.
+    pub token_load: RefCell<TokenLoad>,
     /// Time of the last event of each server.
     pub silence_detector: RefCell<SilenceDetector>,
     /// Attempts, in flight or recently lost, at each incarnation of each server.
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -20,6 +20,7 @@
 use cuminpick_platform::call::ClientConnection;
 use cuminpick_platform::platform_side::CallerHead;
 use cuminpick_platform::platform_side::ServiceConfig;
+use cuminpick_platform::platform_side::add_memory;
 use cuminpick_platform::platform_side::encode_config;
 use cuminpick_platform::platform_side::encode_server;
 use cuminpick_platform::settings::NodeSettings;
@@ -38,6 +39,7 @@
 use http_body_util::Full;
 use hyper::Request;
 use hyper::StatusCode;
+use serde_json::Value;
 use tokio::sync::watch;
 
 /// Number of sites that tests of this process have started.
@@ -242,11 +244,20 @@
 
     /// Writes a configuration with the given version and routes to the store.
     pub(crate) fn configure(&self, version: u64, routes: &[RouteRule]) {
+        self.store.put(CONFIG_KIND, "main", Site::config(version, routes));
+    }
+
+    /// Writes a configuration in which the model servers have a memory of `tokens`.
+    pub(crate) fn configure_memory(&self, version: u64, tokens: u32) {
+        let mut config = Site::config(version, &routes());
+        add_memory(&mut config, "model", tokens);
+        self.store.put(CONFIG_KIND, "main", config);
+    }
+
+    fn config(version: u64, routes: &[RouteRule]) -> Value {
         let services = ["model", "booking"]
             .map(|name| ServiceConfig { name: name.to_string(), experts: None });
-        let config =
-            encode_config(version, routes, &services, &[("org", KEY), ("other", OTHER_KEY)]);
-        self.store.put(CONFIG_KIND, "main", config);
+        encode_config(version, routes, &services, &[("org", KEY), ("other", OTHER_KEY)])
     }
 
     /// Returns the record of a server as it was when the site started.
--- a/crates/operators/src/metrics.rs
+++ b/crates/operators/src/metrics.rs
@@ -31,6 +31,7 @@
     control_bytes: Counter<u64>,
     server_ends: Counter<u64>,
     given_up: Counter<u64>,
+    memory_claims: Counter<u64>,
     unreadable_values: Counter<u64>,
     latencies: Histogram<f64>,
     gauges: Gauge<f64>,
@@ -55,6 +56,7 @@
             attempts: meter.u64_counter("cuminpick_attempts").build(),
             server_ends: meter.u64_counter("cuminpick_server_ends").build(),
             given_up: meter.u64_counter("cuminpick_missing_first_events").build(),
+            memory_claims: meter.u64_counter("cuminpick_memory_claims").build(),
             unreadable_values: meter.u64_counter("cuminpick_unreadable_values").build(),
             control_bytes: meter.u64_counter("cuminpick_control_bytes").build(),
             latencies: meter
@@ -94,6 +96,11 @@
         self.given_up.add(1, &[KeyValue::new("rule", rule)]);
     }
 
+    /// Counts a request that waits for the memory of a server, and whether it claimed one.
+    pub fn count_memory_claim(&self, claimed: bool) {
+        self.memory_claims.add(1, &[KeyValue::new("claimed", claimed)]);
+    }
+
     /// Counts a value in a server's answer that could not be read, such as `limit`.
     pub fn count_unreadable(&self, value: &'static str) {
         self.unreadable_values.add(1, &[KeyValue::new("value", value)]);
