--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -33,6 +33,8 @@
 //!   server, and [`quarantine`] decides which of them are refused for a time because servers
 //!   keep crashing while running them; [`part_quarantine`] does so for parts that the prompts
 //!   of such requests share, and [`part_trials`] decides which request tries a suspected part.
+//!   [`first_event`] finds single streams whose answer is lost, and [`token_load`] keeps the
+//!   requests at a server within its memory.
 //! - For groups of ranks, [`election`] selects the process that leads; [`demand`] estimates the
 //!   load of experts, [`experts`] plans expert maps and [`switch`] puts them in force by
 //!   [`orders`], from what [`rank_views`] knows of the ranks. [`expert_counts`] and [`updates`]
@@ -85,6 +87,7 @@
 mod expected_wait;
 pub mod expert_counts;
 pub mod experts;
+pub mod first_event;
 pub mod fleet;
 pub mod gossip;
 pub mod groups;
@@ -115,6 +118,7 @@
 pub mod store_contact;
 pub mod store_history;
 pub mod switch;
+pub mod token_load;
 pub mod units;
 pub mod updates;
 pub mod watcher;
--- a/crates/gateway/src/demand_exchange.rs
+++ b/crates/gateway/src/demand_exchange.rs
@@ -136,25 +136,14 @@
     format!("places {places:.1} demand {demand:.1} own {own_demand:.1} heard {heard} age_ms {age}")
 }
 
-/// Logs the refusal of a stream with the allotment that it had no place in.
-pub fn log_gate_refusal(
-    gateway: &Gateway,
-    service: &str,
-    attempt: Option<&str>,
-    priority: u8,
-    organisation: &str,
-) {
+/// Returns what an allotment gave to a priority, -1 if it was not limited, and the demand on which
+/// it is based, as they appear in logs.
+pub fn describe_allotment(gateway: &Gateway, service: &str, priority: u8) -> (i64, String) {
     let exchange = gateway.demand.borrow();
     let allotment = exchange.services.get(service).and_then(|exchange| exchange.allotment.as_ref());
     let places = allotment.and_then(|allotment| allotment.places(priority));
-    gateway.journal.note(
-        "gate-refused",
-        attempt,
-        o!("service" => service.to_string(), "priority" => priority,
-           "organisation" => organisation.to_string(),
-           "allotted" => places.map_or(-1, i64::from),
-           "basis" => allotment.map(|allotment| describe_basis(&allotment.basis)).unwrap_or_default()),
-    );
+    let basis = allotment.map(|allotment| describe_basis(&allotment.basis)).unwrap_or_default();
+    (places.map_or(-1, i64::from), basis)
 }
 
 fn name_bytes(gateway: &Gateway, service: &str) -> usize {
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -25,7 +25,7 @@
 use slog::o;
 use tokio::sync::oneshot;
 
-use crate::demand_exchange::log_gate_refusal;
+use crate::demand_exchange::describe_allotment;
 use crate::service_rate::on_time_demand;
 use crate::service_rate::running_streams;
 use crate::state::Gateway;
@@ -176,9 +176,6 @@
         log_refusal(gateway, service, attempt, request, (priority, organisation));
     }
     drop(queued);
-    if retry_after.is_some() {
-        log_gate_refusal(gateway, service, attempt, priority, &organisation);
-    }
     let waited = gateway.now().saturating_sub(started);
     if !waited.is_zero() || retry_after.is_some() {
         let now = gateway.now();
@@ -219,11 +216,13 @@
     let Some(cause) = gate.and_then(|gate| gate.stream_gate.take_refusal_cause(request)) else {
         return;
     };
+    let (allotted, basis) = describe_allotment(gateway, service, priority);
     gateway.journal.note(
         "stream-refused",
         attempt,
         o!("service" => service.to_string(), "reason" => cause.reason.name(),
            "priority" => priority, "organisation" => organisation,
+           "allotted" => allotted, "basis" => basis,
            "expected_wait_ms" => cause.expected_wait.map_or(-1, |wait| wait.as_millis() as i64),
            "rate" => cause.rate.unwrap_or(-1.0), "free" => cause.free),
     );
@@ -414,11 +413,13 @@
 
 /// Returns the capacity of all units together that are not lost.
 fn units_capacity(views: &[UnitView]) -> ServiceCapacity {
-    let none = ServiceCapacity { total: 0, overdue: 0, streams: 0, event_gap: None };
+    let none =
+        ServiceCapacity { total: 0, overdue: 0, streams: 0, own_streams: 0, event_gap: None };
     views.iter().filter(|view| !view.is_lost).fold(none, |sum, view| ServiceCapacity {
         total: sum.total.saturating_add(view.capacity.total),
         overdue: sum.overdue.saturating_add(view.capacity.overdue),
         streams: sum.streams + view.streams,
+        own_streams: sum.own_streams + view.own_streams,
         event_gap: sum.event_gap.max(view.event_gap),
     })
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -5,6 +5,7 @@
 //! first event is there.
 
 mod choice;
+mod late_stream;
 mod recall;
 mod request_log;
 mod suspects;
@@ -32,6 +33,7 @@
 use cuminpick::routing::RepeatRule;
 use cuminpick::routing::RouteRule;
 use cuminpick::routing::RoutingTable;
+use cuminpick::token_load::TokenNeed;
 use cuminpick_platform::headers::ForwardFacts;
 use cuminpick_platform::headers::RequestHead;
 use cuminpick_platform::headers::decode_request;
@@ -71,6 +73,8 @@
 use crate::relay::start_relay;
 use crate::start_wait::await_serving_table;
 use crate::state::Gateway;
+use crate::token_tracking::TokenHold;
+use crate::token_tracking::count_tokens;
 use crate::unit_moves::WatchedStream;
 use crate::unit_tracking::record_lost_server;
 use crate::unit_tracking::record_stream_refusal;
@@ -149,6 +153,9 @@
     }
     let message = read_message(request, &head, &table).await?;
     let service = route.pick_target(gateway.random_bits()).cloned().unwrap_or_default();
+    let tokens = count_tokens(gateway, &service, &route.name, head.tokens)
+        .map_err(|_| Refusal::not_run(RefusalKind::TooLarge, None))?;
+    let token_need = TokenNeed { request: gateway.random_bits(), priority, tokens };
     let now = gateway.now();
     let elapsed_before_arrival = head.time_left.map_or(Duration::ZERO, |left| {
         gateway.deadlines.borrow_mut().observe(now, &route.name, left)
@@ -180,7 +187,9 @@
         caller_last_event: head.last_event,
         message,
         tried_servers: Vec::new(),
-        attempt_pending: false,
+        attempt_pending: Cell::new(false),
+        token_need,
+        token_hold: None,
         last_failure: None,
     })
 }
@@ -242,7 +251,11 @@
     message: CallerMessage,
     tried_servers: Vec<ServerId>,
     /// Whether a request was sent whose outcome is not known yet.
-    attempt_pending: bool,
+    attempt_pending: Cell<bool>,
+    /// Tokens that the request needs at a server.
+    token_need: TokenNeed,
+    /// Tokens that the current attempt holds.
+    token_hold: Option<TokenHold>,
     last_failure: Option<AttemptFailure>,
 }
 
@@ -347,7 +360,7 @@
 
     /// Returns the refusal of a request whose deadline has passed.
     fn timeout_refusal(&self) -> Refusal {
-        if self.attempt_pending || self.retry_state.may_have_run {
+        if self.attempt_pending.get() || self.retry_state.may_have_run {
             Refusal::may_have_run(RefusalKind::DeadlinePassed)
         } else {
             Refusal::not_run(RefusalKind::DeadlinePassed, None)
@@ -391,18 +404,9 @@
         }
     }
 
-    /// Takes a retry from the budget if the next attempt is one; returns false if none is left.
-    fn take_retry_budget(&self) -> bool {
-        if self.retry_prepaid.take() || !self.retry_state.counts_as_retry() {
-            return true;
-        }
-        let gateways = self.gateway.balance.borrow().live_or_registered_gateways();
-        self.gateway.retry_budget.borrow_mut().try_take(self.gateway.now(), &self.service, gateways)
-    }
-
     /// Sends the request to one server and reads the start of its answer.
     async fn try_server(
-        &mut self,
+        &self,
         choice: &BalanceChoice,
         after: Option<EventNumber>,
         trial: Option<&TrialGuard>,
@@ -419,26 +423,36 @@
         };
         let sent_at = self.gateway.now();
         let watched = self.watched_stream(choice, sent_at, after != self.caller_last_event);
-        let attempt_pending = &mut self.attempt_pending;
         let streaming = self.route.streaming;
         let retryable = self.retry_state.may_retry_after_failure();
         let gateway = &self.gateway;
         let message = &self.message;
         let content = &self.content;
+        let watch = self.watch_first_event(&choice.server, after);
+        let on_sent = || {
+            self.attempt_pending.set(true);
+            if streaming {
+                watch.record_sent();
+            }
+        };
         let attempt = async {
-            let answer =
-                send_attempt(gateway, message, choice, &facts, content, || *attempt_pending = true)
-                    .await?;
-            read_answer_start(gateway, answer, choice, streaming, retryable).await
+            let answer = send_attempt(gateway, message, choice, &facts, content, on_sent).await?;
+            let start = read_answer_start(gateway, answer, choice, streaming, retryable).await?;
+            if matches!(&start, ValidAnswer::Stream(stream) if !stream.events.is_empty()) {
+                watch.record_first_event();
+            }
+            Ok(start)
         };
         let rule = RecallRule { service: &self.service, content, trial, may_retry: retryable };
         let attempt = unless_recalled(gateway, rule, attempt);
         let result = if streaming && retryable {
+            let reserve_retry = || trial.is_none() && self.reserve_retry(&choice.server);
+            let attempt = watch.fail_if_late(reserve_retry, attempt);
             fail_if_degraded(gateway, &watched, attempt).await
         } else {
             with_timeout(timeout, attempt).await
         };
-        self.attempt_pending = false;
+        self.attempt_pending.set(false);
         if let Ok(ValidAnswer::Stream(stream)) = &result {
             record_unit_success(&self.gateway, &self.service, choice.address, stream.sent_at);
         }
@@ -500,6 +514,7 @@
     pub fn record_failure(&mut self, choice: &BalanceChoice, failed: &FailedAttempt) {
         let server = choice.server.as_str();
         let retry = self.retry_state.counts_as_retry();
+        self.token_hold = None;
         self.retry_state.record_failure(failed.failure);
         self.last_failure = Some(failed.failure);
         self.tried_servers.push(server.to_string());
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -16,6 +16,7 @@
 use cuminpick::crash_detection::CrashDetector;
 use cuminpick::deadlines::DeadlineTracker;
 use cuminpick::deadlines::StreamLengths;
+use cuminpick::first_event::FirstEventTimes;
 use cuminpick::groups::GroupTable;
 use cuminpick::ids::ChoiceRng;
 use cuminpick::ids::FastMap;
@@ -33,6 +34,7 @@
 use cuminpick::store_contact::StoreContact;
 use cuminpick::store_history::StorePosition;
 use cuminpick::store_history::StoreRevision;
+use cuminpick::token_load::TokenLoad;
 use cuminpick::updates::LeavingNotice;
 use cuminpick::updates::PermitReply;
 use cuminpick_operators::journal::Journal;
@@ -117,6 +119,10 @@
     pub deadlines: RefCell<DeadlineTracker>,
     /// Number of events per stream, by route.
     pub stream_lengths: RefCell<StreamLengths>,
+    /// Times to the first event of streams.
+    pub first_events: RefCell<FirstEventTimes>,
+    /// Tokens of requests at servers.
+    pub token_load: RefCell<TokenLoad>,
     /// Time of the last event of each server.
     pub silence_detector: RefCell<SilenceDetector>,
     /// Attempts, in flight or recently lost, at each incarnation of each server.
--- a/crates/gateway/src/unit_choice.rs
+++ b/crates/gateway/src/unit_choice.rs
@@ -42,6 +42,8 @@
     pub capacity: UnitCapacity,
     /// Streams that run there, over all gateways.
     pub streams: u32,
+    /// Those of this gateway among them.
+    pub own_streams: u32,
     /// Smoothed time between events, if known.
     pub event_gap: Option<Duration>,
 }
@@ -79,7 +81,7 @@
                 _ => UnitCapacity { total: u32::MAX, overdue: u32::MAX, ranks },
             };
             let is_lost = state.is_some_and(|state| state.is_lost(now));
-            UnitView { unit, is_lost, capacity, streams, event_gap }
+            UnitView { unit, is_lost, capacity, streams, own_streams: load.own_streams, event_gap }
         })
         .collect();
     views.sort_by(|left, right| left.unit.cmp(&right.unit));
