--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,14 +21,16 @@
 //!   [`event_stream`] splits streams into complete events, and [`deadlines`] recognises
 //!   requests that return after a refusal. [`admission`] delays streams that would slow
 //!   their group too much, and [`breaker`] delays requests while a service refuses all;
-//!   [`outage`] estimates for how long. [`token_load`] keeps to the memory of servers and
-//!   [`request_limits`] to the limits that they state, [`capacity_queue`] orders requests where all servers state one, and
+//!   [`outage`] estimates for how long. [`request_limits`] keeps to the limits that servers
+//!   state, [`capacity_queue`] orders requests where all servers state one, and
 //!   [`announcements`] remembers which of them leave or want a pause.
 //!   [`silence`] detects servers that send nothing any more, [`relocation`] those that are
-//!   too slow for their group, [`first_event`] single streams whose answer is lost, [`crash_detection`] finds the requests that were at a crashed
+//!   too slow for their group, [`crash_detection`] finds the requests that were at a crashed
 //!   server, and [`quarantine`] decides which of them are refused for a time because servers
 //!   keep crashing while running them; [`part_quarantine`] does so for parts that the prompts
 //!   of such requests share, and [`part_trials`] decides which request tries a suspected part.
+//!   [`first_event`] finds single streams whose answer is lost, and [`token_load`] keeps the
+//!   requests at a server within its memory.
 //! - For groups of ranks, [`election`] selects the process that leads; [`demand`] estimates the
 //!   load of experts, [`experts`] plans expert maps and [`switch`] puts them in force by
 //!   [`orders`], from what [`rank_views`] knows of the ranks. [`expert_counts`] and [`updates`]
