--- a/crates/gateway/src/unit_choice.rs
+++ b/crates/gateway/src/unit_choice.rs
@@ -14,6 +14,7 @@
 use cuminpick::units::unit_capacity;
 
 use crate::state::Gateway;
+use crate::unit_tracking::unit_at;
 
 /// Time after which a stream that may not be sent again may be the probe of a lost unit: other
 /// streams have been probes before, if there are any.
@@ -91,7 +92,7 @@
 ) -> Result<BalanceChoice, ChoiceError> {
     let now = gateway.now();
     let views = unit_views(gateway, query.service, now);
-    let (lost, mut serving): (Vec<UnitView>, Vec<UnitView>) =
+    let (lost, serving): (Vec<UnitView>, Vec<UnitView>) =
         views.into_iter().partition(|view| view.is_lost);
     if serving.is_empty() {
         let choice = match last_probed(gateway, query.service, &lost) {
@@ -103,12 +104,39 @@
     if let Some(choice) = choose_probe(gateway, query, rng, &lost, probe_rule) {
         return Ok(choice);
     }
+    let tried = tried_units(gateway, query);
+    let is_preferred = |view: &UnitView| view.capacity.total > 0 && !tried.contains(&view.unit);
+    let (preferred, others): (Vec<UnitView>, Vec<UnitView>) =
+        serving.into_iter().partition(is_preferred);
+    let choice = draw_server(gateway, query, rng, preferred);
+    choice.or_else(|failure| {
+        let choice = draw_server(gateway, query, rng, others);
+        choice.map_err(|later| if later == ChoiceError::AllTried { failure } else { later })
+    })
+}
+
+/// Returns the units of the servers that were tried. A connection that broke may be the first sign
+/// that their group is lost, so units without such a server are preferred.
+fn tried_units(gateway: &Gateway, query: &BalanceQuery<'_>) -> Vec<UnitName> {
+    let balance = gateway.balance.borrow();
+    let locations = query.excluded.iter().filter_map(|server| balance.location_of(server));
+    locations.map(|(service, address)| unit_at(gateway, &service, address)).collect()
+}
+
+/// Chooses a server of one of the units, drawn in proportion to their free places; of the others if
+/// that one has none.
+fn draw_server(
+    gateway: &Gateway,
+    query: &BalanceQuery<'_>,
+    rng: &mut ChoiceRng,
+    mut units: Vec<UnitView>,
+) -> Result<BalanceChoice, ChoiceError> {
     let mut failure = ChoiceError::AllTried;
-    while !serving.is_empty() {
+    while !units.is_empty() {
         let capacities: Vec<UnitCapacity> =
-            serving.iter().map(|view| view.capacity.clone()).collect();
+            units.iter().map(|view| view.capacity.clone()).collect();
         let drawn = choose_unit(&capacities, rng.next_bits()).unwrap_or(0);
-        let view = serving.swap_remove(drawn);
+        let view = units.swap_remove(drawn);
         match choose_in_unit(gateway, query, rng, &view.unit) {
             Ok(choice) => return Ok(choice),
             Err(ChoiceError::AllTried | ChoiceError::NoneAvailable) => {}
