Decode each entry of the store's answers by itself

The store client decoded a listing or the answer to a watch as one JSON value. One entry that the JSON reader refuses, such as half of a surrogate pair or a number out of range, made the whole answer unreadable. The watchers took that for a store that is away, and learned of no server any more.

An answer is now split into its entries without reading them, and each is decoded by itself, also where one has unbalanced brackets. Listings and changes state the entries that cannot be read, with their names: the servers of these names are discarded, and the entries are logged and counted by kind.

--- a/crates/gateway/src/config_updates.rs
+++ b/crates/gateway/src/config_updates.rs
@@ -14,6 +14,7 @@
 use cuminpick::routing::RoutingTable;
 use cuminpick_platform::records::CONFIG_NAME;
 use cuminpick_platform::records::decode_config;
+use cuminpick_platform::store::CONFIG_KIND;
 use cuminpick_platform::store::StoreObject;
 use serde_json::Value;
 use slog::o;
@@ -40,6 +41,7 @@
         Ok(table) => table,
         Err(error) => {
             let detail = error.to_string();
+            gateway.metrics.count_unreadable(CONFIG_KIND);
             gateway.journal.warn("config-ignored", o!("error" => detail));
             return;
         }
@@ -100,6 +102,7 @@
         Ok(table) => table,
         Err(error) => {
             let detail = error.to_string();
+            gateway.metrics.count_unreadable(CONFIG_KIND);
             gateway.journal.warn("config-ignored", o!("error" => detail));
             return;
         }
--- a/crates/gateway/src/crash_records.rs
+++ b/crates/gateway/src/crash_records.rs
@@ -25,6 +25,7 @@
 use crate::part_tracking::stored_part_crashes;
 use crate::state::Gateway;
 use crate::store_return::delay_after_return;
+use crate::unreadable_records::log_unusable_record;
 
 /// Delay before a write, so that simultaneous crashes are written together. It is a sixth
 /// of the time within which all gateways have to know of a crash.
@@ -142,12 +143,7 @@
             let object = object?;
             match CrashRecord::decode(&object) {
                 Ok(record) => apply_crash_record(gateway, node, record),
-                Err(error) => {
-                    let detail = error.to_string();
-                    gateway
-                        .journal
-                        .warn("record-ignored", o!("kind" => CRASH_KIND, "error" => detail));
-                }
+                Err(error) => log_unusable_record(gateway, CRASH_KIND, &error),
             }
             Some(object.revision)
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,7 +10,8 @@
 //! - [`listen`] accepts callers' connections, and answers readiness checks.
 //! - [`store_watch`] watches configuration, servers, take-outs and crash records in the store,
 //!   and [`store_return`] notices when the store came back from an older copy;
-//!   [`config_updates`] puts the configuration in force.
+//!   [`config_updates`] puts the configuration in force, and [`unreadable_records`] handles
+//!   records that cannot be read.
 //! - [`peers`] exchanges requests in flight and crashes with the other gateways, and
 //!   [`peer_views`] hands on what they know of the store.
 //! - [`serve`] handles a request from its head to its answer, [`attempt`] sends it to a
@@ -48,3 +49,4 @@
 pub mod store_return;
 pub mod store_watch;
 pub mod token_tracking;
+pub mod unreadable_records;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -49,6 +49,8 @@
 use crate::store_return::settled_at;
 use crate::token_tracking::apply_token_update;
 use crate::token_tracking::take_token_update;
+use crate::unreadable_records::log_unreadable_entry;
+use crate::unreadable_records::log_unusable_record;
 
 /// Delay after an error of the socket.
 const SOCKET_ERROR_DELAY: Duration = Duration::from_millis(60);
@@ -156,6 +158,9 @@
             }
             Ok(listing) => {
                 mode = ReadMode::Stale;
+                for entry in &listing.unreadable {
+                    log_unreadable_entry(&gateway, GATEWAY_KIND, entry);
+                }
                 let own_listed = listing.objects.iter().any(|object| object.name == node);
                 let others = listing.objects.into_iter().filter(|object| object.name != node);
                 let others: Vec<StoreObject> = others.collect();
@@ -202,10 +207,7 @@
             Ok(record) => {
                 known.insert(object.name.clone(), record.address);
             }
-            Err(error) => {
-                let detail = error.to_string();
-                gateway.journal.warn("record-ignored", o!("error" => detail));
-            }
+            Err(error) => log_unusable_record(gateway, GATEWAY_KIND, &error),
         }
     }
     let names = others.iter().map(|object| object.name.clone());
@@ -278,6 +280,7 @@
         };
         let Ok(message) = postcard::from_bytes::<UpdateMessage>(&buffer[..length]) else {
             let from = sender.to_string();
+            gateway.metrics.count_unreadable("peer-news");
             gateway.journal.warn("peer-news-unreadable", o!("from" => from));
             continue;
         };
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -32,6 +32,7 @@
 use cuminpick_platform::store::StoreError;
 use cuminpick_platform::store::StoreEvent;
 use cuminpick_platform::store::StoreObject;
+use cuminpick_platform::store::UnreadableEntry;
 use slog::o;
 
 use crate::config_updates::apply_config;
@@ -45,6 +46,10 @@
 use crate::store_return::handle_era_changes;
 use crate::store_return::handle_outages;
 use crate::store_return::settled_at;
+use crate::unreadable_records::NamelessChanges;
+use crate::unreadable_records::apply_unreadable_entries;
+use crate::unreadable_records::discard_server;
+use crate::unreadable_records::log_unusable_record;
 
 /// Maximum duration of a watch; bounds how long a store that hangs goes unnoticed.
 const WATCH_WAIT: Duration = Duration::from_secs(8);
@@ -78,6 +83,7 @@
             cuts: 0,
             relist_at: None,
             relists: 0,
+            nameless_changes: NamelessChanges::default(),
         };
         tokio::task::spawn_local(watcher.run());
     }
@@ -96,6 +102,7 @@
     relist_at: Option<Duration>,
     /// Number of relists that other gateways had caused before the last listing.
     relists: u64,
+    nameless_changes: NamelessChanges,
 }
 
 impl KindWatcher {
@@ -151,7 +158,7 @@
                     handle_outages(&self.gateway);
                     handle_era_changes(&self.gateway);
                     self.gateway.record_position(listing.position);
-                    self.apply_listing(read_at, listing.objects);
+                    self.apply_listing(read_at, listing.objects, &listing.unreadable);
                     return listing.position;
                 }
                 Err(error) => self.back_off(&error).await,
@@ -182,12 +189,17 @@
                 self.record_success();
                 self.cuts = 0;
                 handle_outages(&self.gateway);
-                let changed = !changes.events.is_empty();
+                let changed = !changes.events.is_empty() || !changes.unreadable.is_empty();
                 // With events the answer may be as old as the call.
                 let read_at = if changed { now } else { (now + wait).min(self.gateway.now()) };
                 for event in changes.events {
                     self.apply_event(read_at, event);
                 }
+                apply_unreadable_entries(&self.gateway, self.kind, &changes.unreadable);
+                if changes.unreadable.iter().any(|entry| entry.name.is_none()) {
+                    let relist_at = self.nameless_changes.next_listing(now);
+                    self.relist_at = Some(self.relist_at.unwrap_or(relist_at).min(relist_at));
+                }
                 self.remove_expired(read_at, changes.position);
                 if changed {
                     let delay = batch_delay(self.kind);
@@ -257,14 +269,20 @@
     }
 
     /// Applies objects that were read at `read_at` or later.
-    fn apply_listing(&mut self, read_at: Duration, objects: Vec<StoreObject>) {
+    fn apply_listing(
+        &mut self,
+        read_at: Duration,
+        objects: Vec<StoreObject>,
+        unreadable: &[UnreadableEntry],
+    ) {
+        apply_unreadable_entries(&self.gateway, self.kind, unreadable);
         match self.kind {
             CONFIG_KIND => {
                 objects.into_iter().for_each(|object| apply_config(&self.gateway, object));
             }
             CRASH_KIND => objects.iter().for_each(|object| self.apply_crashes(object)),
             SERVER_KIND => self.apply_servers(read_at, &objects),
-            _ => self.apply_zones(objects),
+            _ => self.apply_zones(objects, unreadable),
         }
         self.gateway.listed_kinds.borrow_mut().insert(self.kind);
         self.gateway.capacity_changed.notify_waiters();
@@ -314,9 +332,13 @@
         );
     }
 
-    fn apply_zones(&mut self, objects: Vec<StoreObject>) {
+    /// Applies the zones that are taken out. The name alone counts, so that a zone does not come
+    /// back because its entry became unreadable.
+    fn apply_zones(&mut self, objects: Vec<StoreObject>, unreadable: &[UnreadableEntry]) {
         let is_settling = self.begin_settling();
-        let listed: Vec<ListedZone> = objects.into_iter().map(listed_zone).collect();
+        let mut listed: Vec<ListedZone> = objects.into_iter().map(listed_zone).collect();
+        let names = unreadable.iter().filter_map(|entry| entry.name.clone());
+        listed.extend(names.map(|zone| ListedZone { zone, revision: 0 }));
         let mut filter = self.gateway.copy_filter.borrow_mut();
         let zones: Vec<ZoneName> = if is_settling {
             filter.filter_zones(&listed)
@@ -417,11 +439,7 @@
                 tokio::task::spawn_local(remove_outdated_record(gateway, object.clone()));
             }
             Ok(record) => apply_crash_record(&self.gateway, &object.name, record),
-            Err(error) => {
-                let detail = error.to_string();
-                let journal = &self.gateway.journal;
-                journal.warn("record-ignored", o!("kind" => self.kind, "error" => detail));
-            }
+            Err(error) => log_unusable_record(&self.gateway, self.kind, &error),
         }
     }
 
@@ -439,13 +457,8 @@
                 Some(ListedServer { record, revision: object.revision })
             }
             Err(error) => {
-                let detail = error.to_string();
-                self.gateway
-                    .journal
-                    .warn("record-ignored", o!("kind" => self.kind, "error" => detail));
-                // A server whose record cannot be decoded must not get requests.
-                self.gateway.balance.borrow_mut().discard(&object.name);
-                self.gateway.silence_detector.borrow_mut().remove(&object.name);
+                log_unusable_record(&self.gateway, self.kind, &error);
+                discard_server(&self.gateway, &object.name);
                 None
             }
         }
--- a/crates/objects/src/store.rs
+++ b/crates/objects/src/store.rs
@@ -139,6 +139,9 @@
     fn changes_from_listing(&self, prefix: &str, listing: StoreListing) -> ObjectChanges {
         let names: BTreeSet<String> =
             listing.objects.iter().map(|object| object.name.clone()).collect();
+        // An object that cannot be read keeps its last value; it was not removed.
+        let unreadable = listing.unreadable.iter().filter_map(|entry| entry.name.clone());
+        let names: BTreeSet<String> = names.into_iter().chain(unreadable).collect();
         let returns = self.client.eras().status().returns;
         let mut seen = self.lock_seen();
         let restored = returns != seen.reported_returns;
--- a/crates/operators/src/metrics.rs
+++ b/crates/operators/src/metrics.rs
@@ -87,7 +87,8 @@
         self.server_ends.add(1, &[KeyValue::new("proof", proof)]);
     }
 
-    /// Counts a value in a server's answer that could not be read, such as `limit`.
+    /// Counts a value that could not be read: in a server's answer, such as `limit`, a datagram,
+    /// or a record of the store, by its kind.
     pub fn count_unreadable(&self, value: &'static str) {
         self.unreadable_values.add(1, &[KeyValue::new("value", value)]);
     }
--- a/crates/rank-agent/src/daemon.rs
+++ b/crates/rank-agent/src/daemon.rs
@@ -175,6 +175,7 @@
         };
         let Ok(message) = postcard::from_bytes::<AgentMessage>(&buffer[..length]) else {
             let from = from.to_string();
+            agent.metrics.count_unreadable("message");
             agent.journal.warn("message-unreadable", o!("from" => from));
             continue;
         };
--- a/crates/rank-agent/src/dispatch.rs
+++ b/crates/rank-agent/src/dispatch.rs
@@ -341,6 +341,9 @@
 
 /// Logs the first of several failed direct reads of an engine in a row.
 fn log_unread_engine(agent: &Agent, engine: SocketAddr, error: &EngineError) {
+    if matches!(error, EngineError::Unreadable(_)) {
+        agent.metrics.count_unreadable("engine");
+    }
     if let Some(leadership) = &mut agent.state.borrow_mut().leadership {
         if leadership.unread_engines.contains(&engine) {
             return;
--- a/crates/rank-agent/src/elect.rs
+++ b/crates/rank-agent/src/elect.rs
@@ -155,6 +155,7 @@
 fn known_claim(agent: &Agent, object: &StoreObject) -> KnownClaim {
     let record = LeaderRecord::decode(object);
     if let Err(error) = &record {
+        agent.metrics.count_unreadable(LEADER_KIND);
         agent.journal.warn("record-ignored", o!("error" => error.to_string()));
     }
     KnownClaim {
--- a/crates/rank-agent/src/group.rs
+++ b/crates/rank-agent/src/group.rs
@@ -6,15 +6,20 @@
 use std::time::Duration;
 
 use cuminpick::demand::DemandMeter;
+use cuminpick::ids::FastMap;
 use cuminpick_platform::records::CONFIG_NAME;
 use cuminpick_platform::records::GatewayRecord;
+use cuminpick_platform::records::RecordError;
 use cuminpick_platform::records::decode_config;
 use cuminpick_platform::records::decode_server;
 use cuminpick_platform::store::CONFIG_KIND;
 use cuminpick_platform::store::GATEWAY_KIND;
+use cuminpick_platform::store::ObjectKind;
 use cuminpick_platform::store::ReadMode;
 use cuminpick_platform::store::SERVER_KIND;
 use cuminpick_platform::store::StoreClient;
+use cuminpick_platform::store::StoreListing;
+use cuminpick_platform::store::StoreObject;
 use slog::o;
 
 use crate::elect::restate_claim;
@@ -30,6 +35,7 @@
 /// Keeps the leader's knowledge of its group current; runs as long as the process.
 pub async fn follow_group(agent: Rc<Agent>) {
     let store = agent.store.clone();
+    let mut refused = RefusedRecords::default();
     loop {
         let is_incomplete = {
             let state = agent.state.borrow();
@@ -45,7 +51,7 @@
             tokio::time::sleep(IDLE_INTERVAL).await;
             continue;
         };
-        refresh_group(&agent, &store).await;
+        refresh_group(&agent, &store, &mut refused).await;
         if let Err(error) = restate_claim(&agent).await {
             let detail = error.to_string();
             agent.journal.warn("claim-not-restored", o!("error" => detail));
@@ -55,14 +61,48 @@
     }
 }
 
+/// Records of a kind that could not be read or used at the last listing, with the reasons.
+type RefusedRecords = FastMap<ObjectKind, FastMap<String, String>>;
+
+/// Decodes the records of a listing. Those that cannot be read or used are left out, and logged and
+/// counted unless the last listing had them as well.
+fn decode_records<T>(
+    agent: &Agent,
+    kind: ObjectKind,
+    refused: &mut RefusedRecords,
+    listing: StoreListing,
+    decode: impl Fn(&StoreObject) -> Result<T, RecordError>,
+) -> Vec<T> {
+    let mut records = Vec::new();
+    let mut current: FastMap<String, String> = FastMap::default();
+    for object in &listing.objects {
+        match decode(object) {
+            Ok(record) => records.push(record),
+            Err(error) => drop(current.insert(error.name, error.detail)),
+        }
+    }
+    let entries = listing.unreadable.into_iter();
+    current.extend(entries.map(|entry| (entry.name.unwrap_or_default(), entry.detail)));
+    let before = refused.insert(kind, current.clone()).unwrap_or_default();
+    for (name, detail) in current {
+        if before.get(&name) != Some(&detail) {
+            agent.metrics.count_unreadable(kind);
+            let details = o!("kind" => kind, "name" => name, "error" => detail);
+            agent.journal.warn("record-ignored", details);
+        }
+    }
+    records
+}
+
 /// Reads engines and gateways, and the layout until it is known. What cannot be read keeps its
 /// last value.
-async fn refresh_group(agent: &Rc<Agent>, store: &StoreClient) {
+async fn refresh_group(agent: &Rc<Agent>, store: &StoreClient, refused: &mut RefusedRecords) {
     let service = agent.settings.local_service.clone().unwrap_or_default();
     match store.list(SERVER_KIND, ReadMode::Stale).await {
         Ok(listing) => {
-            let records = listing.objects.iter().filter_map(|object| decode_server(object).ok());
+            let records = decode_records(agent, SERVER_KIND, refused, listing, decode_server);
             let engines: Vec<SocketAddr> = records
+                .into_iter()
                 .filter(|record| record.service == service)
                 .map(|record| record.address)
                 .collect();
@@ -77,9 +117,9 @@
     }
     match store.list(GATEWAY_KIND, ReadMode::Stale).await {
         Ok(listing) => {
-            let records = listing.objects.iter();
-            let decoded = records.filter_map(|object| GatewayRecord::decode(object).ok());
-            let gateways = decoded.map(|record| record.address).collect();
+            let records =
+                decode_records(agent, GATEWAY_KIND, refused, listing, GatewayRecord::decode);
+            let gateways = records.into_iter().map(|record| record.address).collect();
             if let Some(leadership) = &mut agent.state.borrow_mut().leadership {
                 leadership.gateways = gateways;
             }
@@ -104,6 +144,7 @@
             }
             Err(error) => {
                 let detail = error.to_string();
+                agent.metrics.count_unreadable(CONFIG_KIND);
                 agent.journal.warn("config-ignored", o!("error" => detail));
                 None
             }
--- a/crates/rank-agent/src/observe.rs
+++ b/crates/rank-agent/src/observe.rs
@@ -317,6 +317,9 @@
 
     /// Logs the first of several failed reads in a row.
     fn log_failure(&mut self, error: &EngineError) {
+        if matches!(error, EngineError::Unreadable(_)) {
+            self.agent.metrics.count_unreadable("engine");
+        }
         if !self.failing {
             let detail = error.to_string();
             self.agent.journal.warn("engine-lost", o!("error" => detail));
--- a/crates/standins/src/site/store.rs
+++ b/crates/standins/src/site/store.rs
@@ -27,6 +27,7 @@
 use cuminpick_platform::store::StoreChanges;
 use cuminpick_platform::store::StoreEvent;
 use cuminpick_platform::store::StoreObject;
+use hyper::HeaderMap;
 use hyper::Response;
 use hyper::StatusCode;
 use serde_json::Value;
@@ -35,6 +36,7 @@
 
 use crate::site::SiteBody;
 use crate::site::SiteRequest;
+use crate::site::full_answer;
 use crate::site::json_answer;
 use crate::site::listen;
 use crate::site::serve;
@@ -97,6 +99,8 @@
     cut_count: u64,
     /// Latest content that operators and servers gave to each object; `None` if removed.
     outside_writes: BTreeMap<ObjectKey, Option<Value>>,
+    /// Texts that answers hold in place of contents, by the content that stands for each.
+    raw_texts: BTreeMap<String, String>,
 }
 
 impl Default for StoreState {
@@ -114,11 +118,21 @@
             keeps_watches: false,
             cut_count: 0,
             outside_writes: BTreeMap::new(),
+            raw_texts: BTreeMap::new(),
         }
     }
 }
 
 impl StoreState {
+    /// Returns an answer in which the raw texts stand in place of their contents.
+    fn answer(&self, status: StatusCode, body: &Value) -> Response<SiteBody> {
+        let mut text = body.to_string();
+        for (content, raw) in &self.raw_texts {
+            text = text.replace(&Value::String(content.clone()).to_string(), raw);
+        }
+        full_answer(status, HeaderMap::new(), text)
+    }
+
     /// Writes an object under the next revision.
     fn write(&mut self, key: ObjectKey, content: Value) -> StoreObject {
         self.revision += 1;
@@ -193,6 +207,17 @@
         self.changed.notify_waiters();
     }
 
+    /// Writes an object whose content is a text that need not be JSON.
+    pub fn put_text(&self, kind: &str, name: &str, text: &str) {
+        let content = {
+            let mut state = self.lock();
+            let content = format!("raw text {}", state.raw_texts.len());
+            state.raw_texts.insert(content.clone(), text.to_string());
+            content
+        };
+        self.put(kind, name, Value::String(content));
+    }
+
     /// Removes an object if it exists.
     pub fn remove(&self, kind: &str, name: &str) {
         self.lock().outside_writes.insert((kind.to_string(), name.to_string()), None);
@@ -346,7 +371,7 @@
                 self.list_page(&kind, after.as_deref())
             }
             StoreCall::Get { kind, name } => match self.get(&kind, &name) {
-                Some(object) => json_answer(StatusCode::OK, &encode_object(&object)),
+                Some(object) => self.lock().answer(StatusCode::OK, &encode_object(&object)),
                 None => error_answer(StatusCode::NOT_FOUND),
             },
             StoreCall::Create { kind, name, content } => match self.get(&kind, &name) {
@@ -390,7 +415,7 @@
             .collect();
         let has_more = objects.len() > PAGE_SIZE;
         objects.truncate(PAGE_SIZE);
-        json_answer(StatusCode::OK, &encode_page(&objects, has_more, state.revision))
+        state.answer(StatusCode::OK, &encode_page(&objects, has_more, state.revision))
     }
 
     /// Answers with the events of `kind` after `revision`, or with none once `wait` has passed.
@@ -425,8 +450,8 @@
                 let events = state.events(kind, revision);
                 if !events.is_empty() || tokio::time::Instant::now() >= deadline {
                     let position = StorePosition { era, revision: state.revision };
-                    let changes = StoreChanges { events, position };
-                    return Some(json_answer(StatusCode::OK, &encode_changes(&changes)));
+                    let changes = StoreChanges { events, unreadable: Vec::new(), position };
+                    return Some(state.answer(StatusCode::OK, &encode_changes(&changes)));
                 }
             }
             let _ = tokio::time::timeout_at(deadline, changed).await;
