Take the end of an answer without a length for whole only with evidence

The end of an answer with neither a length nor chunks is that of its connection. The relay took it for complete unless an event was begun, so a server that was killed between two events looked like one that had finished.

Such an answer now counts as whole only if its server still runs: a probe connection stays open for 50 ms after a stream and for 15 ms after a plain answer, and no crash of that incarnation has become known since the request was sent, here or at another gateway. Otherwise the attempt has failed with a lost connection: the stream continues at another server after its last event, also if that was the last one, or it ends without the final chunk. All events are passed on before the probe.

--- a/crates/core/src/crash_detection.rs
+++ b/crates/core/src/crash_detection.rs
@@ -252,6 +252,21 @@
         }
     }
 
+    /// Returns whether a crash of an attempt's server was confirmed after the attempt was sent.
+    pub fn crashed_since_sent(
+        &self,
+        address: SocketAddr,
+        incarnation: &ServerIncarnation,
+        key: AttemptKey,
+    ) -> bool {
+        let mut states = self.incarnations.get(&address).into_iter().flatten();
+        let state = states.find(|state| state.incarnation == *incarnation);
+        state.is_some_and(|state| {
+            let sent_at = state.open.get(&key).map(|attempt| attempt.sent_at);
+            state.crashed_at.zip(sent_at).is_some_and(|(crashed_at, sent_at)| crashed_at >= sent_at)
+        })
+    }
+
     /// Records that a server's host refused a connection, which confirms the crash;
     /// returns what is suspected of it.
     pub fn record_refused_connection(
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -232,6 +232,15 @@
         self.ranked_crashes(limit, |crash| crash.local)
     }
 
+    /// Returns whether a crash of a server became known at `since` or later, here or at another
+    /// gateway.
+    pub fn has_crashed_since(&self, incarnation: &ServerIncarnation, since: Duration) -> bool {
+        let mut crashes = self.suspects.values().flat_map(|suspect| &suspect.crashes);
+        crashes.any(|crash| {
+            crash.report.incarnation == *incarnation && crash.report.noticed_at >= since
+        })
+    }
+
     /// Returns at most `limit` crashes noticed since `since`, those of the requests with
     /// the most crashes first.
     pub fn recent_crashes(&self, since: Duration, limit: usize) -> Vec<CrashReport> {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -29,12 +29,14 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::Uri;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 use hyper::header::TRANSFER_ENCODING;
 
 use crate::announcements::record_announcement;
 use crate::crash_tracking::AttemptGuard;
+use crate::crash_tracking::PROBE_HOLD_TIME;
 use crate::crash_tracking::record_refused_connection;
 use crate::permits::record_stated_limit;
 use crate::state::Gateway;
@@ -74,7 +76,11 @@
     pub headers: HeaderMap,
     body: Incoming,
     attempt_guard: AttemptGuard,
-    _in_flight: InFlightGuard,
+    /// Counts the request at its server until the answer has ended.
+    in_flight: Option<InFlightGuard>,
+    /// Whether the answer is one without a body, such as that of status 204.
+    has_no_body: bool,
+    is_end_confirmed: bool,
     connection: ClientConnection,
 }
 
@@ -137,6 +143,7 @@
         .await
         .map_err(|error| FailedAttempt::disconnected(error.to_string()))?;
     let (parts, body) = Response::into_parts(answer);
+    let has_no_body = body.is_end_stream();
     let head = decode_answer(parts.status, &parts.headers);
     record_stated_limit(gateway, choice.incarnation(), sent_at, &head);
     record_announcement(gateway, choice.incarnation(), &head);
@@ -145,7 +152,9 @@
         headers: parts.headers,
         body,
         attempt_guard,
-        _in_flight: in_flight,
+        in_flight: Some(in_flight),
+        has_no_body,
+        is_end_confirmed: false,
         connection,
     };
     check_answer(message, answer)
@@ -227,15 +236,26 @@
     /// Whether the answer has a length or comes in chunks, so that its end is known.
     pub fn is_framed(&self) -> bool {
         let framing_headers = [CONTENT_LENGTH, TRANSFER_ENCODING];
-        framing_headers.iter().any(|name| self.headers.contains_key(name))
+        self.has_no_body || framing_headers.iter().any(|name| self.headers.contains_key(name))
     }
 
-    /// Records that the answer was read to its end. An answer whose end is that of the
-    /// connection is no evidence that the server is alive.
-    pub fn record_end(&mut self) {
-        if self.is_framed() {
-            self.attempt_guard.record_answer(self.head.status.is_success());
+    /// Records that the answer was read to its end.
+    ///
+    /// If its end is that of the connection, the server may have been killed. The answer then
+    /// counts as whole only if the server still runs, for which a probe is held for `hold_time`;
+    /// fails otherwise.
+    pub async fn confirm_end(&mut self, hold_time: Duration) -> Result<(), FailedAttempt> {
+        self.in_flight = None;
+        if !self.is_framed()
+            && !self.is_end_confirmed
+            && !self.attempt_guard.is_server_running(hold_time).await
+        {
+            let detail = "the connection ended, and nothing shows that the server still runs";
+            return Err(FailedAttempt::disconnected(detail));
         }
+        self.is_end_confirmed = true;
+        self.attempt_guard.record_answer(self.head.status.is_success());
+        Ok(())
     }
 
     /// Reads the next bytes of the body; returns `None` at its end.
@@ -256,7 +276,8 @@
         }
     }
 
-    /// Reads the body to its end; fails if it is too large.
+    /// Reads the body to its end; fails if it is too large, or if the end is not known to be that
+    /// of the body.
     pub async fn read_whole(&mut self, gateway: &Rc<Gateway>) -> Result<Bytes, FailedAttempt> {
         let mut buffered = BufferedBytes::begin(gateway);
         let mut body = BytesMut::new();
@@ -267,7 +288,7 @@
             }
             buffered.set(body.len())?;
         }
-        self.record_end();
+        self.confirm_end(PROBE_HOLD_TIME).await?;
         Ok(body.freeze())
     }
 }
--- a/crates/gateway/src/crash_tracking.rs
+++ b/crates/gateway/src/crash_tracking.rs
@@ -49,6 +49,10 @@
 /// The same for a request that the next crash would quarantine: on a busy host, a process
 /// may take 100 ms to exit.
 pub const CONFIRMING_HOLD_TIME: Duration = Duration::from_millis(150);
+/// Time for which a probe connection has to stay open before the end of a stream without a length
+/// counts as its last event. With more running processes than processors, stand-ins closed their
+/// listeners up to 32 ms after a crash. Only the end of the stream waits for it.
+pub const STREAM_END_HOLD_TIME: Duration = Duration::from_millis(50);
 /// Delay after a probe connection that was closed at once.
 const PROBE_RETRY_DELAY: Duration = Duration::from_millis(5);
 /// Delays before the follow-up probes of a server whose crash is unconfirmed.
@@ -77,6 +81,7 @@
     digest: RequestDigest,
     parts: Rc<[PartDigest]>,
     key: AttemptKey,
+    sent_at: Duration,
     answered: bool,
 }
 
@@ -90,9 +95,10 @@
     ) -> AttemptGuard {
         let AttemptContent { digest, parts } = content.clone();
         let mut detector = gateway.crash_detector.borrow_mut();
-        let key = detector.begin_attempt(gateway.now(), address, &incarnation, content);
+        let sent_at = gateway.now();
+        let key = detector.begin_attempt(sent_at, address, &incarnation, content);
         let gateway = Rc::clone(gateway);
-        AttemptGuard { gateway, address, incarnation, digest, parts, key, answered: false }
+        AttemptGuard { gateway, address, incarnation, digest, parts, key, sent_at, answered: false }
     }
 
     /// Records that the answer has begun, which clears the parts of the prompt.
@@ -114,6 +120,28 @@
         }
     }
 
+    /// Probes whether the server still runs after its connection has ended; a server counts as
+    /// running when a connection stays open for `hold_time` and no crash has become known until
+    /// then. A server that restarted within the time until the probe is taken for the earlier one,
+    /// unless it has registered again.
+    pub async fn is_server_running(&self, hold_time: Duration) -> bool {
+        let AttemptGuard { gateway, address, incarnation, .. } = self;
+        match hold_connection(*address, hold_time).await {
+            Ok(()) => {}
+            Err(CallError::NotConnected(_, ConnectFailure::Refused)) => {
+                record_refused_connection(gateway, *address, incarnation);
+                return false;
+            }
+            Err(error) => {
+                log_unreachable(gateway, incarnation, &error);
+                return false;
+            }
+        }
+        let is_known =
+            gateway.crash_detector.borrow().crashed_since_sent(*address, incarnation, self.key);
+        !is_known && !gateway.quarantine.borrow().has_crashed_since(incarnation, self.sent_at)
+    }
+
     fn finish_attempt(&self, outcome: AttemptOutcome) -> Option<CrashSuspects> {
         let now = self.gateway.now();
         let mut detector = self.gateway.crash_detector.borrow_mut();
@@ -162,20 +190,22 @@
         Err(CallError::NotConnected(_, ConnectFailure::Refused)) => {
             record_refused_connection(gateway, address, incarnation);
         }
-        Err(error) => {
-            let detail = error.to_string();
-            gateway.journal.note(
-                "server-unreachable",
-                None,
-                o!("server" => incarnation.server.clone(), "born" => incarnation.started_ms,
-                   "error" => detail),
-            );
-        }
+        Err(error) => log_unreachable(gateway, incarnation, &error),
     }
     gateway.probe_finished.notify_waiters();
     status()
 }
 
+fn log_unreachable(gateway: &Gateway, incarnation: &ServerIncarnation, error: &CallError) {
+    let detail = error.to_string();
+    gateway.journal.note(
+        "server-unreachable",
+        None,
+        o!("server" => incarnation.server.clone(), "born" => incarnation.started_ms,
+           "error" => detail),
+    );
+}
+
 /// Repeats the probe of a server whose crash was unconfirmed when a connection to it broke,
 /// until the crash is confirmed or all follow-up probes are done. A server that has answered
 /// a request since then is not probed again.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -16,6 +16,7 @@
 use crate::answer::StreamAborted;
 use crate::attempt::FailedAttempt;
 use crate::attempt::fail_if_degraded;
+use crate::crash_tracking::STREAM_END_HOLD_TIME;
 use crate::serve::Exchange;
 use crate::serve::OpenStream;
 use crate::serve::RequestLog;
@@ -73,7 +74,6 @@
         loop {
             match self.relay_events(&mut stream).await {
                 RelayEnd::Complete => {
-                    stream.answer.record_end();
                     let route = &self.exchange.route.name;
                     self.exchange
                         .gateway
@@ -109,7 +109,7 @@
                 }
             }
             if stream.ended {
-                return RelayEnd::Complete;
+                return self.confirm_end(stream).await;
             }
             let read = tokio::select! {
                 biased;
@@ -138,6 +138,18 @@
         }
     }
 
+    /// Waits until the end of a stream, whose events have all been sent, counts as complete.
+    async fn confirm_end(&self, stream: &mut OpenStream) -> RelayEnd {
+        let confirmed = tokio::select! {
+            biased;
+            () = self.sender.closed() => return RelayEnd::CallerLeft,
+            () = tokio::time::sleep_until(self.exchange.answer_deadline) =>
+                return RelayEnd::TimedOut,
+            confirmed = stream.answer.confirm_end(STREAM_END_HOLD_TIME) => confirmed,
+        };
+        confirmed.map_or_else(RelayEnd::Broken, |()| RelayEnd::Complete)
+    }
+
     /// Sends an event to the caller; drops duplicates and fails on a gap.
     async fn send_event(&mut self, event: StreamEvent) -> Result<(), RelayEnd> {
         match self.event_order.advance(event.number) {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -59,6 +59,7 @@
 use crate::attempt::fail_if_degraded;
 use crate::attempt::send_attempt;
 use crate::attempt::with_timeout;
+use crate::crash_tracking::STREAM_END_HOLD_TIME;
 use crate::crash_tracking::format_digest;
 use crate::crash_tracking::format_digests;
 use crate::framing::HeadBytes;
@@ -416,7 +417,7 @@
             let answer =
                 send_attempt(gateway, message, choice, &facts, content, || *attempt_pending = true)
                     .await?;
-            read_answer_start(gateway, answer, choice, streaming, retryable).await
+            read_answer_start(gateway, answer, choice, &facts, streaming, retryable).await
         };
         let rule = RecallRule { service: &self.service, content, trial, may_retry: retryable };
         let attempt = unless_recalled(gateway, rule, attempt);
@@ -533,11 +534,12 @@
     gateway: &Rc<Gateway>,
     mut answer: OpenAnswer,
     choice: &BalanceChoice,
+    facts: &ForwardFacts<'_>,
     streaming: bool,
     retryable: bool,
 ) -> Result<ValidAnswer, FailedAttempt> {
     if streaming && answer.head.status.is_success() {
-        return read_first_events(gateway, answer, choice).await;
+        return read_first_events(gateway, answer, choice, facts.last_event).await;
     }
     let status = answer.head.status;
     let body = answer.read_whole(gateway).await?;
@@ -556,11 +558,13 @@
     Ok(ValidAnswer::Complete { status, headers, body })
 }
 
-/// Reads a stream up to its first complete events, or to its end if it has none.
+/// Reads a stream up to its first complete events, or to its end if it has none. Only a stream
+/// that continues after an event may have none without a length.
 async fn read_first_events(
     gateway: &Rc<Gateway>,
     mut answer: OpenAnswer,
     choice: &BalanceChoice,
+    after: Option<EventNumber>,
 ) -> Result<ValidAnswer, FailedAttempt> {
     let mut buffered = BufferedBytes::begin(gateway);
     let mut splitter = EventSplitter::default();
@@ -583,7 +587,10 @@
         return Err(FailedAttempt::disconnected("the stream ended inside an event"));
     }
     if ended && events.is_empty() && !answer.is_framed() {
-        return Err(FailedAttempt::disconnected("the connection ended before the first event"));
+        if after.is_none() {
+            return Err(FailedAttempt::disconnected("the connection ended before the first event"));
+        }
+        answer.confirm_end(STREAM_END_HOLD_TIME).await?;
     }
     let choice = choice.clone();
     Ok(ValidAnswer::Stream(Box::new(OpenStream {
