--- a/crates/gateway/tests/unframed_answers.rs
+++ b/crates/gateway/tests/unframed_answers.rs
@@ -22,6 +22,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 
 const ATTEMPT: &str = "same";
@@ -125,6 +126,8 @@
     KilledWithReset,
     /// It listens again at once, as another incarnation that registers.
     Restarted,
+    /// Its connections close, and its VM no longer answers attempts to connect.
+    Frozen,
 }
 
 /// Answers one request with `body`, and ends as told; counts the requests.
@@ -153,6 +156,13 @@
     if end == ServerEnd::KilledWithReset {
         SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
     }
+    if end == ServerEnd::Frozen {
+        let queued = fill_queue(address).await;
+        drop(stream);
+        tokio::time::sleep(2 * DEADLINE).await;
+        drop((listener, queued));
+        return;
+    }
     drop(listener);
     drop(stream);
     if end == ServerEnd::Restarted {
@@ -167,6 +177,17 @@
     }
 }
 
+/// Connects to a listener that accepts nothing until its queue is full, so that further attempts to
+/// connect are not answered.
+async fn fill_queue(address: SocketAddr) -> Vec<TcpStream> {
+    let mut queued = Vec::new();
+    let attempt = || tokio::time::timeout(Duration::from_millis(50), TcpStream::connect(address));
+    while let Ok(stream) = attempt().await {
+        queued.push(stream.unwrap());
+    }
+    queued
+}
+
 /// Starts a server of `service` that ends after `body`, beside others, and sends requests until
 /// it got one. Returns the answer to that request.
 async fn call_ending(
@@ -177,7 +198,10 @@
     end: ServerEnd,
 ) -> CallResult {
     let site = Site::with_sizes(1, others, others).await;
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_reuseaddr(true).unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(if end == ServerEnd::Frozen { 1 } else { 64 }).unwrap();
     let address: SocketAddr = listener.local_addr().unwrap();
     let requests = Arc::new(AtomicUsize::new(0));
     let store = site.store.clone();
@@ -210,7 +234,9 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn killed_servers() {
     let whole = stream_text(3);
-    for end in [ServerEnd::Killed, ServerEnd::KilledWithReset, ServerEnd::Restarted] {
+    for end in
+        [ServerEnd::Killed, ServerEnd::KilledWithReset, ServerEnd::Restarted, ServerEnd::Frozen]
+    {
         for events in 0..=3 {
             let body = stream_text(events);
             let answer = call_ending(1, "model", STREAM_PATH, &body, end).await;
--- a/crates/objects/tests/store_objects.rs
+++ b/crates/objects/tests/store_objects.rs
@@ -146,6 +146,32 @@
     assert_eq!(objects[0].value.as_deref(), Some("{\"odd\":1}"));
 }
 
+/// Guards against operators' objects that count as removed, or that hide others, because the store
+/// holds contents that cannot be read.
+#[test]
+fn refused_contents() {
+    let bench = start_bench();
+    bench.objects.put(KEY, "one", WriteCondition::Absent).unwrap();
+    let (seen, _) = read_changes(&bench.objects, 0);
+    bench.site.put_text(OWN_CONFIG_KIND, "classes/drafting", r#""\ud83d""#);
+    bench.site.put_text(OWN_CONFIG_KIND, "classes/x", "1e999");
+    bench.objects.put("config/classes/y", "two", WriteCondition::Absent).unwrap();
+    let keys = |objects: Vec<StoredObject>| -> Vec<String> {
+        objects.into_iter().map(|object| object.key).collect()
+    };
+    let (_, changed) = read_changes(&bench.objects, seen);
+    assert_eq!(keys(changed), ["config/classes/y"]);
+    let (_, listed) = read_changes(&bench.objects, 0);
+    assert_eq!(keys(listed), ["config/classes/y"]);
+    let version = bench.objects.get(KEY).unwrap().unwrap().version;
+    bench.objects.put(KEY, "three", WriteCondition::Version(version)).unwrap();
+    assert_eq!(bench.objects.get(KEY).unwrap().unwrap().value.as_deref(), Some("three"));
+    let vm = json!({"id": "e-1", "address": "10.0.0.1:7000", "zone": "a", "state": "live"});
+    bench.site.put(VM_KIND, "e-1", vm);
+    bench.site.put_text(VM_KIND, "e-0", "{\"id\":\"\\ud83d\"}");
+    assert_eq!(bench.objects.vms().unwrap().len(), 1);
+}
+
 #[test]
 fn vms_listed() {
     let bench = start_bench();
--- a/crates/rank-agent/tests/group_switch.rs
+++ b/crates/rank-agent/tests/group_switch.rs
@@ -21,6 +21,7 @@
 use cuminpick_platform::records::LeaderRecord;
 use cuminpick_platform::settings::NodeSettings;
 use cuminpick_platform::store::CONFIG_KIND;
+use cuminpick_platform::store::GATEWAY_KIND;
 use cuminpick_platform::store::LEADER_KIND;
 use cuminpick_platform::store::SERVER_KIND;
 use cuminpick_standins::site::engine::SiteEngine;
@@ -200,6 +201,27 @@
     assert_eq!(group.group.mixed_passes(), 0);
 }
 
+/// Guards against a group that no agent can lead, or whose leader knows no engines, because the
+/// store holds records that cannot be read.
+#[tokio::test(flavor = "multi_thread")]
+async fn unreadable_records() {
+    let mut group = TestGroup::start().await;
+    group.wait_for_switches(1, "before the records").await;
+    for kind in [SERVER_KIND, CONFIG_KIND, GATEWAY_KIND] {
+        group.store.put_text(kind, "notes", r#"{"note":"\ud83d"}"#);
+    }
+    group.store.put_text(LEADER_KIND, "group", r#"{"holder":1e999}"#);
+    for rank in 0..RANKS {
+        group.agents[rank].as_mut().unwrap().kill().unwrap();
+    }
+    for rank in 0..RANKS {
+        group.start_agent(rank);
+    }
+    group.wait_for_switches(1, "after the agents were killed").await;
+    assert!(group.leader().is_some(), "{}", group.logs());
+    assert_eq!(group.group.mixed_passes(), 0);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn killed_leader() {
     let mut group = TestGroup::start().await;
