Name VMs and operators' objects that cannot be used, beside the others

One entry of the list of VMs with a field of another type failed the whole list. The entry process reads that list before the configuration, so it followed neither any more. The list now holds the entries that can be used, and names the others with the reasons; the readers log them. Changes of operators' objects name those that cannot be read as well.

--- a/crates/agent/src/announce.rs
+++ b/crates/agent/src/announce.rs
@@ -101,8 +101,13 @@
     let listed = tokio::task::spawn_blocking(move || store.vms()).await;
     match listed {
         Ok(Ok(vms)) => {
+            for detail in vms.unreadable {
+                context.metrics.count_unreadable("vms");
+                context.journal.warn("record-ignored", o!("kind" => "vms", "error" => detail));
+            }
             let mut assignment = lock(&context.assignment);
-            vms.into_iter().map(listed_record).for_each(|record| assignment.record_entry(record));
+            let records = vms.entries.into_iter().map(listed_record);
+            records.for_each(|record| assignment.record_entry(record));
         }
         Ok(Err(error)) => {
             context.journal.warn("platform-call-failed", o!("error" => error.to_string()));
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -86,7 +86,10 @@
         if self.vms_read_at.is_none_or(|read_at| read_at.elapsed() > VM_LIST_INTERVAL) {
             let vms = self.store.vms()?;
             self.vms_read_at = Some(Instant::now());
-            let records = vms.into_iter().map(listed_record).collect();
+            for detail in vms.unreadable {
+                self.journal.warn("record-ignored", o!("kind" => "vms", "error" => detail));
+            }
+            let records = vms.entries.into_iter().map(listed_record).collect();
             self.decider.handle_event(EntryEvent::Listed(records));
         }
         self.restore_lost();
@@ -95,6 +98,10 @@
         let changes = self.store.changes(CONFIG_PREFIX, self.revision, wait)?;
         self.revision = changes.revision;
         let restored = changes.restored;
+        for detail in &changes.unreadable {
+            let detail = detail.clone();
+            self.journal.warn("record-ignored", o!("kind" => "config", "error" => detail));
+        }
         let objects = config_objects(changes);
         if restored {
             self.lost = self.decider.lost_objects(&objects);
--- a/crates/objects/src/lib.rs
+++ b/crates/objects/src/lib.rs
@@ -68,6 +68,18 @@
     /// all that it holds, and what is missing may be lost.
     #[serde(default)]
     pub restored: bool,
+    /// Objects that cannot be read, each with its name and the reason; they keep their last values.
+    #[serde(default)]
+    pub unreadable: Vec<String>,
+}
+
+/// VMs of the platform's list.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct VmListing {
+    /// Entries that can be used.
+    pub entries: Vec<VmEntry>,
+    /// Entries that cannot be used, each with its name and the reason. They hide no other.
+    pub unreadable: Vec<String>,
 }
 
 /// State of a VM in the platform's list, which lags behind.
@@ -132,7 +144,7 @@
     fn delete(&self, key: &str, version: ObjectVersion) -> Result<ObjectVersion, PlatformError>;
 
     /// Lists all VMs.
-    fn vms(&self) -> Result<Vec<VmEntry>, PlatformError>;
+    fn vms(&self) -> Result<VmListing, PlatformError>;
 }
 
 /// Returns the member record of a listed VM.
--- a/crates/objects/src/store.rs
+++ b/crates/objects/src/store.rs
@@ -27,6 +27,7 @@
 use cuminpick_platform::store::StoreError;
 use cuminpick_platform::store::StoreListing;
 use cuminpick_platform::store::StoreObject;
+use cuminpick_platform::store::UnreadableEntry;
 use cuminpick_platform::store::VM_KIND;
 use cuminpick_platform::store_era::EraTracker;
 use serde::Deserialize;
@@ -39,7 +40,7 @@
 use crate::ObjectStore;
 use crate::PlatformError;
 use crate::StoredObject;
-use crate::VmEntry;
+use crate::VmListing;
 use crate::WriteCondition;
 
 /// Time after which a rate-limited call may be repeated; the store states none, and its limits
@@ -159,7 +160,8 @@
         objects.extend(listing.objects.iter().map(stored_object));
         objects.retain(|object| object.key.starts_with(prefix));
         objects.sort_by_key(|object| object.version);
-        ObjectChanges { revision: listing.position.revision, objects, restored }
+        let unreadable = describe_entries(&listing.unreadable);
+        ObjectChanges { revision: listing.position.revision, objects, restored, unreadable }
     }
 
     fn changes_from_watch(&self, prefix: &str, changes: StoreChanges) -> ObjectChanges {
@@ -178,7 +180,8 @@
         }
         seen.position = Some(changes.position);
         objects.retain(|object| object.key.starts_with(prefix));
-        ObjectChanges { revision: changes.position.revision, objects, restored: false }
+        let unreadable = describe_entries(&changes.unreadable);
+        ObjectChanges { revision: changes.position.revision, objects, restored: false, unreadable }
     }
 }
 
@@ -240,15 +243,18 @@
         self.confirm_write(returns, lasting_number(era, revision).max(version) + 1)
     }
 
-    fn vms(&self) -> Result<Vec<VmEntry>, PlatformError> {
+    fn vms(&self) -> Result<VmListing, PlatformError> {
         let listing = block_on(self.client.list(VM_KIND, ReadMode::Linearizable))?
             .map_err(convert_read_error)?;
-        let decode = |object: StoreObject| {
-            serde_json::from_value(object.content).map_err(|error| {
-                PlatformError::Unreadable(format!("VM '{}': {error}", object.name))
-            })
-        };
-        listing.objects.into_iter().map(decode).collect()
+        let unreadable = describe_entries(&listing.unreadable);
+        let mut vms = VmListing { entries: Vec::new(), unreadable };
+        for object in listing.objects {
+            match serde_json::from_value(object.content) {
+                Ok(entry) => vms.entries.push(entry),
+                Err(error) => vms.unreadable.push(format!("'{}': {error}", object.name)),
+            }
+        }
+        Ok(vms)
     }
 }
 
@@ -267,6 +273,14 @@
     })
 }
 
+/// Returns the names of entries that cannot be read, with the reasons.
+fn describe_entries(entries: &[UnreadableEntry]) -> Vec<String> {
+    let describe = |entry: &UnreadableEntry| {
+        format!("'{}': {}", entry.name.as_deref().unwrap_or_default(), entry.detail)
+    };
+    entries.iter().map(describe).collect()
+}
+
 fn object_key(name: &str) -> String {
     format!("{CONFIG_PREFIX}{name}")
 }
