--- a/crates/gateway/src/serve/choice.rs
+++ b/crates/gateway/src/serve/choice.rs
@@ -39,8 +39,8 @@
 impl Exchange {
     /// Chooses a server. While none takes requests, waits for its turn and for one that does, for
     /// a part of the target latency. While all records are outdated, a stream waits for those of
-    /// the servers that replaced them as long as it can still be started. A stream that has begun, and is to go on at another server,
-    /// waits from now on.
+    /// the servers that replaced them as long as it can still be started. A stream that has begun,
+    /// and is to go on at another server, waits from now on.
     pub(super) async fn choose_server(
         &mut self,
         stream_begun: bool,
@@ -114,19 +114,21 @@
 
     /// Chooses among the servers that take requests now.
     fn find_server(&self, unlimited_only: bool) -> Result<BalanceChoice, ChoiceError> {
-        self.find_untried(&self.tried_servers, unlimited_only, true)
+        self.find_untried(&self.tried_servers, unlimited_only, true, self.probe_rule())
     }
 
     /// Returns whether another server than `server` would take the request now.
     pub(super) fn has_other_server(&self, server: &str) -> bool {
         let mut excluded = self.tried_servers.clone();
         excluded.push(server.to_string());
-        self.find_untried(&excluded, false, true).is_ok()
+        self.find_untried(&excluded, false, true, ProbeRule::Never).is_ok()
     }
 
     /// Returns whether a server would take the request if it had the memory.
     fn lacks_memory(&self) -> bool {
-        self.token_need.tokens > 0 && self.find_untried(&self.tried_servers, false, false).is_ok()
+        let find_any =
+            || self.find_untried(&self.tried_servers, false, false, ProbeRule::Never).is_ok();
+        self.token_need.tokens > 0 && find_any()
     }
 
     /// Chooses among the servers, but for the excluded ones, that take requests now.
@@ -135,6 +137,7 @@
         excluded: &[ServerId],
         unlimited_only: bool,
         heeds_memory: bool,
+        probe_rule: ProbeRule,
     ) -> Result<BalanceChoice, ChoiceError> {
         let limits = self.gateway.request_limits.borrow();
         let load = self.gateway.token_load.borrow();
@@ -154,17 +157,20 @@
         };
         let mut rng = self.gateway.rng.borrow_mut();
         if has_units(&self.gateway, &self.service) {
-            let may_repeat = self.retry_state.may_retry_after_failure();
-            let probe_rule = match (self.route.streaming, may_repeat) {
-                (false, _) => ProbeRule::Never,
-                (true, true) => ProbeRule::WhenDue,
-                (true, false) => ProbeRule::WhenOverdue,
-            };
             return choose_in_units(&self.gateway, &query, &mut rng, probe_rule);
         }
         self.gateway.balance.borrow().choose(self.gateway.now(), &query, &mut rng)
     }
 
+    /// Returns whether the request may be the probe of a lost unit.
+    fn probe_rule(&self) -> ProbeRule {
+        match (self.route.streaming, self.retry_state.may_retry_after_failure()) {
+            (false, _) => ProbeRule::Never,
+            (true, true) => ProbeRule::WhenDue,
+            (true, false) => ProbeRule::WhenOverdue,
+        }
+    }
+
     /// Joins the requests that wait for a server. The request is refused at once if its turn would
     /// come too late. One that can be answered on time waits until it can't be any more, at most.
     fn join_queue(
