Give up waiting streams only beyond the usual times of their unit

A stream was given up from the 0.95 quantile of the recent times on if it could be on time elsewhere, so each rise of the load made streams unusual that were about to begin; and each of 24 gateways could give up ten streams in two seconds beyond its share.

Change: the last chance counts from 1.15 times the 0.99 quantile, and two streams in two seconds beyond the share may be given up.

--- a/crates/core/src/first_event.rs
+++ b/crates/core/src/first_event.rs
@@ -34,9 +34,10 @@
 /// Shortest wait after which a stream counts as late. Where first events take some milliseconds,
 /// delays of scheduling on a shared core are longer than the margin.
 const MIN_LATE_WAIT: Duration = Duration::from_millis(100);
-/// Share of the recent first events that took less time than a stream has waited when it is sent
-/// again to be on time.
-const UNUSUAL_QUANTILE: f64 = 0.95;
+/// Multiple of the time of [`LATE_QUANTILE`] from which a stream may be sent again to be on time.
+/// Without a margin each rise of the load makes streams unusual that are about to begin: at 0.95 of
+/// the recent times one stream in five was sent again, and most of these came later for it.
+const UNUSUAL_MULTIPLE: f64 = 1.15;
 /// Share of the recent first events that must fit into the rest of a stream's target: with less
 /// time left, sending it again rarely makes it on time.
 const ON_TIME_QUANTILE: f64 = 0.25;
@@ -49,7 +50,7 @@
 /// Share of the streams sent within [`COUNT_WINDOW`] that may be given up.
 const MAX_GIVEN_UP_SHARE: f64 = 0.1;
 /// Streams that may be given up within [`COUNT_WINDOW`] in addition to the share.
-const GIVEN_UP_SLACK: f64 = 10.0;
+const GIVEN_UP_SLACK: f64 = 2.0;
 
 /// Decaying histogram of times on a logarithmic scale; a bucket is 9 % wide.
 #[derive(Debug, Clone)]
@@ -206,7 +207,8 @@
         let Some(target_left) = wait.target_left else {
             return WaitDecision::Wait(until_late);
         };
-        let earliest = times.quantile(UNUSUAL_QUANTILE).saturating_sub(wait.waited);
+        let unusual_after = times.quantile(LATE_QUANTILE).mul_f64(UNUSUAL_MULTIPLE);
+        let earliest = unusual_after.saturating_sub(wait.waited);
         let last_chance = target_left.saturating_sub(times.quantile(0.5) + RESEND_TIME);
         let due = earliest.max(last_chance);
         if due + times.quantile(ON_TIME_QUANTILE) > target_left {
