Divide capacity between the gateways that are heard

Cause: a registered gateway that is gone counted for up to 60 s. One of two gateways would have used half of the capacity for so long after the loss of the other.

Conclusion: the loss of a gateway takes capacity from the others for two seconds at most; a gateway that is cut off from many keeps an even share.

--- a/crates/gateway/src/demand_exchange.rs
+++ b/crates/gateway/src/demand_exchange.rs
@@ -20,6 +20,13 @@
 /// fit in one interval and exceed the capacity in the next.
 const SHORTAGE_END: Duration = Duration::from_secs(1);
 
+/// Time after the start of the process within which registered gateways count although they were
+/// not heard yet; those that are alive are heard well before.
+const START_PERIOD: Duration = Duration::from_secs(2);
+/// Number of other gateways from which on the silence of all is taken for a fault of the exchange
+/// and not for the loss of each.
+const MIN_SILENT_GATEWAYS: usize = 3;
+
 /// How the capacity of a service is divided, as it appears in logs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 enum DivisionState {
@@ -78,10 +85,8 @@
         if capacity == u32::MAX {
             exchange.allotment = Some(DemandAllotment::unlimited(now));
         } else if is_due {
-            let (gateways, running) = {
-                let balance = gateway.balance.borrow();
-                (balance.live_or_registered_gateways(), balance.service_load(service).own_in_flight)
-            };
+            let gateways = count_gateways(gateway);
+            let running = gateway.balance.borrow().service_load(service).own_in_flight;
             let mut own = stream_gate.own_demand(now, gateways, name_bytes(gateway, service));
             own.running = running;
             let random = gateway.random_share();
@@ -157,6 +162,16 @@
     );
 }
 
+/// Returns the number of gateways between which capacity is divided, including this one: those
+/// that are heard. A gateway that hears none, since it has just started or since nothing reaches
+/// it, counts those that are registered.
+fn count_gateways(gateway: &Gateway) -> usize {
+    let balance = gateway.balance.borrow();
+    let (live, registered) = (balance.live_gateways(), balance.live_or_registered_gateways());
+    let is_cut_off = live == 1 && registered > MIN_SILENT_GATEWAYS;
+    if gateway.now() < START_PERIOD || is_cut_off { registered } else { live }
+}
+
 fn name_bytes(gateway: &Gateway, service: &str) -> usize {
     gateway.settings.node.len() + service.len()
 }
@@ -178,7 +193,7 @@
 /// Returns the demand to send to the other gateways now; empty while all of it is met.
 pub fn take_demand_updates(gateway: &Gateway) -> Vec<DemandUpdate> {
     let now = gateway.now();
-    let gateways = gateway.balance.borrow().live_or_registered_gateways();
+    let gateways = count_gateways(gateway);
     let mut gates = gateway.gates.borrow_mut();
     let mut demand = gateway.demand.borrow_mut();
     let mut updates = Vec::new();
