--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,8 @@
 //! - [`gate`] delays or refuses streams that would make passes too slow; [`group_tracking`],
 //!   [`demand_exchange`] and [`token_tracking`] supply what it and the choice of a server know
 //!   of groups, of demand at other gateways and of servers' memory.
+//! - [`unit_tracking`] knows which groups of a service are lost, [`unit_choice`] chooses among those
+//!   that serve, and [`unit_moves`] moves streams off lost ones.
 //! - [`framing`] rejects requests whose body could be framed in two ways.
 //! - [`answer`] builds the answers to callers, among them refusals.
 
--- a/crates/gateway/src/unit_tracking.rs
+++ b/crates/gateway/src/unit_tracking.rs
@@ -50,7 +50,7 @@
     unit.clone().unwrap_or_else(|| "none".to_string())
 }
 
-/// Logs that a unit is lost or back.
+/// Logs that a unit is lost or back, and updates the number of lost units in the metrics.
 pub fn log_unit(gateway: &Gateway, service: &str, unit: &UnitName, state: &str, reason: &str) {
     let unit = unit_label(unit);
     gateway.journal.warn(
@@ -58,6 +58,10 @@
         o!("service" => service.to_string(), "group" => unit, "state" => state.to_string(),
            "reason" => reason.to_string()),
     );
+    let gates = gateway.gates.borrow();
+    let units = gates.values().flat_map(|gate| gate.units.values());
+    let lost = units.filter(|state| state.loss().is_some()).count();
+    gateway.metrics.set_state("units_lost", lost as f64);
 }
 
 /// Records that a server refused a stream.
