Keep the limit of a slow unit between its streams

A slow unit gets few streams, so a gateway may measure none of its gaps for a second. It then counted as a unit without a limit: the sum was unbounded, and units were weighted by their ranks. The gap of the last five seconds now sets the limit.

--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -28,6 +28,8 @@
 const UNMEASURED_STALL_TIME: Duration = Duration::from_millis(500);
 /// Time after a return within which gateways that use the unit have measured its event gap.
 const START_TIME: Duration = Duration::from_secs(2);
+/// Age up to which a measured event gap tells what a unit can take; a few streams.
+const RECENT_GAP_AGE: Duration = Duration::from_secs(5);
 /// Time after which a probe without an event goes on at another unit.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time for which a report that a group is broken counts, unless it is repeated.
@@ -311,11 +313,16 @@
         now >= self.last_probe_at.unwrap_or(loss.since) + interval
     }
 
+    /// Returns the time between events, if it was measured within the last seconds. A slow unit gets
+    /// few streams, and is not to be taken for an unknown one between two of them.
+    pub fn recent_gap(&self, now: Duration) -> Option<Duration> {
+        self.event_gap.last_mean().filter(|_| self.event_gap.is_active(now, RECENT_GAP_AGE))
+    }
+
     /// Returns whether the unit has returned lately and its event gap has not been measured since.
     /// Later the streams of other gateways show what it can run.
     pub fn is_starting(&self, now: Duration) -> bool {
-        self.event_gap.mean(now).is_none()
-            && self.returned_at.is_some_and(|at| now < at + START_TIME)
+        self.recent_gap(now).is_none() && self.returned_at.is_some_and(|at| now < at + START_TIME)
     }
 
     /// Returns when the last probe was sent to the lost unit.
--- a/crates/core/tests/group_units.rs
+++ b/crates/core/tests/group_units.rs
@@ -286,6 +286,20 @@
     assert!(!unit.is_starting(ms(5_000)));
 }
 
+/// A slow unit gets few streams, so its gap may be older than a second. It must not count as one
+/// without a limit meanwhile, which would give it as many streams as the others.
+#[test]
+fn slow_unit_stays_limited() {
+    let mut unit = UnitState::default();
+    unit.record_gap(ms(1_000), ms(140));
+    assert_eq!(unit.event_gap.mean(ms(3_000)), None);
+    let event_gap = unit.recent_gap(ms(3_000));
+    assert_eq!(event_gap, Some(ms(140)));
+    let load = GroupLoad { ranks: RANKS, slots: 120, streams: 60, event_gap };
+    assert_eq!(unit_capacity(&engine_model(), &load, TARGET, false).total, 0);
+    assert_eq!(unit.recent_gap(ms(6_000)), None);
+}
+
 /// Streams go to units in proportion to what these can still take, so that the slow one of three
 /// groups does not get a third of them.
 #[test]
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -56,10 +56,7 @@
 impl ServiceGate {
     /// Returns the state of a unit, which is created if it is not known.
     pub fn unit(&mut self, unit: &UnitName) -> &mut UnitState {
-        if !self.units.contains_key(unit) {
-            self.units.insert(unit.clone(), UnitState::default());
-        }
-        self.units.get_mut(unit).expect("the unit was inserted")
+        self.units.entry(unit.clone()).or_default()
     }
 }
 
--- a/crates/gateway/src/unit_choice.rs
+++ b/crates/gateway/src/unit_choice.rs
@@ -64,12 +64,14 @@
         .map(|(group, load)| {
             let unit = group.cloned();
             let state = gate.and_then(|gate| gate.units.get(&unit));
-            let event_gap = state.and_then(|state| state.event_gap.mean(now));
+            let event_gap = state.and_then(|state| state.recent_gap(now));
             let (ranks, slots, streams) = (load.ranks, load.slots, load.streams);
             let group_load = GroupLoad { ranks, slots, streams, event_gap };
             let capacity = match (model, target) {
                 (Some(model), Some(target)) => {
-                    let is_starting = state.is_some_and(|state| state.is_starting(now));
+                    // Servers without a group may be ranks of one that has not formed yet.
+                    let is_starting =
+                        unit.is_none() || state.is_some_and(|state| state.is_starting(now));
                     unit_capacity(model, &group_load, target, is_starting)
                 }
                 _ => UnitCapacity { total: u32::MAX, overdue: u32::MAX, ranks },
