--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,8 @@
 //!   of groups, of demand at other gateways and of servers' memory.
 //! - [`service_rate`] supplies the rates from which the gate estimates waits, and [`start_wait`]
 //!   holds requests that arrive before the configuration is known.
+//! - [`unit_tracking`] knows which groups of a service are lost, [`unit_choice`] chooses among those
+//!   that serve, and [`unit_moves`] moves streams off lost ones.
 //! - [`framing`] rejects requests whose body could be framed in two ways.
 //! - [`answer`] builds the answers to callers, among them refusals.
 
--- a/crates/gateway/src/unit_choice.rs
+++ b/crates/gateway/src/unit_choice.rs
@@ -69,14 +69,16 @@
         .map(|(group, load)| {
             let unit = group.cloned();
             let state = gate.and_then(|gate| gate.units.get(&unit));
-            let event_gap = state.and_then(|state| state.event_gap.mean(now));
+            let event_gap = state.and_then(|state| state.recent_gap(now));
             let (ranks, slots, streams) = (load.ranks, load.slots, load.streams);
             let group_load = GroupLoad { ranks, slots, streams, event_gap };
             let capacity = match (model, target) {
                 (Some(model), Some(target)) => {
                     let part = load.ranks as f64 / all_ranks.max(1) as f64;
                     let demand = demand.map(|demand| demand.part(part));
-                    let is_starting = state.is_some_and(|state| state.is_starting(now));
+                    // Servers without a group may be ranks of one that has not formed yet.
+                    let is_starting =
+                        unit.is_none() || state.is_some_and(|state| state.is_starting(now));
                     unit_capacity(model, &group_load, target, is_starting, demand)
                 }
                 _ => UnitCapacity { total: u32::MAX, overdue: u32::MAX, ranks },
