--- a/crates/gateway/tests/unreadable_records.rs
+++ b/crates/gateway/tests/unreadable_records.rs
@@ -154,3 +154,24 @@
     let adopted = site.log_lines("config-in-force");
     assert!(adopted.iter().any(|line| line.contains("\"version\":3")), "{adopted:?}");
 }
+
+/// Guards against changes that are lost because a change names no object, and against a listing for
+/// each such change, of which its writer may make many.
+#[tokio::test(flavor = "multi_thread")]
+async fn nameless_changes() {
+    let site = Site::with_sizes(1, 0, 2).await;
+    let listed = site.log_lines("servers-listed").len();
+    // The store writes the text of the first object in place of the name of the second one.
+    site.store.put_text(SERVER_KIND, "notes", r#""\ud83d""#);
+    for number in 0..8 {
+        site.store.put(SERVER_KIND, "raw text 0", json!({ "number": number }));
+        site.wait_propagated().await;
+    }
+    let relisted = site.log_lines("servers-listed").len() - listed;
+    assert!((1..=2).contains(&relisted), "{relisted} listings: {}", site.all_logs());
+    site.set_server_state("booking-0", ServerState::Draining);
+    site.wait_propagated().await;
+    let counts = served(&site, "draining").await;
+    assert!(counts[0] == 0 && counts[1] > 0, "{counts:?} {}", site.all_logs());
+    assert!(site.log_lines("store-lost").is_empty(), "{}", site.all_logs());
+}
