Keep streams where they are while the passes of their unit are slowed

Cause: when demand shifts to other experts, passes take longer until the map follows, and first events come later at all servers of a group.

Change: no stream is given up while the event gap of its unit is more than 1.15 times that of the last second.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -53,10 +53,16 @@
 /// a few dozen streams.
 const GAP_WEIGHT: f64 = 1.0 / 32.0;
 
+/// Time over which the usual gap is averaged; a shift of demand makes single passes long, until the
+/// expert map follows.
+const USUAL_GAP_TIME: Duration = Duration::from_secs(1);
+
 /// Moving average of the gap between events of a service's streams.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct EventGapMeter {
     mean: Option<Duration>,
+    /// Average over about [`USUAL_GAP_TIME`].
+    usual: Option<Duration>,
     recorded_at: Duration,
 }
 
@@ -66,10 +72,20 @@
         let recent = self.mean.filter(|_| now < self.recorded_at + MAX_GAP_AGE);
         let mean =
             recent.map_or(gap, |mean| mean.mul_f64(1.0 - GAP_WEIGHT) + gap.mul_f64(GAP_WEIGHT));
+        let elapsed = now.saturating_sub(self.recorded_at);
+        let weight = (elapsed.as_secs_f64() / USUAL_GAP_TIME.as_secs_f64()).min(1.0);
+        let usual =
+            self.usual.map_or(gap, |usual| usual.mul_f64(1.0 - weight) + gap.mul_f64(weight));
         self.mean = Some(mean);
+        self.usual = Some(usual);
         self.recorded_at = now;
     }
 
+    /// Returns the average gap over about a second, however old it is; `None` if there was none.
+    pub fn usual(&self) -> Option<Duration> {
+        self.usual
+    }
+
     /// Returns whether an event arrived within the last `span`.
     pub fn is_active(&self, now: Duration, span: Duration) -> bool {
         self.mean.is_some() && now < self.recorded_at + span
--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -36,6 +36,8 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time for which a report that a group is broken counts, unless it is repeated.
 const BROKEN_REPORT_AGE: Duration = Duration::from_secs(3);
+/// Event gap, relative to the usual one, from which the passes of a unit count as slowed.
+const SLOWED_FACTOR: f64 = 1.15;
 /// Interval between two probes of a lost unit while others serve, per gateway: all gateways
 /// together send about 17 probes per second.
 const PROBE_INTERVAL_PER_GATEWAY: Duration = Duration::from_millis(60);
@@ -321,6 +323,13 @@
         self.event_gap.last_mean().filter(|_| self.event_gap.is_active(now, RECENT_GAP_AGE))
     }
 
+    /// Returns whether the passes of the unit take clearly longer than over the last second, as they
+    /// do when demand shifts to other experts.
+    pub fn is_slowed(&self, now: Duration) -> bool {
+        let gaps = self.event_gap.mean(now).zip(self.event_gap.usual());
+        gaps.is_some_and(|(gap, usual)| gap > usual.mul_f64(SLOWED_FACTOR))
+    }
+
     /// Returns whether the unit has returned lately and its event gap has not been measured since.
     /// Later the streams of other gateways show what it can run.
     pub fn is_starting(&self, now: Duration) -> bool {
--- a/crates/gateway/src/first_event.rs
+++ b/crates/gateway/src/first_event.rs
@@ -13,7 +13,7 @@
 use crate::attempt::FailedAttempt;
 use crate::state::Gateway;
 use crate::unit_tracking;
-use crate::unit_tracking::is_unit_lost;
+use crate::unit_tracking::is_unit_delayed;
 use crate::unit_tracking::unit_at;
 
 /// Longest interval between two checks of a waiting stream; shorter than [`ACTIVE_WINDOW`], so
@@ -31,13 +31,14 @@
     unit.map_or_else(|| service.to_string(), |unit| format!("{service}/{unit}"))
 }
 
-/// Returns whether the unit of a server makes passes: it is not lost, and events arrived lately.
+/// Returns whether the unit of a server makes its usual passes: it is not lost, its passes take no
+/// longer than they usually do, and events arrived lately.
 fn is_unit_active(gateway: &Gateway, service: &str, server: &str) -> bool {
     let Some((_, address)) = gateway.balance.borrow().location_of(server) else {
         return false;
     };
     let now = gateway.now();
-    !is_unit_lost(gateway, service, address, now)
+    !is_unit_delayed(gateway, service, address, now)
         && unit_tracking::is_unit_active(gateway, service, address, now, ACTIVE_WINDOW)
 }
 
--- a/crates/gateway/src/unit_tracking.rs
+++ b/crates/gateway/src/unit_tracking.rs
@@ -241,12 +241,17 @@
     }
 }
 
-/// Returns whether the unit of a server gets no streams but probes.
-pub fn is_unit_lost(gateway: &Gateway, service: &str, address: SocketAddr, now: Duration) -> bool {
+/// Returns whether the unit of a server gets no streams but probes, or its passes are slowed.
+pub fn is_unit_delayed(
+    gateway: &Gateway,
+    service: &str,
+    address: SocketAddr,
+    now: Duration,
+) -> bool {
     let unit = unit_at(gateway, service, address);
     let gates = gateway.gates.borrow();
     let state = gates.get(service).and_then(|gate| gate.units.get(&unit));
-    state.is_some_and(|state| state.is_lost(now))
+    state.is_some_and(|state| state.is_lost(now) || state.is_slowed(now))
 }
 
 /// Returns whether events arrive from the unit of a server, or from its whole service if that has
