--- a/review/standins-2/slow_caller.rs
+++ b/review/standins-2/slow_caller.rs
@@ -20,14 +20,14 @@
 use crate::plain::connect_narrow;
 use crate::store::Store;
 
-/// Bytes of an answer, as many as a request may have by `maxBodyBytes`.
-const ANSWER_BYTES: usize = 4_194_304;
+/// Bytes of an answer: more than a kernel buffers for a connection.
+const ANSWER_BYTES: usize = 8_000_000;
 /// Rate at which each caller's link carries its answer, in bytes per second.
-const LINK_RATE: f64 = 700_000.0;
+const LINK_RATE: f64 = 1_100_000.0;
 /// Receive buffer of a caller.
 const BUFFER_BYTES: i32 = 65_536;
 /// Callers.
-const CALLERS: u32 = 6;
+const CALLERS: u32 = 3;
 /// `graceS` and the second after it.
 const PLANNED: Duration = Duration::from_secs(9);
 /// Deadline of the callers and `timeoutMs` of the route.
