--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -7,6 +7,7 @@
 mod crashing_request;
 mod deadly_part;
 mod foreign_entry;
+mod foreign_server;
 mod other_version;
 mod paused_caller;
 mod plain;
@@ -66,6 +67,7 @@
     record.note(&format!("case {case}, trouble {has_trouble}"));
     let verdict = match case {
         "foreign-entry" => foreign_entry::run(&record, work, has_trouble),
+        "foreign-server" => foreign_server::run(&record, work, has_trouble),
         "deadly-part" => deadly_part::run(&record, work, has_trouble),
         "crashing-request" => crashing_request::run(&record, work, has_trouble),
         "other-version" => other_version::run(&record, work, has_trouble),
