--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -79,6 +79,7 @@
         "crashing-request" => crashing_request::run(&record, work, has_trouble),
         "other-version" => other_version::run(&record, work, has_trouble),
         "reborn-engine" => reborn_engine::run(&record, work, has_trouble),
+        "reborn-behind-cut" => reborn_engine::run_behind_cut(&record, work, has_trouble),
         "large-bodies" => large_bodies::run(&record, work, has_trouble),
         "unread-body" => unread_body::run(&record, work, has_trouble),
         "paused-caller" => paused_caller::run(&record, work, has_trouble),
--- a/review/standins-2/reborn_engine.rs
+++ b/review/standins-2/reborn_engine.rs
@@ -1,8 +1,10 @@
 //! An engine is killed inside an answer that ends with its connection and starts again, while the
-//! gateway that reads the answer is frozen.
+//! gateway that reads the answer is frozen, or while the link between the two is cut.
 
 use std::io::BufReader;
+use std::io::Read;
 use std::io::Write;
+use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
@@ -10,6 +12,9 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use crate::Verdict;
@@ -40,6 +45,12 @@
 const CRASH_AT: Duration = Duration::from_millis(500);
 const BACK_AT: Duration = Duration::from_millis(2_600);
 const WAKE_AT: Duration = Duration::from_millis(3_100);
+/// The same for an engine that crashes and starts again behind a cut. The cut ends before a
+/// connection without bytes for two seconds is given up.
+const CUT_AT: Duration = Duration::from_millis(200);
+const CRASH_BEHIND_CUT_AT: Duration = Duration::from_millis(400);
+const BACK_BEHIND_CUT_AT: Duration = Duration::from_millis(1_400);
+const HEAL_AT: Duration = Duration::from_millis(1_800);
 /// Time from the engine's start to its entry; an engine writes about every 1,200 ms.
 const ENTRY_AFTER: Duration = Duration::from_millis(1_000);
 /// Bookings, one after the other.
@@ -101,7 +112,67 @@
     }
 }
 
+/// Link between gateway and engine. While it is cut it holds all bytes and the ends of connections,
+/// and delivers them when the cut is over.
+#[derive(Clone, Default)]
+struct EngineLink {
+    is_cut: Arc<AtomicBool>,
+}
+
+impl EngineLink {
+    /// Returns the address at which the engine is reached over the link.
+    fn start(&self, engine: SocketAddr) -> std::io::Result<SocketAddr> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let link = self.clone();
+        serve(listener, move |stream| drop(link.carry(stream, engine)));
+        Ok(address)
+    }
+
+    fn carry(&self, near: TcpStream, engine: SocketAddr) -> std::io::Result<()> {
+        self.wait_whole();
+        let far = TcpStream::connect(engine)?;
+        far.set_nodelay(true)?;
+        let (link, from, to) = (self.clone(), near.try_clone()?, far.try_clone()?);
+        std::thread::spawn(move || drop(link.pump(from, to)));
+        self.pump(far, near)
+    }
+
+    fn pump(&self, mut from: TcpStream, mut to: TcpStream) -> std::io::Result<()> {
+        let mut chunk = [0; 4_096];
+        loop {
+            let count = from.read(&mut chunk)?;
+            self.wait_whole();
+            if count == 0 {
+                return to.shutdown(Shutdown::Write);
+            }
+            to.write_all(&chunk[..count])?;
+        }
+    }
+
+    fn wait_whole(&self) {
+        while self.is_cut.load(Ordering::Relaxed) {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+}
+
+/// The case: the gateway is frozen meanwhile.
 pub fn run(record: &Record, work: &Path, has_trouble: bool) -> Result<Verdict, String> {
+    run_rounds(record, work, has_trouble, false)
+}
+
+/// The same with one disruption: the engine crashes behind a cut and starts again.
+pub fn run_behind_cut(record: &Record, work: &Path, has_trouble: bool) -> Result<Verdict, String> {
+    run_rounds(record, work, has_trouble, true)
+}
+
+fn run_rounds(
+    record: &Record,
+    work: &Path,
+    has_trouble: bool,
+    behind_cut: bool,
+) -> Result<Verdict, String> {
     let text = |error: std::io::Error| error.to_string();
     let (store, store_address) = Store::start().map_err(text)?;
     let address = {
@@ -109,7 +180,9 @@
         free.local_addr().map_err(text)?
     };
     let mut engine = Some(EngineProcess::start(address)?);
-    store.put("servers", SERVER, &server_text("wuno96b", address, "bole"));
+    let link = EngineLink::default();
+    let reached_at = if behind_cut { link.start(address).map_err(text)? } else { address };
+    store.put("servers", SERVER, &server_text("wuno96b", reached_at, "bole"));
     let route = route_text("puxa403", "non_idempotent", "wuno96b", 8_000, 300);
     store.put("config", "main", &config_text(7, &route, &["wuno96b"]));
     let gateway = GatewayNode::start(0, store_address, work)?;
@@ -130,7 +203,23 @@
         let caller = std::thread::spawn(move || call(front, &request, DEADLINE));
         let wait_until =
             |at: Duration| std::thread::sleep((sent_at + at).saturating_sub(record.now()));
-        if has_trouble {
+        if has_trouble && behind_cut {
+            wait_until(CUT_AT);
+            link.is_cut.store(true, Ordering::Relaxed);
+            record.note("the engine is cut off");
+            wait_until(CRASH_BEHIND_CUT_AT);
+            drop(engine.take());
+            record.note("the engine is killed");
+            wait_until(BACK_BEHIND_CUT_AT);
+            engine = Some(EngineProcess::start(address)?);
+            record.note("the engine is started again under its id");
+            wait_until(HEAL_AT);
+            link.is_cut.store(false, Ordering::Relaxed);
+            record.note("the cut is over");
+            wait_until(BACK_BEHIND_CUT_AT + ENTRY_AFTER);
+            store.put("servers", SERVER, &server_text("wuno96b", reached_at, "bole"));
+            record.note("the engine has written its entry");
+        } else if has_trouble {
             wait_until(FREEZE_AT);
             gateway.signal("STOP");
             record.note("the gateway is frozen");
