Count the bytes that reading the store's answers examines

While a gateway is stuck on an entry of another writer, its log ends and its metrics page does not answer, so nothing distinguishes reading it again and again from one read that takes long. The client counts the bytes received and the bytes examined, each as often as it is; gateways and rank agents state both. No behaviour changes.

--- a/crates/gateway/src/crash_tracking.rs
+++ b/crates/gateway/src/crash_tracking.rs
@@ -26,6 +26,7 @@
 use cuminpick_platform::call::CallError;
 use cuminpick_platform::call::ConnectFailure;
 use cuminpick_platform::call::connect;
+use cuminpick_platform::read_work::ReadWork;
 use slog::o;
 use tokio::io::AsyncReadExt;
 
@@ -414,7 +415,8 @@
     since.as_millis() as u64
 }
 
-/// Removes outdated crashes, attempts and limits at intervals, and updates the metrics.
+/// Removes outdated crashes, attempts and limits at intervals, and updates the metrics of these and
+/// of the store's answers.
 pub async fn sweep_outdated(gateway: Rc<Gateway>) {
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
@@ -429,5 +431,8 @@
         gateway.metrics.set_state("crash_suspects", quarantine.suspect_count() as f64);
         gateway.metrics.set_state("crash_held", quarantine.quarantined_count(now) as f64);
         gateway.metrics.set_state("crash_evicted", quarantine.evicted_count() as f64);
+        let ReadWork { received, examined } = gateway.store.read_work();
+        gateway.metrics.set_state("store_bytes_received", received as f64);
+        gateway.metrics.set_state("store_bytes_examined", examined as f64);
     }
 }
--- a/crates/rank-agent/src/group.rs
+++ b/crates/rank-agent/src/group.rs
@@ -7,6 +7,7 @@
 
 use cuminpick::demand::DemandMeter;
 use cuminpick::ids::FastMap;
+use cuminpick_platform::read_work::ReadWork;
 use cuminpick_platform::records::CONFIG_NAME;
 use cuminpick_platform::records::GatewayRecord;
 use cuminpick_platform::records::RecordError;
@@ -52,6 +53,9 @@
             continue;
         };
         refresh_group(&agent, &store, &mut refused).await;
+        let ReadWork { received, examined } = store.read_work();
+        agent.metrics.set_state("store_bytes_received", received as f64);
+        agent.metrics.set_state("store_bytes_examined", examined as f64);
         if let Err(error) = restate_claim(&agent).await {
             let detail = error.to_string();
             agent.journal.warn("claim-not-restored", o!("error" => detail));
