Keep contents of the store's objects as text until they are decoded

An entry of 1 MB that holds many small values took 37 MB of a gateway's memory while it was read, and a listing held all of its pages so: processes of 128 or 160 MB end at their limit with a few of them, and again after each restart.

Cause: each entry was decoded into a tree of JSON values, which takes 32 bytes and more for a value of two, and a listing kept the trees of all pages until the last was read. Evidence: with one entry of 1 MB of empty lists, objects and numbers each, the peak of a gateway's memory rose by 37.2 MB.

Change: an object that was read holds its content as a part of the answer's bytes. It is checked as strictly as before, and decoded into the fields that its reader needs. A listing is decoded page by page, and a page is dropped before the next is read.

The stand-in of the store ends pages at 1 MB, as the platform's does.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -84,6 +84,7 @@
 pub mod entry_assignment;
 pub mod entry_event;
 pub mod event_stream;
+pub mod excerpt;
 mod expected_wait;
 pub mod expert_counts;
 pub mod experts;
--- a/crates/gateway/src/config_updates.rs
+++ b/crates/gateway/src/config_updates.rs
@@ -12,10 +12,12 @@
 use cuminpick::ids::hash_value;
 use cuminpick::routing::ConfigVersion;
 use cuminpick::routing::RoutingTable;
+use cuminpick::store_history::StoreRevision;
 use cuminpick_platform::records::CONFIG_NAME;
 use cuminpick_platform::records::decode_config;
 use cuminpick_platform::store::CONFIG_KIND;
 use cuminpick_platform::store::StoreObject;
+use cuminpick_platform::stored_content::ReadObject;
 use serde_json::Value;
 use slog::o;
 
@@ -32,12 +34,9 @@
     source: String,
 }
 
-/// Applies an object of the kind of the configuration as the store holds it.
-pub fn apply_config(gateway: &Rc<Gateway>, object: StoreObject) {
-    if object.name != CONFIG_NAME {
-        return;
-    }
-    let table = match decode_config(&object) {
+/// Applies the object of the configuration as the store holds it.
+pub fn apply_config(gateway: &Rc<Gateway>, object: &ReadObject) {
+    let table = match decode_config(object) {
         Ok(table) => table,
         Err(error) => {
             let detail = error.to_string();
@@ -46,10 +45,11 @@
             return;
         }
     };
-    let read = describe_read(gateway, &object, table.version());
+    let content = object.content.to_value();
+    let read = describe_read(gateway, object.revision, &content, table.version());
     let stamp = gateway.config_order.borrow_mut().stamp(&read);
     let source = "store".to_string();
-    let config = ReadConfig { stamp, content: object.content, table, source };
+    let config = ReadConfig { stamp, content, table, source };
     let now = gateway.now();
     let apply_time = gateway.settings.bounds.config_apply;
     let decision = gateway.config_order.borrow_mut().offer(now, stamp, apply_time);
@@ -65,13 +65,18 @@
 }
 
 /// Describes a configuration that was read from the store.
-fn describe_read(gateway: &Gateway, object: &StoreObject, version: ConfigVersion) -> ReadVersion {
+fn describe_read(
+    gateway: &Gateway,
+    revision: StoreRevision,
+    content: &Value,
+    version: ConfigVersion,
+) -> ReadVersion {
     ReadVersion {
         version,
-        digest: hash_value(&object.content),
-        revision: object.revision,
+        digest: hash_value(content),
+        revision,
         era: gateway.store.eras().era(),
-        is_new: gateway.is_written_since_return(object.revision),
+        is_new: gateway.is_written_since_return(revision),
         is_settling: settled_at(gateway).is_some_and(|until| gateway.now() < until),
     }
 }
--- a/crates/gateway/src/crash_records.rs
+++ b/crates/gateway/src/crash_records.rs
@@ -16,7 +16,6 @@
 use cuminpick_platform::store::ReadMode;
 use cuminpick_platform::store::StoreClient;
 use cuminpick_platform::store::StoreError;
-use cuminpick_platform::store::StoreObject;
 use slog::o;
 
 use crate::crash_tracking::record_crash;
@@ -25,7 +24,7 @@
 use crate::part_tracking::stored_part_crashes;
 use crate::state::Gateway;
 use crate::store_return::delay_after_return;
-use crate::unreadable_records::log_unusable_record;
+use crate::unreadable_records::RecordLog;
 
 /// Delay before a write, so that simultaneous crashes are written together. It is a sixth
 /// of the time within which all gateways have to know of a crash.
@@ -116,14 +115,14 @@
 
 /// Removes another gateway's record whose crashes are all outdated, such as that of a VM
 /// that was removed.
-pub async fn remove_outdated_record(gateway: Rc<Gateway>, object: StoreObject) {
-    let removed = gateway.store.remove(CRASH_KIND, &object.name, Some(object.revision)).await;
+pub async fn remove_outdated_record(gateway: Rc<Gateway>, name: String, revision: StoreRevision) {
+    let removed = gateway.store.remove(CRASH_KIND, &name, Some(revision)).await;
     if let Err(error) = removed {
         let detail = error.to_string();
         gateway.journal.note(
             "record-not-removed",
             None,
-            o!("kind" => CRASH_KIND, "name" => object.name, "error" => detail),
+            o!("kind" => CRASH_KIND, "name" => name, "error" => detail),
         );
     }
 }
@@ -143,7 +142,7 @@
             let object = object?;
             match CrashRecord::decode(&object) {
                 Ok(record) => apply_crash_record(gateway, node, record),
-                Err(error) => log_unusable_record(gateway, CRASH_KIND, &error),
+                Err(error) => RecordLog::new(gateway, CRASH_KIND).log_unusable(&error),
             }
             Some(object.revision)
         }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -12,16 +12,18 @@
 use cuminpick::ids::FastMap;
 use cuminpick::return_load::ReturnCalls;
 use cuminpick::store_history::StoreEra;
+use cuminpick::store_history::StoreRevision;
 use cuminpick::updates::GatewayUpdate;
 use cuminpick::updates::GroupUpdate;
 use cuminpick::updates::UpdateMessage;
 use cuminpick::updates::update_interval;
 use cuminpick_platform::records::GatewayRecord;
+use cuminpick_platform::records::RecordError;
 use cuminpick_platform::store::GATEWAY_KIND;
 use cuminpick_platform::store::ReadMode;
 use cuminpick_platform::store::StoreClient;
 use cuminpick_platform::store::StoreError;
-use cuminpick_platform::store::StoreObject;
+use cuminpick_platform::stored_content::ReadObject;
 use slog::o;
 use tokio::net::UdpSocket;
 
@@ -50,8 +52,7 @@
 use crate::store_return::settled_at;
 use crate::token_tracking::apply_token_update;
 use crate::token_tracking::take_token_update;
-use crate::unreadable_records::log_unreadable_entry;
-use crate::unreadable_records::log_unusable_record;
+use crate::unreadable_records::RecordLog;
 
 /// Delay after an error of the socket.
 const SOCKET_ERROR_DELAY: Duration = Duration::from_millis(60);
@@ -133,6 +134,18 @@
     Ok(())
 }
 
+/// Registration of a gateway, with its name and revision in the store.
+struct ListedGateway {
+    name: String,
+    revision: StoreRevision,
+    record: Result<GatewayRecord, RecordError>,
+}
+
+fn list_gateway(object: &ReadObject) -> ListedGateway {
+    let record = GatewayRecord::decode(object);
+    ListedGateway { name: object.name.clone(), revision: object.revision, record }
+}
+
 /// Registers this gateway in the store and keeps track of the other registered gateways.
 async fn discover_gateways(gateway: Rc<Gateway>, address: SocketAddr, addresses: PeerAddresses) {
     let store = gateway.store.clone();
@@ -149,7 +162,7 @@
     loop {
         let era = store.eras().era();
         let mut delay = DISCOVERY_INTERVAL;
-        match store.list(GATEWAY_KIND, mode).await {
+        match store.list_decoded(GATEWAY_KIND, mode, |object| list_gateway(&object)).await {
             Err(error) => {
                 let detail = error.to_string();
                 gateway.journal.warn("gateways-unknown", o!("error" => detail));
@@ -159,12 +172,12 @@
             }
             Ok(listing) => {
                 mode = ReadMode::Stale;
-                for entry in &listing.unreadable {
-                    log_unreadable_entry(&gateway, GATEWAY_KIND, entry);
-                }
-                let own_listed = listing.objects.iter().any(|object| object.name == node);
-                let others = listing.objects.into_iter().filter(|object| object.name != node);
-                let others: Vec<StoreObject> = others.collect();
+                let mut log = RecordLog::new(&gateway, GATEWAY_KIND);
+                listing.unreadable.iter().for_each(|entry| log.log_unreadable(entry));
+                drop(log);
+                let own_listed = listing.objects.iter().any(|listed| listed.name == node);
+                let others = listing.objects.into_iter().filter(|listed| listed.name != node);
+                let others: Vec<ListedGateway> = others.collect();
                 apply_registrations(&gateway, &addresses, &others);
                 if std::mem::take(&mut is_first) {
                     let peers = addresses.borrow().values().copied().collect();
@@ -201,17 +214,18 @@
 
 /// Applies a listing of the registered gateways. Those known before the store came back stay
 /// known until they had the time to register again.
-fn apply_registrations(gateway: &Gateway, addresses: &PeerAddresses, others: &[StoreObject]) {
+fn apply_registrations(gateway: &Gateway, addresses: &PeerAddresses, others: &[ListedGateway]) {
     let mut known = addresses.borrow_mut();
-    for object in others {
-        match GatewayRecord::decode(object) {
+    let mut log = RecordLog::new(gateway, GATEWAY_KIND);
+    for listed in others {
+        match &listed.record {
             Ok(record) => {
-                known.insert(object.name.clone(), record.address);
+                known.insert(listed.name.clone(), record.address);
             }
-            Err(error) => log_unusable_record(gateway, GATEWAY_KIND, &error),
+            Err(error) => log.log_unusable(error),
         }
     }
-    let names = others.iter().map(|object| object.name.clone());
+    let names = others.iter().map(|listed| listed.name.clone());
     let is_settling = settled_at(gateway).is_some_and(|until| gateway.now() < until);
     gateway.balance.borrow_mut().set_registered_gateways(names, is_settling);
 }
@@ -223,7 +237,7 @@
     store: &StoreClient,
     addresses: &PeerAddresses,
     silent_since: &mut FastMap<String, Duration>,
-    others: Vec<StoreObject>,
+    others: Vec<ListedGateway>,
 ) {
     let now = gateway.now();
     for object in others {
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -19,8 +19,11 @@
 use cuminpick::routing::ServerRecord;
 use cuminpick::routing::ServerState;
 use cuminpick::store_history::StorePosition;
+use cuminpick::store_history::StoreRevision;
 use cuminpick_platform::call::CallError;
+use cuminpick_platform::records::CONFIG_NAME;
 use cuminpick_platform::records::CrashRecord;
+use cuminpick_platform::records::RecordError;
 use cuminpick_platform::records::decode_server;
 use cuminpick_platform::store::CONFIG_KIND;
 use cuminpick_platform::store::CRASH_KIND;
@@ -31,8 +34,9 @@
 use cuminpick_platform::store::StoreClient;
 use cuminpick_platform::store::StoreError;
 use cuminpick_platform::store::StoreEvent;
-use cuminpick_platform::store::StoreObject;
+use cuminpick_platform::store::StoreListing;
 use cuminpick_platform::store::UnreadableEntry;
+use cuminpick_platform::stored_content::ReadObject;
 use slog::o;
 
 use crate::config_updates::apply_config;
@@ -47,9 +51,9 @@
 use crate::store_return::settled_at;
 use crate::unit_tracking::record_new_server;
 use crate::unreadable_records::NamelessChanges;
+use crate::unreadable_records::RecordLog;
 use crate::unreadable_records::apply_unreadable_entries;
 use crate::unreadable_records::discard_server;
-use crate::unreadable_records::log_unusable_record;
 
 /// Maximum duration of a watch; bounds how long a store that hangs goes unnoticed.
 const WATCH_WAIT: Duration = Duration::from_secs(8);
@@ -151,21 +155,62 @@
     async fn list(&mut self) -> StorePosition {
         loop {
             self.relists = self.gateway.relists.get();
-            let read_at = self.gateway.now();
-            match self.store.list(self.kind, ReadMode::Linearizable).await {
-                Ok(listing) => {
-                    self.record_success();
-                    handle_outages(&self.gateway);
-                    handle_era_changes(&self.gateway);
-                    self.gateway.record_position(listing.position);
-                    self.apply_listing(read_at, listing.objects, &listing.unreadable);
-                    return listing.position;
-                }
+            match self.list_once().await {
+                Ok(position) => return position,
                 Err(error) => self.back_off(&error).await,
             }
         }
     }
 
+    /// Lists the objects and applies what is used of them; returns the position of the listing.
+    async fn list_once(&mut self) -> Result<StorePosition, StoreError> {
+        let (store, kind) = (self.store.clone(), self.kind);
+        let read_at = self.gateway.now();
+        let mode = ReadMode::Linearizable;
+        let position = match kind {
+            CONFIG_KIND => {
+                let configuration =
+                    |object: ReadObject| is_configuration(&object).then_some(object);
+                let listing = store.list_decoded(kind, mode, configuration).await?;
+                self.begin_listing(&listing);
+                let configurations = listing.objects.into_iter().flatten();
+                configurations.for_each(|object| apply_config(&self.gateway, &object));
+                listing.position
+            }
+            CRASH_KIND => {
+                let listing =
+                    store.list_decoded(kind, mode, |object| decode_crashes(&object)).await?;
+                self.begin_listing(&listing);
+                listing.objects.into_iter().for_each(|record| self.apply_crashes(record));
+                listing.position
+            }
+            SERVER_KIND => {
+                let listing = store.list_decoded(kind, mode, |object| list_server(&object)).await?;
+                self.begin_listing(&listing);
+                self.apply_servers(read_at, listing.objects);
+                listing.position
+            }
+            _ => {
+                let listing = store.list_decoded(kind, mode, |object| list_zone(&object)).await?;
+                self.begin_listing(&listing);
+                self.apply_zones(listing.objects, &listing.unreadable);
+                listing.position
+            }
+        };
+        self.gateway.listed_kinds.borrow_mut().insert(kind);
+        self.gateway.capacity_changed.notify_waiters();
+        Ok(position)
+    }
+
+    /// Records a listing before its objects are applied.
+    fn begin_listing<T>(&mut self, listing: &StoreListing<T>) {
+        self.record_success();
+        handle_outages(&self.gateway);
+        handle_era_changes(&self.gateway);
+        self.gateway.record_position(listing.position);
+        apply_unreadable_entries(&self.gateway, self.kind, &listing.unreadable);
+    }
+
     /// Waits for changes and applies them; returns their position, or `None` when the kind has
     /// to be listed again.
     async fn watch(&mut self, position: StorePosition) -> Option<StorePosition> {
@@ -268,26 +313,6 @@
         self.failures = 0;
     }
 
-    /// Applies objects that were read at `read_at` or later.
-    fn apply_listing(
-        &mut self,
-        read_at: Duration,
-        objects: Vec<StoreObject>,
-        unreadable: &[UnreadableEntry],
-    ) {
-        apply_unreadable_entries(&self.gateway, self.kind, unreadable);
-        match self.kind {
-            CONFIG_KIND => {
-                objects.into_iter().for_each(|object| apply_config(&self.gateway, object));
-            }
-            CRASH_KIND => objects.iter().for_each(|object| self.apply_crashes(object)),
-            SERVER_KIND => self.apply_servers(read_at, &objects),
-            _ => self.apply_zones(objects, unreadable),
-        }
-        self.gateway.listed_kinds.borrow_mut().insert(self.kind);
-        self.gateway.capacity_changed.notify_waiters();
-    }
-
     /// Returns whether a listing may be from an older copy, and has it repeated once that is
     /// over.
     fn begin_settling(&mut self) -> bool {
@@ -296,10 +321,12 @@
         self.relist_at.is_some()
     }
 
-    fn apply_servers(&mut self, read_at: Duration, objects: &[StoreObject]) {
+    /// Applies servers that were listed at `read_at` or later.
+    fn apply_servers(&mut self, read_at: Duration, listed: Vec<Result<ListedServer, RecordError>>) {
         let now = self.gateway.now();
         let is_settling = self.begin_settling();
-        let listed = objects.iter().filter_map(|object| self.decode_record(object));
+        let mut refused = RecordLog::new(&self.gateway, self.kind);
+        let listed = listed.into_iter().filter_map(|listed| self.use_record(listed, &mut refused));
         let listed: Vec<ListedServer> = listed.collect();
         let mut filter = self.gateway.copy_filter.borrow_mut();
         let listed_count = listed.len();
@@ -334,9 +361,8 @@
 
     /// Applies the zones that are taken out. The name alone counts, so that a zone does not come
     /// back because its entry became unreadable.
-    fn apply_zones(&mut self, objects: Vec<StoreObject>, unreadable: &[UnreadableEntry]) {
+    fn apply_zones(&mut self, mut listed: Vec<ListedZone>, unreadable: &[UnreadableEntry]) {
         let is_settling = self.begin_settling();
-        let mut listed: Vec<ListedZone> = objects.into_iter().map(listed_zone).collect();
         let names = unreadable.iter().filter_map(|entry| entry.name.clone());
         listed.extend(names.map(|zone| ListedZone { zone, revision: 0 }));
         let mut filter = self.gateway.copy_filter.borrow_mut();
@@ -376,8 +402,11 @@
         let now = self.gateway.now();
         match self.kind {
             CONFIG_KIND | CRASH_KIND if event.removed => {}
-            CRASH_KIND => self.apply_crashes(&event.object),
-            CONFIG_KIND => apply_config(&self.gateway, event.object),
+            CRASH_KIND => self.apply_crashes(decode_crashes(&event.object)),
+            CONFIG_KIND if is_configuration(&event.object) => {
+                apply_config(&self.gateway, &event.object);
+            }
+            CONFIG_KIND => {}
             SERVER_KIND if event.removed => {
                 let id = event.object.name;
                 let kept_for = self.gateway.balance.borrow().kept_without_record(now);
@@ -402,7 +431,8 @@
                 }
             }
             SERVER_KIND => {
-                if let Some(listed) = self.decode_record(&event.object) {
+                let mut refused = RecordLog::new(&self.gateway, self.kind);
+                if let Some(listed) = self.use_record(list_server(&event.object), &mut refused) {
                     self.gateway.copy_filter.borrow_mut().record_server(now, &listed);
                     let record = listed.record;
                     self.gateway.journal.note(
@@ -422,7 +452,7 @@
             }
             _ => {
                 let out = !event.removed;
-                let listed = listed_zone(event.object);
+                let listed = list_zone(&event.object);
                 self.gateway.copy_filter.borrow_mut().record_zone(&listed, out);
                 let zone = listed.zone;
                 self.gateway.balance.borrow_mut().set_zone_out(&zone, out);
@@ -432,41 +462,68 @@
         self.gateway.capacity_changed.notify_waiters();
     }
 
-    fn apply_crashes(&self, object: &StoreObject) {
-        match CrashRecord::decode(object) {
-            Ok(record) if is_outdated(&self.gateway, &record) => {
+    fn apply_crashes(&self, listed: Result<ListedCrashes, RecordError>) {
+        match listed {
+            Ok(listed) if is_outdated(&self.gateway, &listed.record) => {
+                let ListedCrashes { name, revision, .. } = listed;
                 let gateway = Rc::clone(&self.gateway);
-                tokio::task::spawn_local(remove_outdated_record(gateway, object.clone()));
+                tokio::task::spawn_local(remove_outdated_record(gateway, name, revision));
             }
-            Ok(record) => apply_crash_record(&self.gateway, &object.name, record),
-            Err(error) => log_unusable_record(&self.gateway, self.kind, &error),
+            Ok(listed) => apply_crash_record(&self.gateway, &listed.name, listed.record),
+            Err(error) => RecordLog::new(&self.gateway, self.kind).log_unusable(&error),
         }
     }
 
-    /// Decodes the record of a server and records its registration; logs a record that cannot
-    /// be decoded and removes its server.
-    fn decode_record(&self, object: &StoreObject) -> Option<ListedServer> {
-        match decode_server(object) {
-            Ok(record) => {
+    /// Records the registration of a server; one whose record cannot be used is removed, and its record
+    /// goes to `refused`.
+    fn use_record(
+        &self,
+        listed: Result<ListedServer, RecordError>,
+        refused: &mut RecordLog<'_>,
+    ) -> Option<ListedServer> {
+        match listed {
+            Ok(listed) => {
+                let record = &listed.record;
                 let incarnation =
                     ServerIncarnation { server: record.id.clone(), started_ms: record.started_ms };
                 record_registration(&self.gateway, record.address, &incarnation);
                 if record.state == ServerState::Draining {
                     self.gateway.crash_detector.borrow_mut().mark_leaving(&record.id);
                 }
-                Some(ListedServer { record, revision: object.revision })
+                Some(listed)
             }
             Err(error) => {
-                log_unusable_record(&self.gateway, self.kind, &error);
-                discard_server(&self.gateway, &object.name);
+                refused.log_unusable(&error);
+                discard_server(&self.gateway, &error.name);
                 None
             }
         }
     }
 }
 
-fn listed_zone(object: StoreObject) -> ListedZone {
-    ListedZone { zone: object.name, revision: object.revision }
+fn is_configuration(object: &ReadObject) -> bool {
+    object.name == CONFIG_NAME
+}
+
+fn list_server(object: &ReadObject) -> Result<ListedServer, RecordError> {
+    let record = decode_server(object)?;
+    Ok(ListedServer { record, revision: object.revision })
+}
+
+fn list_zone(object: &ReadObject) -> ListedZone {
+    ListedZone { zone: object.name.clone(), revision: object.revision }
+}
+
+/// Crash record of a gateway, with its name and revision in the store.
+struct ListedCrashes {
+    name: String,
+    revision: StoreRevision,
+    record: CrashRecord,
+}
+
+fn decode_crashes(object: &ReadObject) -> Result<ListedCrashes, RecordError> {
+    let record = CrashRecord::decode(object)?;
+    Ok(ListedCrashes { name: object.name.clone(), revision: object.revision, record })
 }
 
 /// Returns the delay after a number of failed calls in a row, without jitter.
--- a/crates/gateway/src/unreadable_records.rs
+++ b/crates/gateway/src/unreadable_records.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use cuminpick::excerpt::excerpt;
 use cuminpick_platform::store::EVACUATION_KIND;
 use cuminpick_platform::store::ObjectKind;
 use cuminpick_platform::store::SERVER_KIND;
@@ -15,6 +16,11 @@
 /// repeat it with each heartbeat, and a listing of 4,800 servers takes 2 MB.
 const NAMELESS_LISTING_INTERVAL: Duration = Duration::from_secs(10);
 
+/// Records of one answer that are logged by themselves.
+const MAX_LOGGED_RECORDS: usize = 16;
+/// Longest name or error of a record in the log.
+const MAX_LOGGED_BYTES: usize = 300;
+
 /// Changes that name no object, and so may have changed any.
 #[derive(Debug, Default)]
 pub struct NamelessChanges {
@@ -33,8 +39,9 @@
 /// Applies entries that cannot be read: their servers get nothing new, and their zones stay taken
 /// out.
 pub fn apply_unreadable_entries(gateway: &Gateway, kind: ObjectKind, entries: &[UnreadableEntry]) {
+    let mut log = RecordLog::new(gateway, kind);
     for entry in entries {
-        log_unreadable_entry(gateway, kind, entry);
+        log.log_unreadable(entry);
         match (kind, &entry.name) {
             (SERVER_KIND, Some(name)) => discard_server(gateway, name),
             (EVACUATION_KIND, Some(name)) => {
@@ -45,21 +52,55 @@
     }
 }
 
-/// Logs and counts an entry that cannot be read.
-pub fn log_unreadable_entry(gateway: &Gateway, kind: ObjectKind, entry: &UnreadableEntry) {
-    gateway.metrics.count_unreadable(kind);
-    gateway.journal.warn(
-        "record-unreadable",
-        o!("kind" => kind, "name" => entry.name.clone().unwrap_or_default(),
-           "error" => entry.detail.clone()),
-    );
+/// Logs and counts the records of one answer that cannot be read or used. Of many only the first are
+/// logged by themselves, and how many others there are.
+pub struct RecordLog<'a> {
+    gateway: &'a Gateway,
+    kind: ObjectKind,
+    records: usize,
+}
+
+impl<'a> RecordLog<'a> {
+    /// Creates the log of an answer.
+    pub fn new(gateway: &'a Gateway, kind: ObjectKind) -> RecordLog<'a> {
+        RecordLog { gateway, kind, records: 0 }
+    }
+
+    /// Logs an entry that cannot be read.
+    pub fn log_unreadable(&mut self, entry: &UnreadableEntry) {
+        if self.count_record() {
+            let name = excerpt(entry.name.as_deref().unwrap_or_default(), MAX_LOGGED_BYTES);
+            let error = excerpt(&entry.detail, MAX_LOGGED_BYTES);
+            let details = o!("kind" => self.kind, "name" => name, "error" => error);
+            self.gateway.journal.warn("record-unreadable", details);
+        }
+    }
+
+    /// Logs a record that can be read but not used; `error` names it.
+    pub fn log_unusable(&mut self, error: &dyn std::error::Error) {
+        if self.count_record() {
+            let detail = excerpt(&error.to_string(), MAX_LOGGED_BYTES);
+            let details = o!("kind" => self.kind, "error" => detail);
+            self.gateway.journal.warn("record-ignored", details);
+        }
+    }
+
+    /// Counts a record; returns whether it is logged by itself.
+    fn count_record(&mut self) -> bool {
+        self.gateway.metrics.count_unreadable(self.kind);
+        self.records += 1;
+        self.records <= MAX_LOGGED_RECORDS
+    }
 }
 
-/// Logs and counts a record that can be read but not used; `error` names it.
-pub fn log_unusable_record(gateway: &Gateway, kind: ObjectKind, error: &dyn std::error::Error) {
-    gateway.metrics.count_unreadable(kind);
-    let detail = error.to_string();
-    gateway.journal.warn("record-ignored", o!("kind" => kind, "error" => detail));
+impl Drop for RecordLog<'_> {
+    fn drop(&mut self) {
+        let others = self.records.saturating_sub(MAX_LOGGED_RECORDS);
+        if others > 0 {
+            let details = o!("kind" => self.kind, "others" => others);
+            self.gateway.journal.warn("records-unusable", details);
+        }
+    }
 }
 
 /// Removes a server whose record names no server to use.
--- /dev/null
+++ b/crates/gateway/tests/foreign_bytes.rs
@@ -0,0 +1,57 @@
+//! Entries of other writers that are large, many or written often.
+
+mod support;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use cuminpick::routing::ServerState;
+use cuminpick_platform::store::SERVER_KIND;
+use hyper::StatusCode;
+use support::KEY;
+use support::Site;
+
+/// Size of a large entry, in bytes; the store takes no larger ones.
+const ENTRY_BYTES: usize = 1_000_000;
+/// Memory that a gateway may take for a page of the store's answers and what is decoded of it, in MB:
+/// a few times the page.
+const READ_MEMORY_MB: f64 = 24.0;
+/// Interval between two requests.
+const CALL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Sends look-ups for a time; returns how many of them failed, and at least one was sent.
+async fn failed_calls(site: &Site, time: Duration, name: &str) -> usize {
+    let started = Instant::now();
+    let (mut failed, mut number) = (0, 0);
+    while started.elapsed() < time || number == 0 {
+        let answer = site.call_at(0, "/look/x", &format!("{name}-{number}"), Some(KEY)).await;
+        failed += usize::from(answer.status != Some(StatusCode::OK));
+        number += 1;
+        tokio::time::sleep(CALL_INTERVAL).await;
+    }
+    failed
+}
+
+/// Guards against memory of many times the size of an entry, which ends a process at its limit.
+#[tokio::test(flavor = "multi_thread")]
+async fn memory_of_entries() {
+    let mut site = Site::with_sizes(1, 0, 2).await;
+    let before = site.peak_memory_mb();
+    for (name, unit) in [("a-lists", "[],"), ("booking-0x", "{},"), ("x-lists", "1,")] {
+        let content = format!("[{}0]", unit.repeat(ENTRY_BYTES / unit.len()));
+        site.store.put_text(SERVER_KIND, name, &content);
+        site.wait_propagated().await;
+    }
+    assert_eq!(failed_calls(&site, Duration::from_millis(300), "read").await, 0);
+    let added = site.peak_memory_mb() - before;
+    assert!(added < READ_MEMORY_MB, "{added:.1} MB for a watch");
+    site.restart(0).await;
+    assert_eq!(failed_calls(&site, Duration::from_millis(300), "restarted").await, 0);
+    let added = site.peak_memory_mb() - before;
+    assert!(added < READ_MEMORY_MB, "{added:.1} MB for a listing");
+    site.set_server_state("booking-0", ServerState::Draining);
+    site.wait_propagated().await;
+    let served = site.bookings[0].ledger().len();
+    assert_eq!(failed_calls(&site, Duration::from_millis(300), "draining").await, 0);
+    assert_eq!(site.bookings[0].ledger().len(), served, "{}", site.all_logs());
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -323,6 +323,11 @@
         self.gateways[0].process.resident_mb().unwrap()
     }
 
+    /// Returns the most memory that the first gateway has taken until now, in MB.
+    pub(crate) fn peak_memory_mb(&self) -> f64 {
+        self.gateways[0].process.peak_mb().unwrap()
+    }
+
     /// Registers a server that is not one of the site's.
     pub(crate) fn register_server(&self, service: &str, id: &str, address: SocketAddr) {
         let record = ServerRecord {
--- a/crates/objects/src/store.rs
+++ b/crates/objects/src/store.rs
@@ -26,10 +26,11 @@
 use cuminpick_platform::store::StoreClient;
 use cuminpick_platform::store::StoreError;
 use cuminpick_platform::store::StoreListing;
-use cuminpick_platform::store::StoreObject;
 use cuminpick_platform::store::UnreadableEntry;
 use cuminpick_platform::store::VM_KIND;
 use cuminpick_platform::store_era::EraTracker;
+use cuminpick_platform::stored_content::ReadObject;
+use cuminpick_platform::stored_content::StoredContent;
 use serde::Deserialize;
 use serde::Serialize;
 use serde_json::Value;
@@ -249,7 +250,7 @@
         let unreadable = describe_entries(&listing.unreadable);
         let mut vms = VmListing { entries: Vec::new(), unreadable };
         for object in listing.objects {
-            match serde_json::from_value(object.content) {
+            match object.decode() {
                 Ok(entry) => vms.entries.push(entry),
                 Err(error) => vms.unreadable.push(format!("'{}': {error}", object.name)),
             }
@@ -301,13 +302,11 @@
 ///
 /// Content in neither of our forms was written by another program; its JSON text becomes the
 /// value, which the reader then reports as invalid.
-fn stored_object(object: &StoreObject) -> StoredObject {
-    let (value, era) = match &object.content {
-        Value::String(text) => (text.clone(), 0),
-        other => match StampedContent::deserialize(other) {
-            Ok(stamped) => (stamped.value, stamped.era),
-            Err(_) => (other.to_string(), 0),
-        },
+fn stored_object(object: &ReadObject) -> StoredObject {
+    let (value, era) = match (object.decode::<String>(), object.decode::<StampedContent>()) {
+        (Ok(text), _) => (text, 0),
+        (_, Ok(stamped)) => (stamped.value, stamped.era),
+        _ => (object.content.text(), 0),
     };
     let version = lasting_number(era, object.revision);
     StoredObject { key: object_key(&object.name), version, value: Some(value) }
--- a/crates/rank-agent/src/elect.rs
+++ b/crates/rank-agent/src/elect.rs
@@ -18,7 +18,7 @@
 use cuminpick_platform::store::ReadMode;
 use cuminpick_platform::store::StoreClient;
 use cuminpick_platform::store::StoreError;
-use cuminpick_platform::store::StoreObject;
+use cuminpick_platform::stored_content::ReadObject;
 use slog::o;
 
 use crate::daemon::agent_port;
@@ -152,7 +152,7 @@
 
 /// Returns the claim that an object holds. One that cannot be decoded counts as that of an
 /// unknown process, with the object's revision as its term.
-fn known_claim(agent: &Agent, object: &StoreObject) -> KnownClaim {
+fn known_claim(agent: &Agent, object: &ReadObject) -> KnownClaim {
     let record = LeaderRecord::decode(object);
     if let Err(error) = &record {
         agent.metrics.count_unreadable(LEADER_KIND);
@@ -171,8 +171,8 @@
     store: &StoreClient,
     group: &str,
     record: &LeaderRecord,
-    existing: Option<StoreObject>,
-) -> Result<StoreObject, StoreError> {
+    existing: Option<ReadObject>,
+) -> Result<ReadObject, StoreError> {
     let written = match existing {
         None => store.create(LEADER_KIND, group, record.encode()).await,
         Some(existing) => {
--- a/crates/rank-agent/src/group.rs
+++ b/crates/rank-agent/src/group.rs
@@ -20,7 +20,7 @@
 use cuminpick_platform::store::SERVER_KIND;
 use cuminpick_platform::store::StoreClient;
 use cuminpick_platform::store::StoreListing;
-use cuminpick_platform::store::StoreObject;
+use cuminpick_platform::stored_content::ReadObject;
 use slog::o;
 
 use crate::elect::restate_claim;
@@ -68,19 +68,18 @@
 /// Records of a kind that could not be read or used at the last listing, with the reasons.
 type RefusedRecords = FastMap<ObjectKind, FastMap<String, String>>;
 
-/// Decodes the records of a listing. Those that cannot be read or used are left out, and logged and
+/// Returns the records of a listing. Those that cannot be read or used are left out, and logged and
 /// counted unless the last listing had them as well.
-fn decode_records<T>(
+fn take_records<T>(
     agent: &Agent,
     kind: ObjectKind,
     refused: &mut RefusedRecords,
-    listing: StoreListing,
-    decode: impl Fn(&StoreObject) -> Result<T, RecordError>,
+    listing: StoreListing<Result<T, RecordError>>,
 ) -> Vec<T> {
     let mut records = Vec::new();
     let mut current: FastMap<String, String> = FastMap::default();
-    for object in &listing.objects {
-        match decode(object) {
+    for record in listing.objects {
+        match record {
             Ok(record) => records.push(record),
             Err(error) => drop(current.insert(error.name, error.detail)),
         }
@@ -102,9 +101,9 @@
 /// last value.
 async fn refresh_group(agent: &Rc<Agent>, store: &StoreClient, refused: &mut RefusedRecords) {
     let service = agent.settings.local_service.clone().unwrap_or_default();
-    match store.list(SERVER_KIND, ReadMode::Stale).await {
+    match store.list_decoded(SERVER_KIND, ReadMode::Stale, |object| decode_server(&object)).await {
         Ok(listing) => {
-            let records = decode_records(agent, SERVER_KIND, refused, listing, decode_server);
+            let records = take_records(agent, SERVER_KIND, refused, listing);
             let engines: Vec<SocketAddr> = records
                 .into_iter()
                 .filter(|record| record.service == service)
@@ -119,10 +118,10 @@
             agent.journal.warn("engines-unknown", o!("error" => detail));
         }
     }
-    match store.list(GATEWAY_KIND, ReadMode::Stale).await {
+    let decode_gateway = |object: ReadObject| GatewayRecord::decode(&object);
+    match store.list_decoded(GATEWAY_KIND, ReadMode::Stale, decode_gateway).await {
         Ok(listing) => {
-            let records =
-                decode_records(agent, GATEWAY_KIND, refused, listing, GatewayRecord::decode);
+            let records = take_records(agent, GATEWAY_KIND, refused, listing);
             let gateways = records.into_iter().map(|record| record.address).collect();
             if let Some(leadership) = &mut agent.state.borrow_mut().leadership {
                 leadership.gateways = gateways;
--- a/crates/standins/src/site/nodes.rs
+++ b/crates/standins/src/site/nodes.rs
@@ -164,15 +164,25 @@
     pub fn resident_mb(&self) -> std::io::Result<f64> {
         resident_mb(self.child.id())
     }
+
+    /// Returns the most resident memory until now, in MB.
+    pub fn peak_mb(&self) -> std::io::Result<f64> {
+        memory_mb(self.child.id(), "VmHWM:")
+    }
 }
 
 /// Returns the resident memory of the process with id `pid`, in MB; fails if `/proc` has no
 /// such process or states no `VmRSS` for it.
 pub fn resident_mb(pid: u32) -> std::io::Result<f64> {
+    memory_mb(pid, "VmRSS:")
+}
+
+/// Reads a line of a process's status in `/proc` that states memory.
+fn memory_mb(pid: u32, name: &str) -> std::io::Result<f64> {
     let status = std::fs::read_to_string(format!("/proc/{pid}/status"))?;
-    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let line = status.lines().find(|line| line.starts_with(name));
     let kilobytes = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<f64>().ok());
     kilobytes
         .map(|kilobytes| kilobytes / 1_024.0)
-        .ok_or_else(|| std::io::Error::other("/proc has no VmRSS line for the process"))
+        .ok_or_else(|| std::io::Error::other(format!("/proc has no {name} line for the process")))
 }
--- a/crates/standins/src/site/store.rs
+++ b/crates/standins/src/site/store.rs
@@ -16,16 +16,14 @@
 use std::time::Instant;
 
 use cuminpick::ids::ChoiceRng;
-use cuminpick::store_history::StorePosition;
 use cuminpick::store_history::StoreRevision;
+use cuminpick_platform::platform_side::ObjectChange;
 use cuminpick_platform::platform_side::StoreCall;
 use cuminpick_platform::platform_side::add_era;
 use cuminpick_platform::platform_side::decode_store_call;
 use cuminpick_platform::platform_side::encode_changes;
 use cuminpick_platform::platform_side::encode_object;
 use cuminpick_platform::platform_side::encode_page;
-use cuminpick_platform::store::StoreChanges;
-use cuminpick_platform::store::StoreEvent;
 use cuminpick_platform::store::StoreObject;
 use hyper::HeaderMap;
 use hyper::Response;
@@ -43,6 +41,8 @@
 
 /// Maximum number of objects on a page of a list.
 const PAGE_SIZE: usize = 50;
+/// Bytes of contents after which a page of a list ends.
+const PAGE_BYTES: usize = 1 << 20;
 
 /// How the store answers calls.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -133,6 +133,12 @@
         full_answer(status, HeaderMap::new(), text)
     }
 
+    /// Returns the size of a content in an answer.
+    fn content_bytes(&self, content: &Value) -> usize {
+        let raw = content.as_str().and_then(|content| self.raw_texts.get(content));
+        raw.map_or_else(|| content.to_string().len(), String::len)
+    }
+
     /// Writes an object under the next revision.
     fn write(&mut self, key: ObjectKey, content: Value) -> StoreObject {
         self.revision += 1;
@@ -156,12 +162,12 @@
     }
 
     /// Returns the changes of a kind after a revision, as events.
-    fn events(&self, kind: &str, revision: StoreRevision) -> Vec<StoreEvent> {
+    fn events(&self, kind: &str, revision: StoreRevision) -> Vec<ObjectChange> {
         let after = revision.max(self.compacted_revision);
         let changes = self.changes.iter();
         let newer = changes.filter(|change| change.key.0 == kind && change.object.revision > after);
         let events = newer
-            .map(|change| StoreEvent { object: change.object.clone(), removed: change.removed });
+            .map(|change| ObjectChange { object: change.object.clone(), removed: change.removed });
         events.collect()
     }
 
@@ -405,16 +411,21 @@
 
     fn list_page(&self, kind: &str, after: Option<&str>) -> Response<SiteBody> {
         let state = self.lock();
-        let mut objects: Vec<StoreObject> = state
-            .objects
-            .iter()
-            .filter(|((object_kind, name), _)| {
-                object_kind == kind && after.is_none_or(|after| name.as_str() > after)
-            })
-            .map(|(_, object)| object.clone())
-            .collect();
-        let has_more = objects.len() > PAGE_SIZE;
-        objects.truncate(PAGE_SIZE);
+        let listed = state.objects.iter().filter(|((object_kind, name), _)| {
+            object_kind == kind && after.is_none_or(|after| name.as_str() > after)
+        });
+        let mut objects: Vec<StoreObject> = Vec::new();
+        let (mut bytes, mut has_more) = (0, false);
+        for (_, object) in listed {
+            let object_bytes = state.content_bytes(&object.content);
+            let is_full = !objects.is_empty() && bytes + object_bytes > PAGE_BYTES;
+            if objects.len() == PAGE_SIZE || is_full {
+                has_more = true;
+                break;
+            }
+            bytes += object_bytes;
+            objects.push(object.clone());
+        }
         state.answer(StatusCode::OK, &encode_page(&objects, has_more, state.revision))
     }
 
@@ -449,9 +460,8 @@
                 }
                 let events = state.events(kind, revision);
                 if !events.is_empty() || tokio::time::Instant::now() >= deadline {
-                    let position = StorePosition { era, revision: state.revision };
-                    let changes = StoreChanges { events, unreadable: Vec::new(), position };
-                    return Some(state.answer(StatusCode::OK, &encode_changes(&changes)));
+                    let changes = encode_changes(&events, state.revision);
+                    return Some(state.answer(StatusCode::OK, &changes));
                 }
             }
             let _ = tokio::time::timeout_at(deadline, changed).await;
