List a kind whose changes exceed an answer

While another writer wrote an entry of 1 MB 25 times a second, gateways took the store for lost: the delay before the next call grew to 0.8 s, and changes of servers were learned by listings between.

Cause: a watch returns all changes since the last read, each with its whole object. Above 2 MB its answer is not read to its end, and the error was handled as that of a store that does not answer. Evidence: store-lost with 'the answer is larger than 2097152 bytes' in the test's log.

Change: such a watch is no failure. The kind is listed, in pages, and watched from there; the listing holds the latest state of each object once.

The test large_changes failed before with store-lost, and passes: no request fails, and a server that drains gets no more requests 1 s later.

--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -268,6 +268,13 @@
                 );
                 None
             }
+            Err(StoreError::NoAnswer(CallError::TooLarge(limit))) => {
+                // A listing is read in pages of a bounded size.
+                let details = o!("kind" => self.kind, "limit" => limit);
+                self.gateway.journal.note("changes-too-large", None, details);
+                tokio::time::sleep(self.delay_after_changes().max(MIN_RETRY_DELAY)).await;
+                None
+            }
             Err(StoreError::NoAnswer(error @ CallError::Closed(_))) => {
                 if self.cuts == 0 {
                     let detail = error.to_string();
--- a/crates/gateway/tests/foreign_bytes.rs
+++ b/crates/gateway/tests/foreign_bytes.rs
@@ -83,6 +83,27 @@
     })
 }
 
+/// Guards against changes that are lost or late while another writer writes large entries so often
+/// that the changes of an interval exceed the size of an answer that is read.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_changes() {
+    let site = Site::with_sizes(1, 0, 2).await;
+    for text in ["[", "{\"service\":"] {
+        let content = format!("{text}{}", " ".repeat(ENTRY_BYTES));
+        site.store.put_text(SERVER_KIND, "x-notes", &content);
+    }
+    let contents = [json!("raw text 0"), json!("raw text 1")];
+    let writer = write_often(&site, SERVER_KIND, contents, Duration::from_millis(40));
+    assert_eq!(failed_calls(&site, WRITE_TIME, "written").await, 0, "{}", site.all_logs());
+    site.set_server_state("booking-0", ServerState::Draining);
+    assert_eq!(failed_calls(&site, Duration::from_secs(1), "change").await, 0);
+    let served = site.bookings[0].ledger().len();
+    assert_eq!(failed_calls(&site, Duration::from_secs(1), "draining").await, 0);
+    writer.abort();
+    assert_eq!(site.bookings[0].ledger().len(), served, "{}", site.all_logs());
+    assert!(site.log_lines("store-lost").is_empty(), "{}", site.all_logs());
+}
+
 /// Guards against a call to the store for each change of other writers: the gateways together exceed
 /// the store's rates, and are refused.
 #[tokio::test(flavor = "multi_thread")]
