Bound the work for each crash of a record in the store

Any writer may leave such a record, and after the loss of a large zone the gateways' own records add up to it. Found while reading the paths on which records of the store are applied; not seen on a deployment.

Cause: for each crash, all quarantined parts near it were compared with all others, to learn which crashes another part explains: the square of the number of parts, up to 1,024, for each crash, and comparisons of server names besides.

Change: the distinct sets of crashes of quarantined parts are kept by server. A part keeps six crashes, so a set that is no subset of them is found after 33 at most. Of a record 256 crashes of each sort are applied, as many as a gateway writes.

--- a/crates/core/src/part_quarantine.rs
+++ b/crates/core/src/part_quarantine.rs
@@ -32,6 +32,7 @@
 use crate::ids::PartDigest;
 use crate::ids::RequestDigest;
 use crate::ids::ServiceName;
+use crate::ids::hash_value;
 use crate::part_trials::TrialContext;
 use crate::part_trials::TrialStakes;
 use crate::part_trials::sum_stakes;
@@ -140,9 +141,13 @@
     pub was_suspected: bool,
 }
 
+/// Hash of the incarnation of a server.
+type IncarnationKey = u64;
+
 #[derive(Debug, Clone)]
 struct SuspectCrash {
     crash: PartCrash,
+    key: IncarnationKey,
     /// Whether this gateway noticed the crash, not another one.
     local: bool,
 }
@@ -174,13 +179,20 @@
         self.crashes.iter().map(|known| known.crash.noticed_at).max().unwrap_or_default()
     }
 
-    fn has_crash(&self, incarnation: &ServerIncarnation) -> bool {
-        self.crashes.iter().any(|known| known.crash.incarnation == *incarnation)
+    fn has_crash(&self, key: IncarnationKey) -> bool {
+        self.crashes.iter().any(|known| known.key == key)
+    }
+
+    /// Returns the servers that crashed, in ascending order of their keys.
+    fn crash_set(&self) -> Vec<IncarnationKey> {
+        let mut keys: Vec<IncarnationKey> = self.crashes.iter().map(|known| known.key).collect();
+        keys.sort_unstable();
+        keys
     }
 
     /// Returns whether all crashes of `other` are crashes of this part as well.
     fn covers(&self, other: &SuspectPart) -> bool {
-        other.crashes.iter().all(|known| self.has_crash(&known.crash.incarnation))
+        other.crashes.iter().all(|known| self.has_crash(known.key))
     }
 
     fn required_crashes(&self) -> usize {
@@ -188,10 +200,51 @@
     }
 }
 
+/// The distinct sets of crashes of quarantined parts, by each server in them.
+///
+/// Few of them are subsets of the crashes of one part, since a part keeps few crashes. Whether a
+/// quarantined part explains a crash is therefore known after a few sets, however many there are.
+#[derive(Debug, Clone, Default)]
+struct QuarantinedSets {
+    by_server: FastMap<IncarnationKey, FastMap<Vec<IncarnationKey>, usize>>,
+}
+
+impl QuarantinedSets {
+    fn add(&mut self, set: &[IncarnationKey]) {
+        for key in set {
+            *self.by_server.entry(*key).or_default().entry(set.to_vec()).or_default() += 1;
+        }
+    }
+
+    fn remove(&mut self, set: &[IncarnationKey]) {
+        for key in set {
+            let Some(sets) = self.by_server.get_mut(key) else {
+                continue;
+            };
+            if let Some(count) = sets.get_mut(set) {
+                *count -= 1;
+                if *count == 0 {
+                    sets.remove(set);
+                }
+            }
+            if sets.is_empty() {
+                self.by_server.remove(key);
+            }
+        }
+    }
+
+    /// Returns whether a quarantined part has the crash `key`, and one that `suspect` lacks.
+    fn explain(&self, key: IncarnationKey, suspect: &SuspectPart) -> bool {
+        let mut sets = self.by_server.get(&key).into_iter().flat_map(|sets| sets.keys());
+        sets.any(|set| set.iter().any(|key| !suspect.has_crash(*key)))
+    }
+}
+
 /// Crashes and answers by prompt part.
 #[derive(Debug, Clone, Default)]
 pub struct PartQuarantine {
     suspects: FastMap<PartDigest, SuspectPart>,
+    quarantined_sets: QuarantinedSets,
     /// When each part was last answered.
     answered: FastMap<PartDigest, Duration>,
     older_answered: FastMap<PartDigest, Duration>,
@@ -211,11 +264,11 @@
             return PartChange::AnsweredSince;
         }
         let part = crash.part;
+        let key = hash_value(&crash.incarnation);
         let tells_answer = answered_at.is_some() && !local && !crash.answered_before;
         let suspect = self.suspects.entry(part).or_default();
         suspect.answered_before |= answered_at.is_some() || crash.answered_before;
-        let known =
-            suspect.crashes.iter_mut().find(|known| known.crash.incarnation == crash.incarnation);
+        let known = suspect.crashes.iter_mut().find(|known| known.key == key);
         if let Some(known) = known {
             known.crash.sent_at = known.crash.sent_at.max(crash.sent_at);
             known.crash.held_by_few |= crash.held_by_few;
@@ -224,18 +277,21 @@
             known.local |= local;
             return if changed { PartChange::Added } else { PartChange::Unchanged };
         }
-        suspect.crashes.push(SuspectCrash { crash, local });
-        suspect.crashes.sort_by_key(|known| known.crash.noticed_at);
-        if suspect.crashes.len() > MAX_CRASHES_PER_PART {
-            suspect.crashes.remove(0);
-        }
         let was_quarantined = suspect.quarantined;
+        self.change_suspect(part, |suspect| {
+            suspect.crashes.push(SuspectCrash { crash, key, local });
+            suspect.crashes.sort_by_key(|known| known.crash.noticed_at);
+            if suspect.crashes.len() > MAX_CRASHES_PER_PART {
+                suspect.crashes.remove(0);
+            }
+        });
         let counted = self.unexplained_crashes(part);
-        let Some(suspect) = self.suspects.get_mut(&part) else {
-            return PartChange::Unchanged;
-        };
-        suspect.quarantined |= counted >= suspect.required_crashes();
-        let change = match !was_quarantined && suspect.quarantined {
+        let mut is_quarantined = false;
+        self.change_suspect(part, |suspect| {
+            suspect.quarantined |= counted >= suspect.required_crashes();
+            is_quarantined = suspect.quarantined;
+        });
+        let change = match !was_quarantined && is_quarantined {
             true => PartChange::Quarantined,
             false if tells_answer => PartChange::AddedToAnswered,
             false => PartChange::Added,
@@ -255,22 +311,43 @@
         self.answered.insert(part, answered_at);
         self.first_answer_at.get_or_insert(answered_at);
         let was_suspected = self.is_suspected(part);
-        let Some(suspect) = self.suspects.get_mut(&part) else {
+        let Some(suspect) = self.suspects.get(&part) else {
             return PartClearance::default();
         };
         let before = suspect.crashes.len();
-        suspect.crashes.retain(|known| known.crash.noticed_at > answered_at);
-        let voided = before - suspect.crashes.len();
-        suspect.answered_before = true;
-        if suspect.crashes.is_empty() {
-            self.suspects.remove(&part);
+        let mut left = 0;
+        self.change_suspect(part, |suspect| {
+            suspect.crashes.retain(|known| known.crash.noticed_at > answered_at);
+            suspect.answered_before = true;
+            left = suspect.crashes.len();
+        });
+        if left == 0 {
+            self.remove_suspect(part);
         } else {
             let quarantined = self.unexplained_crashes(part) >= KNOWN_PART_CRASHES;
-            if let Some(suspect) = self.suspects.get_mut(&part) {
-                suspect.quarantined = quarantined;
-            }
+            self.change_suspect(part, |suspect| suspect.quarantined = quarantined);
+        }
+        PartClearance { voided: before - left, was_suspected }
+    }
+
+    /// Changes a suspect, and keeps the sets of crashes of quarantined parts in step.
+    fn change_suspect(&mut self, part: PartDigest, change: impl FnOnce(&mut SuspectPart)) {
+        let Some(suspect) = self.suspects.get_mut(&part) else {
+            return;
+        };
+        if suspect.quarantined {
+            self.quarantined_sets.remove(&suspect.crash_set());
+        }
+        change(suspect);
+        if suspect.quarantined {
+            self.quarantined_sets.add(&suspect.crash_set());
+        }
+    }
+
+    fn remove_suspect(&mut self, part: PartDigest) {
+        if let Some(suspect) = self.suspects.remove(&part).filter(|suspect| suspect.quarantined) {
+            self.quarantined_sets.remove(&suspect.crash_set());
         }
-        PartClearance { voided, was_suspected }
     }
 
     /// Returns whether one more crash would quarantine a part, or it is quarantined.
@@ -339,10 +416,11 @@
     /// Returns whether other servers crashed together with one that had the part, but not
     /// with a request that holds it.
     fn missed_common_crash(&self, suspect: &SuspectPart) -> bool {
-        let crashes = self.suspects.values().flat_map(|other| &other.crashes);
-        crashes.map(|known| &known.crash).any(|crash| {
-            !suspect.has_crash(&crash.incarnation)
-                && crash.noticed_at.abs_diff(suspect.latest()) < COMMON_CAUSE_WINDOW
+        let mut crashes = self.suspects.values().flat_map(|other| &other.crashes);
+        let latest = suspect.latest();
+        crashes.any(|known| {
+            known.crash.noticed_at.abs_diff(latest) < COMMON_CAUSE_WINDOW
+                && !suspect.has_crash(known.key)
         })
     }
 
@@ -406,18 +484,10 @@
         let Some(suspect) = self.suspects.get(&part) else {
             return 0;
         };
-        let explanations: Vec<&SuspectPart> = self
-            .suspects
-            .iter()
-            .filter(|(other, quarantined)| {
-                **other != part && quarantined.quarantined && !suspect.covers(quarantined)
-            })
-            .map(|(_, quarantined)| quarantined)
-            .collect();
         let mut count = 0;
         let mut last_counted: Option<&PartCrash> = None;
-        for SuspectCrash { crash, .. } in &suspect.crashes {
-            let explained = explanations.iter().any(|other| other.has_crash(&crash.incarnation));
+        for SuspectCrash { crash, key, .. } in &suspect.crashes {
+            let explained = self.quarantined_sets.explain(*key, suspect);
             let separate = last_counted.is_none_or(|counted| {
                 crash.sent_at >= counted.noticed_at
                     || (counted.is_rare() && crash.is_rare() && self.was_at_all_crashes(suspect))
@@ -439,17 +509,16 @@
     /// Ends the quarantine of parts that a further crash no longer supports: the server at
     /// which it was crashed together with theirs, but had no request with them. Returns them.
     pub fn withdraw_unsupported(&mut self, crash: &PartCrash) -> Vec<PartDigest> {
+        let key = hash_value(&crash.incarnation);
         let unsupported = self.suspects.iter().filter(|(part, suspect)| {
             suspect.quarantined
-                && !suspect.has_crash(&crash.incarnation)
+                && !suspect.has_crash(key)
                 && crash.noticed_at.abs_diff(suspect.latest()) < COMMON_CAUSE_WINDOW
                 && self.unexplained_crashes(**part) < suspect.required_crashes()
         });
         let unsupported: Vec<PartDigest> = unsupported.map(|(part, _)| *part).collect();
         for part in &unsupported {
-            if let Some(suspect) = self.suspects.get_mut(part) {
-                suspect.quarantined = false;
-            }
+            self.change_suspect(*part, |suspect| suspect.quarantined = false);
         }
         unsupported
     }
@@ -487,8 +556,11 @@
 
     /// Drops crashes that are too old.
     pub fn sweep(&mut self, now: Duration) {
-        for suspect in self.suspects.values_mut() {
-            suspect.crashes.retain(|known| now < known.crash.noticed_at + PART_RETENTION);
+        let parts: Vec<PartDigest> = self.suspects.keys().copied().collect();
+        for part in parts {
+            self.change_suspect(part, |suspect| {
+                suspect.crashes.retain(|known| now < known.crash.noticed_at + PART_RETENTION);
+            });
         }
         self.suspects.retain(|_, suspect| !suspect.crashes.is_empty());
         self.report_count = self.suspects.values().map(|suspect| suspect.reports.len()).sum();
@@ -520,7 +592,7 @@
             let Some((_, _, _, part)) = ranked.min() else {
                 return;
             };
-            self.suspects.remove(&part);
+            self.remove_suspect(part);
             self.evicted += 1;
         }
     }
--- a/crates/core/tests/part_quarantine.rs
+++ b/crates/core/tests/part_quarantine.rs
@@ -1,6 +1,7 @@
 //! Which prompt parts are quarantined because servers crash before they answer them.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use cuminpick::crash_detection::ServerIncarnation;
 use cuminpick::ids::ChoiceRng;
@@ -393,3 +394,30 @@
     assert!(quarantine.suspect_count() <= 1_024 && quarantine.evicted_count() > 3_900);
     assert!(is_quarantined(&quarantine, 31.0, &[CRASHING]));
 }
+
+/// Returns the shortest of a few times that it takes to apply the crashes of parts that three servers
+/// each crashed with, as another gateway's record holds them.
+fn application_time(parts: u64) -> Duration {
+    let runs = (0..3).map(|_| {
+        let started = Instant::now();
+        let mut quarantine = PartQuarantine::default();
+        for number in 0..parts * 3 {
+            let seconds = 10.0 + number as f64 / 1_000.0;
+            let mut crash = rare_crash(100 + number / 3, number, seconds);
+            crash.sent_at = crash.noticed_at;
+            quarantine.record_crash(at(20.0), crash.clone(), false);
+            quarantine.withdraw_unsupported(&crash);
+        }
+        assert_eq!(quarantine.suspect_count() as u64, parts);
+        started.elapsed()
+    });
+    runs.min().unwrap()
+}
+
+/// Guards against a record of crashes that stops a gateway: the time for a crash grew with the square of
+/// the number of quarantined parts.
+#[test]
+fn many_crashes() {
+    let (few, many) = (application_time(100), application_time(500));
+    assert!(many < few * 50, "{few:?} for 300 crashes, {many:?} for 1,500");
+}
--- a/crates/gateway/src/crash_records.rs
+++ b/crates/gateway/src/crash_records.rs
@@ -36,12 +36,12 @@
 const MAX_STORED_CRASHES: usize = 256;
 
 /// Applies a gateway's record from the store, which may be the one that this gateway wrote
-/// before it was restarted.
+/// before it was restarted. Of a longer record than gateways write, the rest is left out.
 pub fn apply_crash_record(gateway: &Gateway, owner: &str, record: CrashRecord) {
     let now = gateway.now();
     let wall_ms = unix_millis(gateway);
     let noticed_here = owner == gateway.settings.node;
-    for crash in record.crashes {
+    for crash in record.crashes.into_iter().take(MAX_STORED_CRASHES) {
         let age = Duration::from_millis(wall_ms.saturating_sub(crash.noticed_ms));
         let incarnation = ServerIncarnation { server: crash.server, started_ms: crash.started_ms };
         let noticed_at = now.saturating_sub(age);
@@ -51,7 +51,8 @@
             noticed_here,
         );
     }
-    apply_stored_part_crashes(gateway, record.part_crashes, wall_ms, noticed_here);
+    let part_crashes = record.part_crashes.into_iter().take(MAX_STORED_CRASHES);
+    apply_stored_part_crashes(gateway, part_crashes, wall_ms, noticed_here);
 }
 
 /// Keeps this gateway's record in the store up to date for as long as the process runs.
--- a/crates/gateway/src/part_tracking.rs
+++ b/crates/gateway/src/part_tracking.rs
@@ -251,7 +251,7 @@
 /// Applies the crashes of a record from the store, which was read at the wall time `wall_ms`.
 pub fn apply_stored_part_crashes(
     gateway: &Gateway,
-    crashes: Vec<StoredPartCrash>,
+    crashes: impl Iterator<Item = StoredPartCrash>,
     wall_ms: u64,
     noticed_here: bool,
 ) {
