Take no answer from a server whose status is that of none

A server in trouble whose answer had status 101 or 600 to 999 was heard: callers of all routes got these statuses as answers, signed, and no other server was asked. Status 000, which was seen on other systems, did not reach callers of the gateways: the HTTP library refuses statuses below 100, so that they got 502, or the answer of another server. On the path through agents 600 and above passed as well, and an engine's order answered so counted as refused, although it may have been accepted.

Cause: any status that the library can represent was taken for that of an answer. HTTP has final statuses from 200 to 599 only.

Change: an answer with another status is none. The request may have run: bookings get 502, what may be repeated goes to another server, and an order's outcome is unknown.

--- a/crates/backends/src/lib.rs
+++ b/crates/backends/src/lib.rs
@@ -8,6 +8,7 @@
 use std::io::Read;
 use std::time::Duration;
 
+use cuminpick::answer::is_final_status;
 use serde::Deserialize;
 use ureq::Agent;
 use ureq::BodyReader;
@@ -155,6 +156,10 @@
         }
         let response = call.send(&request.body[..]).map_err(|error| classify_error(&error))?;
         let (parts, body) = response.into_parts();
+        if !is_final_status(parts.status.as_u16()) {
+            let detail = format!("status {} is that of no answer", parts.status.as_u16());
+            return Err(BackendError::Interrupted(detail));
+        }
         let headers: Vec<HeaderPair> = parts
             .headers
             .iter()
--- a/crates/backends/tests/truncated_answers.rs
+++ b/crates/backends/tests/truncated_answers.rs
@@ -97,3 +97,18 @@
     };
     assert!(matches!(backend.call(&request), Err(BackendError::Unreachable(_))));
 }
+
+/// Guards against an answer whose status is that of no answer, such as 000 or 999: the request may have
+/// run.
+#[test]
+fn status_000() {
+    for text in [
+        "HTTP/1.1 000 X\r\ncontent-length: 2\r\n\r\nok",
+        "HTTP/1.1 099 X\r\ncontent-length: 2\r\n\r\nok",
+        "HTTP/1.1 600 X\r\ncontent-length: 2\r\n\r\nok",
+        "HTTP/1.1 999 X\r\ncontent-length: 2\r\n\r\nok",
+    ] {
+        let answer = read_answer(text);
+        assert!(matches!(answer, Err(BackendError::Interrupted(_))), "{text}: {answer:?}");
+    }
+}
--- a/crates/core/src/answer.rs
+++ b/crates/core/src/answer.rs
@@ -1,8 +1,15 @@
-//! Checks that the frames of an answer belong to the current attempt and that none is missing.
+//! Checks that the status of an answer is one, that the frames of an answer belong to the current attempt
+//! and that none is missing.
 
 use crate::ids::AttemptNumber;
 use crate::ids::RequestId;
 
+/// Returns whether a status ends an exchange. Any other is no answer in the protocol, or an interim one,
+/// and tells nothing of the request.
+pub fn is_final_status(status: u16) -> bool {
+    (200..600).contains(&status)
+}
+
 /// What to do with a frame.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FrameDecision {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use cuminpick::answer::is_final_status;
 use cuminpick::balance::BalanceChoice;
 use cuminpick::crash_detection::AttemptContent;
 use cuminpick::relocation::delays_group;
@@ -188,11 +189,15 @@
     Ok(request)
 }
 
-/// Checks that an answer belongs to the request and is signed and unmodified.
+/// Checks that an answer is one, belongs to the request and is signed and unmodified.
 fn check_answer(
     message: &CallerMessage,
     mut answer: OpenAnswer,
 ) -> Result<OpenAnswer, FailedAttempt> {
+    let status = answer.head.status.as_u16();
+    if !is_final_status(status) {
+        return Err(FailedAttempt::broken(format!("status {status} is that of no answer")));
+    }
     if answer.head.not_run {
         answer.attempt_guard.record_answer(false);
     }
