Use only servers of services that the configuration names

An entry of another writer that reads like a server of a service that nobody configured was kept among the servers: each added to the work for every request, for as long as it stood, and one with the address of a server and a later start took that server out of use.

Cause: the balance table held the records of all services in one map that each request searches, and took the latest record of an address for the server there, whatever its service.

Change: records of services that the configuration in force does not name are kept apart, unused, until one does.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -165,6 +165,10 @@
 pub struct BalanceTable {
     announcements: AnnouncementLog,
     backends: FastMap<ServerId, Backend>,
+    /// Services that the configuration names; `None` until one is known.
+    services: Option<FastSet<ServiceName>>,
+    /// Records of other services, which name no server to use, with the times at which they were read.
+    unnamed: FastMap<ServerId, (Duration, ServerRecord)>,
     /// Server that was last recorded at each address.
     by_address: FastMap<SocketAddr, ServerId>,
     zones_out: FastSet<ZoneName>,
@@ -189,6 +193,7 @@
         let listed: FastSet<ServerId> = records.iter().map(|record| record.id.clone()).collect();
         let unlisted: Vec<ServerId> =
             self.backends.keys().filter(|id| !listed.contains(*id)).cloned().collect();
+        self.unnamed.retain(|id, _| listed.contains(id));
         for record in records {
             self.upsert(now, record);
         }
@@ -222,12 +227,32 @@
         self.lapsed_records.len()
     }
 
+    /// Sets the services that the configuration names. Only their servers are used: records of others
+    /// may come from other writers, and are kept until a configuration names their service.
+    pub fn set_services(&mut self, services: FastSet<ServiceName>) {
+        let named: Vec<(Duration, ServerRecord)> = self
+            .unnamed
+            .extract_if(|_, (_, record)| services.contains(&record.service))
+            .map(|(_, unnamed)| unnamed)
+            .collect();
+        self.services = Some(services);
+        for (read_at, record) in named {
+            self.upsert(read_at, record);
+        }
+    }
+
     /// Inserts or updates the record of a server, unless a later server is known at its
     /// address. Earlier servers at the address are removed: the records of servers that
     /// crashed stay for some heartbeats. Returns whether the server was not known since it
     /// started.
     pub fn upsert(&mut self, now: Duration, record: ServerRecord) -> bool {
         self.lapsed_records.forget(&record.id);
+        self.unnamed.remove(&record.id);
+        if self.services.as_ref().is_some_and(|services| !services.contains(&record.service)) {
+            self.drop_backend(&record.id);
+            self.unnamed.insert(record.id.clone(), (now, record));
+            return false;
+        }
         if self.is_replaced(&record) {
             self.backends.remove(&record.id);
             return false;
@@ -301,6 +326,7 @@
     }
 
     fn drop_backend(&mut self, id: &str) {
+        self.unnamed.remove(id);
         if let Some(backend) = self.backends.remove(id)
             && self.by_address.get(&backend.record.address).is_some_and(|last| last == id)
         {
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use crate::ids::FastMap;
+use crate::ids::FastSet;
 use crate::ids::OrganisationName;
 use crate::ids::ServiceName;
 use crate::ids::ZoneName;
@@ -270,6 +271,13 @@
         self.services.get(name)
     }
 
+    /// Returns the names of the services that the configuration names.
+    pub fn service_names(&self) -> FastSet<ServiceName> {
+        let targets = self.routes.iter().flat_map(|route| &route.targets);
+        let targets = targets.map(|target| &target.service);
+        self.services.keys().chain(targets).cloned().collect()
+    }
+
     /// Returns all services with their names.
     pub fn services(&self) -> impl Iterator<Item = (&ServiceName, &ServiceSpec)> {
         self.services.iter()
--- a/crates/core/tests/balance_choice.rs
+++ b/crates/core/tests/balance_choice.rs
@@ -7,6 +7,7 @@
 use cuminpick::balance::BalanceTable;
 use cuminpick::balance::ChoiceError;
 use cuminpick::ids::ChoiceRng;
+use cuminpick::ids::FastSet;
 use cuminpick::ids::ServerId;
 use cuminpick::routing::ServerRecord;
 use cuminpick::routing::ServerState;
@@ -284,3 +285,31 @@
     table.upsert(later, ServerRecord { started_ms, ..record("a", "bole") });
     assert_eq!(chosen(&table, later), Ok("a".to_string()));
 }
+
+/// Guards against entries of other writers that name a service which no configuration names: each added
+/// to the work for every request, and one could take the address of a server.
+#[test]
+fn unnamed_services() {
+    let mut table = table(&["a", "b"]);
+    table.set_services(FastSet::from_iter(["model".to_string()]));
+    for number in 0..1_000 {
+        let record = ServerRecord {
+            service: "notes".to_string(),
+            started_ms: 2,
+            ..record(&format!("n{number}"), "bole")
+        };
+        assert!(!table.upsert(START, record));
+    }
+    assert_eq!(table.len(), 2);
+    let mut rng = ChoiceRng::new(3);
+    assert!(table.choose(START, &query(&["b".to_string()], 0.0), &mut rng).is_ok());
+    // A server whose record changes to such a service is no longer used.
+    table.upsert(START, ServerRecord { service: "notes".to_string(), ..record("a", "bole") });
+    assert_eq!(chosen(&table, START), Ok("b".to_string()));
+    // A configuration that names the service brings its servers in use.
+    table.remove(START, "n7");
+    table.set_services(FastSet::from_iter(["notes".to_string()]));
+    let notes = BalanceQuery { service: "notes", ..query(&[], 0.0) };
+    assert!(table.choose(START, &notes, &mut rng).is_ok());
+    assert_eq!(table.service_of("n7"), None);
+}
--- a/crates/gateway/src/config_updates.rs
+++ b/crates/gateway/src/config_updates.rs
@@ -133,6 +133,7 @@
     gateway.configured_at.set(gateway.configured_at.get().or(Some(now)));
     gateway.deadlines.borrow_mut().remove_idle(now);
     gateway.stream_lengths.borrow_mut().retain(|route| table.has_route(route));
+    gateway.balance.borrow_mut().set_services(table.service_names());
     *gateway.routing.borrow_mut() = Some(Rc::new(table));
     gateway.capacity_changed.notify_waiters();
 }
