--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -598,7 +598,9 @@
     pub fn available_capacity(&self, service: &str) -> (usize, u32) {
         let backends = self.backends.values().filter(|backend| backend.record.service == service);
         let available = backends.filter(|backend| self.is_available(backend));
-        available.fold((0, 0), |(count, slots), backend| (count + 1, slots + backend.record.slots))
+        available.fold((0, 0), |(count, slots), backend| {
+            (count + 1, slots.saturating_add(backend.record.slots))
+        })
     }
 
     /// Returns the load and the capacity of each unit of a service; `group_of` tells the group of
@@ -615,7 +617,7 @@
             load.own_streams += backend.in_flight;
             if self.is_available(backend) {
                 load.ranks += 1;
-                load.slots += backend.record.slots;
+                load.slots = load.slots.saturating_add(backend.record.slots);
             }
         }
         loads
@@ -727,7 +729,7 @@
 
     fn has_capacity(&self, now: Duration, backend: &Backend, query: &BalanceQuery<'_>) -> bool {
         let load = backend.in_flight + backend.others_in_flight;
-        if load >= backend.record.slots.max(1) * MAX_REQUESTS_PER_SLOT {
+        if load >= backend.record.slots.max(1).saturating_mul(MAX_REQUESTS_PER_SLOT) {
             return false;
         }
         if query.cold_requests_per_second <= 0.0 || backend.cold_until <= now {
