Log a few of the entries of an answer that cannot be used

Entries of other writers were logged one line each, with names of any length, at every listing and change: 16,384 of them in an answer displace the lines of all other events, and the rank agent that leads logged them so as well.

All are counted in the metrics.

--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -188,7 +188,10 @@
                 let listing =
                     store.list_decoded(kind, mode, |object| decode_crashes(&object)).await?;
                 self.begin_listing(&listing);
-                listing.objects.into_iter().for_each(|record| self.apply_crashes(record));
+                let mut refused = RecordLog::new(&self.gateway, kind);
+                for record in listing.objects {
+                    self.apply_crashes(record, &mut refused);
+                }
                 listing.position
             }
             SERVER_KIND => {
@@ -244,9 +247,12 @@
                 let changed = !changes.events.is_empty() || !changes.unreadable.is_empty();
                 // With events the answer may be as old as the call.
                 let read_at = if changed { now } else { (now + wait).min(self.gateway.now()) };
+                let gateway = Rc::clone(&self.gateway);
+                let mut refused = RecordLog::new(&gateway, self.kind);
                 for event in changes.events {
-                    self.apply_event(read_at, event);
+                    self.apply_event(read_at, event, &mut refused);
                 }
+                drop(refused);
                 apply_unreadable_entries(&self.gateway, self.kind, &changes.unreadable);
                 if changes.unreadable.iter().any(|entry| entry.name.is_none()) {
                     let relist_at = self.nameless_changes.next_listing(now);
@@ -418,11 +424,11 @@
     }
 
     /// Applies a change of an object, which was read at `read_at` or later.
-    fn apply_event(&self, read_at: Duration, event: StoreEvent) {
+    fn apply_event(&self, read_at: Duration, event: StoreEvent, refused: &mut RecordLog<'_>) {
         let now = self.gateway.now();
         match self.kind {
             CONFIG_KIND | CRASH_KIND if event.removed => {}
-            CRASH_KIND => self.apply_crashes(decode_crashes(&event.object)),
+            CRASH_KIND => self.apply_crashes(decode_crashes(&event.object), refused),
             CONFIG_KIND if is_configuration(&event.object) => {
                 apply_config(&self.gateway, &event.object);
             }
@@ -451,8 +457,7 @@
                 }
             }
             SERVER_KIND => {
-                let mut refused = RecordLog::new(&self.gateway, self.kind);
-                if let Some(listed) = self.use_record(list_server(&event.object), &mut refused) {
+                if let Some(listed) = self.use_record(list_server(&event.object), refused) {
                     self.gateway.copy_filter.borrow_mut().record_server(now, &listed);
                     let record = listed.record;
                     self.gateway.journal.note(
@@ -482,7 +487,11 @@
         self.gateway.capacity_changed.notify_waiters();
     }
 
-    fn apply_crashes(&self, listed: Result<ListedCrashes, RecordError>) {
+    fn apply_crashes(
+        &self,
+        listed: Result<ListedCrashes, RecordError>,
+        refused: &mut RecordLog<'_>,
+    ) {
         match listed {
             Ok(listed) if is_outdated(&self.gateway, &listed.record) => {
                 let ListedCrashes { name, revision, .. } = listed;
@@ -490,7 +499,7 @@
                 tokio::task::spawn_local(remove_outdated_record(gateway, name, revision));
             }
             Ok(listed) => apply_crash_record(&self.gateway, &listed.name, listed.record),
-            Err(error) => RecordLog::new(&self.gateway, self.kind).log_unusable(&error),
+            Err(error) => refused.log_unusable(&error),
         }
     }
 
--- a/crates/gateway/tests/foreign_bytes.rs
+++ b/crates/gateway/tests/foreign_bytes.rs
@@ -123,3 +123,34 @@
     let adopted = site.log_lines("config-in-force");
     assert!(adopted.iter().any(|line| line.contains("\"version\":2")), "{adopted:?}");
 }
+
+/// Entries that stand among the servers at a time.
+const ENTRY_COUNT: usize = 400;
+
+/// Guards against log lines for each of many entries, which displace those of other events, and against
+/// lines as long as an entry.
+#[tokio::test(flavor = "multi_thread")]
+async fn log_of_entries() {
+    let mut site = Site::with_sizes(1, 0, 2).await;
+    let long = "x".repeat(100_000);
+    for number in 0..ENTRY_COUNT {
+        site.store.put(SERVER_KIND, &format!("x-{number}"), json!({ "state": 7 }));
+    }
+    site.store.put(
+        SERVER_KIND,
+        "x-long",
+        json!({ "slots": long.clone(), "service": long.clone() }),
+    );
+    site.store.put(SERVER_KIND, &format!("x-{long}"), json!({}));
+    site.wait_propagated().await;
+    site.restart(0).await;
+    assert_eq!(failed_calls(&site, Duration::from_millis(300), "listed").await, 0);
+    let lines = site.log_lines("record-ignored");
+    assert!(lines.len() < ENTRY_COUNT, "{} lines", lines.len());
+    assert!(
+        lines.iter().all(|line| line.len() < 2_000),
+        "{:?}",
+        lines.iter().map(String::len).max()
+    );
+    assert!(!site.log_lines("records-unusable").is_empty());
+}
--- a/crates/rank-agent/src/group.rs
+++ b/crates/rank-agent/src/group.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use cuminpick::demand::DemandMeter;
+use cuminpick::excerpt::excerpt;
 use cuminpick::ids::FastMap;
 use cuminpick_platform::read_work::ReadWork;
 use cuminpick_platform::records::CONFIG_NAME;
@@ -30,6 +31,10 @@
 const LIST_INTERVAL: Duration = Duration::from_secs(5);
 /// The same interval while ranks are silent or the layout is unknown.
 const INCOMPLETE_LIST_INTERVAL: Duration = Duration::from_millis(700);
+/// Records of one listing that are logged by themselves.
+const MAX_LOGGED_RECORDS: usize = 16;
+/// Longest name of a record in the log.
+const MAX_LOGGED_BYTES: usize = 300;
 /// Interval at which an agent that does not lead checks whether it does.
 const IDLE_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -87,13 +92,23 @@
     let entries = listing.unreadable.into_iter();
     current.extend(entries.map(|entry| (entry.name.unwrap_or_default(), entry.detail)));
     let before = refused.insert(kind, current.clone()).unwrap_or_default();
+    let mut logged = 0;
     for (name, detail) in current {
-        if before.get(&name) != Some(&detail) {
-            agent.metrics.count_unreadable(kind);
+        if before.get(&name) == Some(&detail) {
+            continue;
+        }
+        agent.metrics.count_unreadable(kind);
+        logged += 1;
+        if logged <= MAX_LOGGED_RECORDS {
+            let name = excerpt(&name, MAX_LOGGED_BYTES);
             let details = o!("kind" => kind, "name" => name, "error" => detail);
             agent.journal.warn("record-ignored", details);
         }
     }
+    if logged > MAX_LOGGED_RECORDS {
+        let others = logged - MAX_LOGGED_RECORDS;
+        agent.journal.warn("records-unusable", o!("kind" => kind, "others" => others));
+    }
     records
 }
 
