--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod framing;
 pub mod gate;
 pub mod group_tracking;
+mod listed_records;
 pub mod listen;
 pub mod part_tracking;
 pub mod peer_views;
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -20,12 +20,8 @@
 use cuminpick::routing::ServerRecord;
 use cuminpick::routing::ServerState;
 use cuminpick::store_history::StorePosition;
-use cuminpick::store_history::StoreRevision;
 use cuminpick_platform::call::CallError;
-use cuminpick_platform::records::CONFIG_NAME;
-use cuminpick_platform::records::CrashRecord;
 use cuminpick_platform::records::RecordError;
-use cuminpick_platform::records::decode_server;
 use cuminpick_platform::store::CONFIG_KIND;
 use cuminpick_platform::store::CRASH_KIND;
 use cuminpick_platform::store::EVACUATION_KIND;
@@ -45,6 +41,11 @@
 use crate::crash_records::is_outdated;
 use crate::crash_records::remove_outdated_record;
 use crate::crash_tracking::record_registration;
+use crate::listed_records::ListedCrashes;
+use crate::listed_records::decode_crashes;
+use crate::listed_records::is_configuration;
+use crate::listed_records::list_server;
+use crate::listed_records::list_zone;
 use crate::state::Gateway;
 use crate::store_return::delay_after_return;
 use crate::store_return::handle_era_changes;
@@ -530,31 +531,6 @@
     }
 }
 
-fn is_configuration(object: &ReadObject) -> bool {
-    object.name == CONFIG_NAME
-}
-
-fn list_server(object: &ReadObject) -> Result<ListedServer, RecordError> {
-    let record = decode_server(object)?;
-    Ok(ListedServer { record, revision: object.revision })
-}
-
-fn list_zone(object: &ReadObject) -> ListedZone {
-    ListedZone { zone: object.name.clone(), revision: object.revision }
-}
-
-/// Crash record of a gateway, with its name and revision in the store.
-struct ListedCrashes {
-    name: String,
-    revision: StoreRevision,
-    record: CrashRecord,
-}
-
-fn decode_crashes(object: &ReadObject) -> Result<ListedCrashes, RecordError> {
-    let record = CrashRecord::decode(object)?;
-    Ok(ListedCrashes { name: object.name.clone(), revision: object.revision, record })
-}
-
 /// Returns the delay after a number of failed calls in a row, without jitter.
 fn retry_delay(failures: u32) -> Duration {
     (MIN_RETRY_DELAY * 2u32.pow(failures.saturating_sub(1).min(4))).min(MAX_RETRY_DELAY)
