--- a/crates/gateway/tests/starting_gateway.rs
+++ b/crates/gateway/tests/starting_gateway.rs
@@ -15,6 +15,10 @@
 const PATH: &str = "/look/x";
 /// Time within which a gateway accepts connections after its start.
 const LISTEN_TIME: Duration = Duration::from_secs(10);
+/// Time within which a line of the log is written, on a busy machine too.
+const LOG_TIME: Duration = Duration::from_secs(2);
+/// Time in which a gateway writes its log several times.
+const FLUSH_TIME: Duration = Duration::from_millis(100);
 
 /// Sends a request again until the first gateway accepts the connection.
 async fn call_starting(site: &Site, attempt: &str) -> CallResult {
@@ -29,6 +33,16 @@
     }
 }
 
+/// Waits until an event is logged: a gateway writes its log every 20 ms. What it logged before is
+/// written as well then.
+async fn wait_logged(site: &Site, event: &str) {
+    let started = Instant::now();
+    while site.log_lines(event).is_empty() && started.elapsed() < LOG_TIME {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    tokio::time::sleep(FLUSH_TIME).await;
+}
+
 /// Guards against the refusal of requests that arrive in the first moments of a gateway, before
 /// the store has told the configuration.
 #[tokio::test(flavor = "multi_thread")]
@@ -40,6 +54,7 @@
     let answer = call_starting(&site, "first").await;
     assert_eq!(answer.status, Some(StatusCode::OK), "{answer:?} {}", site.all_logs());
     assert_eq!(site.runs_of_attempt("first"), 1);
+    wait_logged(&site, "start-waited").await;
     assert_eq!(site.log_lines("start-waited").len(), 1, "{}", site.all_logs());
 }
 
