--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -4,12 +4,14 @@
 
 mod leaving;
 mod memory;
+mod parts;
 mod slow_readers;
 mod support;
 mod weights;
 
 use std::path::PathBuf;
 
+use parts::Variant;
 use support::Record;
 use support::Site;
 use support::cannot_run;
@@ -35,6 +37,14 @@
     let broken = match case.as_str() {
         "leaving" => leaving::run(site, trouble),
         "slow-readers" => slow_readers::run(site, trouble),
+        "parts" => {
+            let variant = Variant { shared_parts: 70, events_before_crash: 0 };
+            parts::run(site, trouble, variant)
+        }
+        "begun" => {
+            let variant = Variant { shared_parts: 3, events_before_crash: 1 };
+            parts::run(site, trouble, variant)
+        }
         "weights" => weights::run(site, trouble),
         "answers" => memory::run_answers(site, trouble),
         "uploads" => memory::run_uploads(site, trouble),
--- a/review/standins-3/support.rs
+++ b/review/standins-3/support.rs
@@ -11,7 +11,6 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
-use std::net::UdpSocket;
 use std::os::fd::FromRawFd;
 use std::path::Path;
 use std::path::PathBuf;
@@ -170,6 +169,8 @@
 pub struct Store {
     pub address: SocketAddr,
     state: Arc<(Mutex<StoreState>, Condvar)>,
+    /// Held while a call with a condition is carried out.
+    writing: Arc<Mutex<()>>,
 }
 
 fn object_json(name: &str, object: &StoredObject) -> String {
@@ -253,7 +254,7 @@
     pub fn start(ip: Ipv4Addr) -> Store {
         let listener = TcpListener::bind((ip, 0)).expect("the store cannot listen");
         let address = listener.local_addr().unwrap();
-        let store = Store { address, state: Arc::default() };
+        let store = Store { address, state: Arc::default(), writing: Arc::default() };
         let served = store.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -278,7 +279,8 @@
         state.revision
     }
 
-    fn remove(&self, kind: &str, name: &str) {
+    /// Removes an object as the operator or an engine.
+    pub fn remove(&self, kind: &str, name: &str) {
         let (lock, changed) = &*self.state;
         let mut state = lock.lock().unwrap();
         if let Some(mut object) = state.objects.remove(&(kind.to_string(), name.to_string())) {
@@ -321,6 +323,7 @@
         let metadata = json_member(&text, "metadata").unwrap_or_default();
         let revision = json_member(&metadata, "revision").and_then(|text| text.parse::<u64>().ok());
         let revision = revision.or(query_value(query, "revision").and_then(|r| r.parse().ok()));
+        let _writing = (request.method != "GET").then(|| self.writing.lock().unwrap());
         match (request.method.as_str(), name) {
             ("GET", None) if query_value(query, "watch").is_some() => self.watch(&kind, query),
             ("GET", None) => self.list(&kind, query),
@@ -645,6 +648,35 @@
     pub store: Store,
     subnet: (u8, u8),
     next_host: u8,
+    ports: Ports,
+}
+
+/// Ports of the gateways, which are the same on all machines.
+#[derive(Clone, Copy)]
+struct Ports {
+    front: u16,
+    ready: u16,
+    control: u16,
+    /// First of 16 ports between gateways.
+    internal: u16,
+}
+
+impl Ports {
+    /// Chooses ports that are free at one address of a subnet on which nothing listens.
+    fn choose(ip: Ipv4Addr) -> Ports {
+        let listeners: Vec<TcpListener> =
+            (0..4).map(|_| TcpListener::bind((ip, 0)).expect("no free port")).collect();
+        let port = |index: usize| listeners[index].local_addr().unwrap().port();
+        let others = [port(0), port(1), port(2)];
+        let is_free = |first: &u16| (*first..first + 16).all(|port| !others.contains(&port));
+        let internal = Some(port(3)).filter(|first| *first < 65_000 && is_free(first));
+        Ports {
+            front: others[0],
+            ready: others[1],
+            control: others[2],
+            internal: internal.unwrap_or(20_000),
+        }
+    }
 }
 
 /// Port of the metrics in the command of the deploy file.
@@ -669,7 +701,8 @@
             .expect("no free loopback addresses");
         let store = Store::start(Ipv4Addr::new(127, subnet.0, subnet.1, 1));
         let (directory, root) = (directory.to_path_buf(), root.to_path_buf());
-        Site { directory, root, record, store, subnet, next_host: 20 }
+        let ports = Ports::choose(Ipv4Addr::new(127, subnet.0, subnet.1, 10));
+        Site { directory, root, record, store, subnet, next_host: 20, ports }
     }
 
     pub fn ip(&self, host: u8) -> Ipv4Addr {
@@ -690,12 +723,7 @@
         deployment: &Deployment,
     ) -> Gateway {
         let ip = self.ip(host);
-        let port = || TcpListener::bind((ip, 0)).unwrap().local_addr().unwrap().port();
-        let (front, ready, control) = (port(), port(), port());
-        let internal = (0..100)
-            .map(|_| port())
-            .find(|first| UdpSocket::bind((ip, *first)).is_ok() && *first < 65_000)
-            .unwrap();
+        let Ports { front, ready, control, internal } = self.ports;
         let store = self.store.address;
         let Deployment {
             cpu_share,
