--- a/review/standins-3/slow_readers.rs
+++ b/review/standins-3/slow_readers.rs
@@ -1,4 +1,5 @@
-//! Callers on kept connections read their answers slowly, without a longer pause.
+//! Callers on kept connections read their answers slowly, without a longer pause. Shortly before, the
+//! gateway is told that its settings file has changed.
 
 use std::thread;
 use std::time::Duration;
@@ -7,6 +8,7 @@
 use crate::support::BOYAS_AUSTRAL;
 use crate::support::Outcome;
 use crate::support::Pace;
+use crate::support::SIGHUP;
 use crate::support::Server;
 use crate::support::Site;
 use crate::support::call;
@@ -42,6 +44,11 @@
     let gateway = site.start_gateway("edge-1", 10, "zone-a", &BOYAS_AUSTRAL);
     // The machine counts as in touch `stableMs` after its start.
     thread::sleep(Duration::from_millis(4500));
+    if std::env::var("HUP").as_deref() != Ok("0") {
+        record.note("SIGHUP to the gateway");
+        gateway.signal(SIGHUP);
+        thread::sleep(Duration::from_millis(200));
+    }
     let callers: Vec<_> = (0..CALLERS)
         .map(|number| {
             let (front, record) = (gateway.front, record.clone());
