--- a/review/standins-3/memory.rs
+++ b/review/standins-3/memory.rs
@@ -70,6 +70,7 @@
                     return;
                 };
                 let id = format!("slow-{number}");
+                record.note(format!("caller sends {id}"));
                 let path = format!("/list/{ANSWER_BYTES}");
                 let outcome = call(&mut stream, "GET", &path, &id, DEADLINE_MS, b"", pace);
                 let (status, bytes) = (outcome.status, outcome.body.len());
@@ -97,6 +98,7 @@
                     return;
                 };
                 let id = format!("upload-{number}");
+                record.note(format!("caller sends {id}"));
                 let head = request_head("POST", "/book/800", &id, DEADLINE_MS, 0);
                 let head = head.replace("Content-Length: 0", "Transfer-Encoding: chunked");
                 let mut sent = stream.write_all(head.as_bytes());
@@ -153,10 +155,10 @@
     let bystanders: Vec<_> = (0..BYSTANDERS)
         .map(|number| {
             let (front, stopping) = (gateway.front, Arc::clone(&stopping));
-            let bystanding = Arc::clone(&bystanding);
+            let (bystanding, record) = (Arc::clone(&bystanding), record.clone());
             thread::spawn(move || {
                 thread::sleep(WORK / BYSTANDERS as u32 * number as u32);
-                run_bystander(number, front, &stopping, &bystanding);
+                run_bystander(number, front, &stopping, &bystanding, &record);
             })
         })
         .collect();
@@ -216,6 +218,7 @@
     front: SocketAddr,
     stopping: &AtomicBool,
     bystanding: &Mutex<Bystanding>,
+    record: &Record,
 ) {
     let mut stream = TcpStream::connect(front)
         .unwrap_or_else(|error| cannot_run(&format!("a caller cannot connect: {error}")));
@@ -225,13 +228,19 @@
             return;
         }
         let id = format!("other-{number}-{count}");
+        record.note(format!("caller sends {id}"));
         let outcome = call(&mut stream, "POST", "/book/800", &id, DEADLINE_MS, b"x", AT_ONCE);
+        let (status, complete) = (outcome.status, outcome.complete);
+        record.note(format!("caller {id}: status {status}, complete {complete}"));
         let mut bystanding = bystanding.lock().unwrap();
         if outcome.complete && outcome.status == 200 && outcome.body == make_body(&id, 800) {
             bystanding.served += 1;
         }
         if !outcome.complete {
-            bystanding.lost.push(id);
+            // The first request of a connection is not one from a kept connection.
+            if count > 0 {
+                bystanding.lost.push(id);
+            }
             return;
         }
     }
